--- /dev/null
+++ b/internal/core/config/snapshot.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gentiancroft/internal/core"
+)
+
+// Snapshot is an accepted document with the indexes that requests need. It is
+// immutable once made.
+type Snapshot struct {
+	Version  uint64
+	Document *Document
+
+	workspaces map[core.WorkspaceID]*Workspace
+	keys       map[string]*Key
+	adapters   map[core.AdapterID]*Adapter
+	routes     map[string]*Route
+	upstreams  map[core.UpstreamID]*Upstream
+}
+
+// NewSnapshot indexes a valid document.
+func NewSnapshot(version uint64, d *Document) *Snapshot {
+	s := &Snapshot{
+		Version:    version,
+		Document:   d,
+		workspaces: make(map[core.WorkspaceID]*Workspace, len(d.Workspaces)),
+		keys:       make(map[string]*Key, len(d.Keys)),
+		adapters:   make(map[core.AdapterID]*Adapter, len(d.Adapters)),
+		routes:     make(map[string]*Route, len(d.Routes)),
+		upstreams:  make(map[core.UpstreamID]*Upstream, len(d.Upstreams)),
+	}
+	for i := range d.Workspaces {
+		s.workspaces[d.Workspaces[i].ID] = &d.Workspaces[i]
+	}
+	for i := range d.Keys {
+		s.keys[d.Keys[i].Hash] = &d.Keys[i]
+	}
+	for i := range d.Adapters {
+		s.adapters[d.Adapters[i].ID] = &d.Adapters[i]
+	}
+	for i := range d.Routes {
+		s.routes[d.Routes[i].Path] = &d.Routes[i]
+	}
+	for i := range d.Upstreams {
+		s.upstreams[d.Upstreams[i].ID] = &d.Upstreams[i]
+	}
+	return s
+}
+
+// HashKey returns the form in which a caller's key is kept and compared.
+func HashKey(secret []byte, key string) string {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(key))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// Workspace returns a workspace by its identity, or nil.
+func (s *Snapshot) Workspace(id core.WorkspaceID) *Workspace { return s.workspaces[id] }
+
+// Route returns a route by its path, or nil.
+func (s *Snapshot) Route(path string) *Route { return s.routes[path] }
+
+// Upstream returns an upstream by its identity, or nil.
+func (s *Snapshot) Upstream(id core.UpstreamID) *Upstream { return s.upstreams[id] }
+
+// Key returns the key with a hash, or nil. The look-up is by a keyed hash, so
+// its timing tells nothing about the key; the final compare is constant-time.
+func (s *Snapshot) Key(hash string) *Key {
+	k := s.keys[hash]
+	if k == nil || !hmac.Equal([]byte(k.Hash), []byte(hash)) {
+		return nil
+	}
+	return k
+}
+
+// Pool returns the upstreams of a pool in document order.
+func (s *Snapshot) Pool(name string) []*Upstream {
+	var pool []*Upstream
+	for i := range s.Document.Upstreams {
+		if s.Document.Upstreams[i].Pool == name {
+			pool = append(pool, &s.Document.Upstreams[i])
+		}
+	}
+	return pool
+}
+
+// Resolve turns a model name, "adapter" or "adapter@version", into an exact
+// version that a workspace may use.
+func (s *Snapshot) Resolve(model string, ws core.WorkspaceID) (core.AdapterRef, *Adapter, *core.Refusal) {
+	name, version, versioned := strings.Cut(model, "@")
+	unknown := core.Refuse(core.CodeUnknownAdapter, 0, "no adapter "+strconv.Quote(model)+" for this workspace")
+	a := s.adapters[core.AdapterID(name)]
+	if a == nil {
+		return core.AdapterRef{}, nil, unknown
+	}
+	if len(a.Workspaces) > 0 && !slices.Contains(a.Workspaces, ws) {
+		return core.AdapterRef{}, nil, unknown
+	}
+	if !versioned {
+		return core.AdapterRef{ID: a.ID, Version: a.Default}, a, nil
+	}
+	v, err := strconv.Atoi(version)
+	if err != nil || !slices.Contains(a.Versions, v) || strconv.Itoa(v) != version {
+		return core.AdapterRef{}, nil, unknown
+	}
+	return core.AdapterRef{ID: a.ID, Version: v}, a, nil
+}
--- /dev/null
+++ b/internal/core/hash.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score is the rendezvous weight of a host for a name. The same inputs give
+// the same score on every host.
+func Score(h HostID, kind uint8, name string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(h))
+	_, _ = d.Write([]byte{0, kind})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// Rendezvous returns the host with the highest score for a name, and false
+// where there is none.
+func Rendezvous(hosts []HostID, kind uint8, name string) (HostID, bool) {
+	best, top := HostID(""), uint64(0)
+	for i, h := range hosts {
+		s := Score(h, kind, name)
+		if i == 0 || s > top || (s == top && h < best) {
+			best, top = h, s
+		}
+	}
+	return best, len(hosts) > 0
+}
+
+// RendezvousN returns up to n hosts by falling score.
+func RendezvousN(hosts []HostID, kind uint8, name string, n int) []HostID {
+	type scored struct {
+		host  HostID
+		score uint64
+	}
+	all := make([]scored, 0, len(hosts))
+	for _, h := range hosts {
+		all = append(all, scored{h, Score(h, kind, name)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		if a.host < b.host {
+			return -1
+		}
+		return 1
+	})
+	out := make([]HostID, 0, n)
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.host)
+	}
+	return out
+}
+
+// Fingerprint hashes the parts of a request that decide what an upstream runs,
+// mixed with a deployment-wide key.
+func Fingerprint(key uint64, parts ...string) uint64 {
+	d := xxhash.New()
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], key)
+	_, _ = d.Write(b[:])
+	for _, p := range parts {
+		binary.LittleEndian.PutUint64(b[:], uint64(len(p)))
+		_, _ = d.Write(b[:])
+		_, _ = d.WriteString(p)
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,167 @@
+// Package core holds the types that every decision package shares: time,
+// identities, typed refusals, object API calls and peer sends.
+//
+// Packages below internal/core are pure: time and randomness are handed in,
+// inputs are typed events, outputs are typed effects. They start no goroutine
+// and do no I/O; a test in this package enforces it.
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// Instant is a reading of a host's monotonic clock in nanoseconds. Instants of
+// two hosts can't be compared.
+type Instant int64
+
+// Add returns the instant d later.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub returns the duration from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
+
+// Before reports whether t is earlier than u.
+func (t Instant) Before(u Instant) bool { return t < u }
+
+// Identities. All are unique within one deployment.
+type (
+	// HostID names one process lifetime of a host: a restarted host has a new one.
+	HostID string
+	// Domain names a failure domain.
+	Domain string
+	// Region names a region, a group of failure domains.
+	Region string
+	// WorkspaceID names a workspace.
+	WorkspaceID string
+	// UpstreamID names a replica of an engine or of a plain service.
+	UpstreamID string
+	// AdapterID names an adapter without its version.
+	AdapterID string
+	// BaseModel names the model that adapters are loaded onto.
+	BaseModel string
+	// RequestID names one caller request; the entry host makes it.
+	RequestID string
+	// Fence is a fencing number. Of two orders for one shard the higher wins.
+	Fence uint64
+	// Tokens counts model tokens, prompt and generated alike.
+	Tokens int64
+)
+
+// AdapterRef is an exact adapter version.
+type AdapterRef struct {
+	ID      AdapterID `cbor:"1,keyasint"`
+	Version int       `cbor:"2,keyasint"`
+}
+
+// String returns "id@version", the name an engine knows the adapter by.
+func (r AdapterRef) String() string { return fmt.Sprintf("%s@%d", r.ID, r.Version) }
+
+// Member is a host that holds a lease.
+type Member struct {
+	Host    HostID `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"` // callers' HTTP address, ip:port
+	Link    string `cbor:"3,keyasint"` // peers' QUIC address, ip:port
+	Domain  Domain `cbor:"4,keyasint"`
+	Region  Region `cbor:"5,keyasint"`
+	Leaving bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// ShardKind tells what a shard's owner decides.
+type ShardKind uint8
+
+// Kinds of shard.
+const (
+	ShardUpstream  ShardKind = iota + 1 // slots, pins and queue of one upstream
+	ShardWorkspace                      // the rate and burst of one workspace
+	ShardLoader                         // adapter loads from one weight store
+)
+
+// Shard is a unit of exclusive ownership.
+type Shard struct {
+	Kind ShardKind `cbor:"1,keyasint"`
+	Name string    `cbor:"2,keyasint"`
+}
+
+// Ownership answers who decides for a shard. The lease machine implements it.
+type Ownership interface {
+	// Self is this host.
+	Self() HostID
+	// Owner is the host that should own s under the membership in force, and
+	// false where there is no live host.
+	Owner(s Shard) (HostID, bool)
+	// Acting reports whether this host may act for s at now, and under which
+	// fencing number. Ask again immediately before every send.
+	Acting(now Instant, s Shard) (Fence, bool)
+	// Members is the membership in force, sorted by HostID.
+	Members() []Member
+}
+
+// Class is a request's priority class. A lower value is more urgent.
+type Class uint8
+
+// Priority classes.
+const (
+	Interactive Class = iota
+	Normal
+	Overnight
+	Classes // how many there are
+)
+
+// Ran says whether an upstream may have run a request.
+type Ran string
+
+// Values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Code is the stable name of a refusal.
+type Code string
+
+// Codes that callers see.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "too_large"
+	CodeNoKey            Code = "invalid_key"
+	CodeKeyWithdrawn     Code = "key_withdrawn"
+	CodeRouteForbidden   Code = "route_forbidden"
+	CodeUnknownAdapter   Code = "unknown_adapter"
+	CodeUnknownRoute     Code = "unknown_route"
+	CodeRateLimited      Code = "rate_limited"
+	CodeNeverFits        Code = "exceeds_burst"
+	CodeOverloaded       Code = "overloaded"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeNoUpstream       Code = "no_upstream"
+	CodeUpstreamFailed   Code = "upstream_failed"
+	CodeStreamBroken     Code = "stream_broken"
+	CodeSuspect          Code = "suspected_of_crashing_upstreams"
+	CodeKeyNeeded        Code = "idempotency_key_required"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeStoreUnavailable Code = "store_unavailable"
+	CodeCutOff           Code = "host_cut_off"
+	CodeLeaving          Code = "host_leaving"
+	CodeCancelled        Code = "cancelled"
+	CodeInternal         Code = "internal"
+)
+
+// Refusal is the typed reason why a request got no whole answer.
+type Refusal struct {
+	Code       Code          `cbor:"1,keyasint"`
+	Message    string        `cbor:"2,keyasint,omitempty"`
+	Ran        Ran           `cbor:"3,keyasint"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"` // 0: asking again does not help
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (ran: %s)", r.Code, r.Message, r.Ran)
+}
+
+// Refuse returns a refusal of a request that no upstream can have seen.
+func Refuse(code Code, retryAfter time.Duration, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Ran: RanNo, RetryAfter: retryAfter}
+}
