Shared contracts for the decision packages

Cause: five packages are to be written side by side behind one node. Conclusion: the packages can be written against these.

--- a/internal/core/node/effects.go
+++ b/internal/core/node/effects.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"gentiancroft/internal/core"
 )
 
@@ -43,19 +41,11 @@
 // Replay answers a repeated request with the recorded outcome.
 type Replay struct {
 	ID      core.RequestID
-	Outcome Outcome
+	Outcome core.Outcome
 }
 
-// Order tells an engine to load or unload an adapter.
-type Order struct {
-	Order    uint64
-	Upstream core.UpstreamID
-	Address  string
-	Load     bool // false: unload
-	Adapter  core.AdapterRef
-	Fence    core.Fence
-	Timeout  time.Duration
-}
+// Order sends an adapter order to an engine.
+type Order struct{ core.AdapterOrder }
 
 // Object is a call to the object API.
 type Object struct{ Call core.ObjectCall }
--- a/internal/core/node/events.go
+++ b/internal/core/node/events.go
@@ -54,44 +54,18 @@
 	ID       core.RequestID
 	Attempt  int
 	Kind     EndKind
-	Used     core.Tokens // prompt and generated tokens
-	Counted  bool        // Used is the upstream's own count
-	Crashed  bool        // the upstream died or dropped all its connections
-	Outcome  Outcome     // of a non-idempotent request
-	Received core.Tokens // generated tokens seen by this host
-}
-
-// Outcome is the answer of a non-idempotent request, bounded, as recorded.
-type Outcome struct {
-	Status      int    `cbor:"1,keyasint"`
-	ContentType string `cbor:"2,keyasint,omitempty"`
-	Body        []byte `cbor:"3,keyasint,omitempty"`
+	Used     core.Tokens  // prompt and generated tokens
+	Counted  bool         // Used is the upstream's own count
+	Crashed  bool         // the upstream died or dropped all its connections
+	Outcome  core.Outcome // of a non-idempotent request
+	Received core.Tokens  // generated tokens seen by this host
 }
 
 // Report is an upstream's own account of itself, as polled.
-type Report struct {
-	Upstream    core.UpstreamID
-	OK          bool   // false: the poll failed
-	Incarnation string // changes when the upstream restarts
-	Running     int
-	Waiting     int
-	Adapters    []AdapterLoad
-	Loading     []core.AdapterRef
-	Sent        core.Instant // this host's clock before the poll was sent
-}
-
-// AdapterLoad is one adapter an engine holds and how many requests run on it.
-type AdapterLoad struct {
-	Adapter core.AdapterRef
-	Running int
-}
+type Report struct{ core.UpstreamReport }
 
 // OrderDone is the end of an adapter order.
-type OrderDone struct {
-	Order uint64
-	OK    bool
-	Sure  bool // false: the order may still take effect
-}
+type OrderDone struct{ core.OrderDone }
 
 // ObjectDone is the end of an object API call.
 type ObjectDone struct{ Result core.ObjectResult }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -141,7 +141,7 @@
 	u := pool[n.rng.IntN(len(pool))]
 	n.order++
 	n.orders[n.order] = order{upstream: u.ID, adapter: r.adapter}
-	n.emit(Order{Order: n.order, Upstream: u.ID, Address: u.Address, Load: true, Adapter: r.adapter, Timeout: 10 * time.Second})
+	n.emit(Order{core.AdapterOrder{ID: n.order, Upstream: u.ID, Address: u.Address, Load: true, Adapter: r.adapter, Timeout: 10 * time.Second}})
 }
 
 func (n *Node) dispatch(r *request, u *config.Upstream) {
@@ -151,11 +151,11 @@
 }
 
 func (n *Node) orderDone(e OrderDone) {
-	o, ok := n.orders[e.Order]
+	o, ok := n.orders[e.ID]
 	if !ok {
 		return
 	}
-	delete(n.orders, e.Order)
+	delete(n.orders, e.ID)
 	if e.OK {
 		if n.resident[o.upstream] == nil {
 			n.resident[o.upstream] = map[core.AdapterRef]bool{}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -83,6 +83,12 @@
 	Name string    `cbor:"2,keyasint"`
 }
 
+// Grant is the right to act for a shard.
+type Grant struct {
+	Fence Fence
+	Until Instant // of this host's clock; not to be acted on from then
+}
+
 // Ownership answers who decides for a shard. The lease machine implements it.
 type Ownership interface {
 	// Self is this host.
@@ -90,9 +96,14 @@
 	// Owner is the host that should own s under the membership in force, and
 	// false where there is no live host.
 	Owner(s Shard) (HostID, bool)
-	// Acting reports whether this host may act for s at now, and under which
-	// fencing number. Ask again immediately before every send.
-	Acting(now Instant, s Shard) (Fence, bool)
+	// Acting reports whether this host may act for s at now, alone. Ask again
+	// immediately before every send.
+	Acting(now Instant, s Shard) (Grant, bool)
+	// Serving is the weaker right that outlives a store outage: this host may
+	// answer for s as it stands (hand out tickets for what is loaded), but may
+	// take nothing away (evict), since another host may own s by now. Acting
+	// implies Serving.
+	Serving(now Instant, s Shard) bool
 	// Members is the membership in force, sorted by HostID.
 	Members() []Member
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,7 +22,7 @@
 // Orders carries adapter orders to engines.
 type Orders interface {
 	// Do runs an order to its end.
-	Do(ctx context.Context, o node.Order) node.OrderDone
+	Do(ctx context.Context, o core.AdapterOrder) core.OrderDone
 }
 
 // Host owns a node and its event ring.
@@ -91,7 +91,7 @@
 	case node.Cancel:
 		h.decide(x.ID, x)
 	case node.Order:
-		go func() { h.Tell(h.orders.Do(ctx, x)) }()
+		go func() { h.Tell(node.OrderDone{OrderDone: h.orders.Do(ctx, x.AdapterOrder)}) }()
 	default:
 		log.WithField("effect", x).Debug("no carrier")
 	}
--- a/internal/upstream/orders.go
+++ b/internal/upstream/orders.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"io"
 
-	"gentiancroft/internal/core/node"
+	"gentiancroft/internal/core"
 )
 
 // Orders sends adapter orders to engines.
@@ -18,7 +18,7 @@
 
 // Do runs an order to its end. Only an order that never reached the engine is
 // surely without effect.
-func (Orders) Do(ctx context.Context, o node.Order) node.OrderDone {
+func (Orders) Do(ctx context.Context, o core.AdapterOrder) core.OrderDone {
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
 	path := "/v1/unload_lora_adapter"
@@ -27,13 +27,13 @@
 	}
 	body, err := json.Marshal(orderBody{Name: o.Adapter.String(), Path: o.Adapter.String()})
 	if err != nil {
-		return node.OrderDone{Order: o.Order, Sure: true}
+		return core.OrderDone{ID: o.ID, Sure: true}
 	}
-	a, err := Do(ctx, Call{Address: o.Address, Method: "POST", Path: path, Body: body, Fence: o.Fence})
+	a, err := Do(ctx, Call{Address: o.Address, Method: "POST", Path: path, Body: body, Fence: o.Grant.Fence})
 	if err != nil {
-		return node.OrderDone{Order: o.Order, Sure: NotReached.Has(err)}
+		return core.OrderDone{ID: o.ID, Sure: NotReached.Has(err)}
 	}
 	defer a.Close()
 	_, err = io.Copy(io.Discard, a.Body)
-	return node.OrderDone{Order: o.Order, OK: err == nil && a.Status == 200, Sure: err == nil}
+	return core.OrderDone{ID: o.ID, OK: err == nil && a.Status == 200, Sure: err == nil}
 }
