Host duties, rings, measurements as a command and a page (work towards wiring)

Cause: the thin host had one goroutine and no supervision. Change: a supervisor tree with counted restarts, bounded rings with stated policies, worker pools for object calls, orders and polls, the measure and report commands, base documents. Before: panics ended the process; after: restarted and counted (supervise tests). Conclusion: the node can be composed behind these carriers next.

--- a/cmd/gentiancroft/main.go
+++ b/cmd/gentiancroft/main.go
@@ -2,9 +2,14 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 
 	"github.com/spf13/cobra"
+	"github.com/zeebo/errs"
 )
 
 // Exit codes.
@@ -13,16 +18,58 @@
 	exitUsage  = 2
 )
 
-func main() {
+// usage is the class of wrong flags and arguments.
+var usage = errs.Class("usage")
+
+const longHelp = `gentiancroft serves very many LoRA adapters on shared base models.
+
+Exit codes: 0 good, 1 failed, 2 bad use or bad settings.`
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := rootCommand().ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	_, _ = os.Stderr.WriteString("gentiancroft: " + err.Error() + "\n")
+	if isUsage(err) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "gentiancroft",
 		Short:         "A serving layer for very many LoRA adapters",
+		Long:          longHelp,
+		Example:       "  gentiancroft demo\n  gentiancroft serve --settings examples/host.yaml",
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(demoCommand())
-	if err := root.Execute(); err != nil {
-		_, _ = os.Stderr.WriteString("gentiancroft: " + err.Error() + "\n")
-		os.Exit(exitFailed)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage.Wrap(err) })
+	root.AddCommand(
+		demoCommand(),
+		measureCommand(),
+		reportCommand(),
+		versionCommand(),
+	)
+	return root
+}
+
+// isUsage reports whether an error is the user's: flags, arguments, settings or
+// a document.
+func isUsage(err error) bool {
+	if usage.Has(err) {
+		return true
+	}
+	for _, prefix := range []string{"unknown command", "accepts ", "requires at least", "required flag"} {
+		if strings.HasPrefix(err.Error(), prefix) {
+			return true
+		}
 	}
+	return false
 }
--- a/internal/core/node/effects.go
+++ b/internal/core/node/effects.go
@@ -80,3 +80,15 @@
 
 // PeerMessage is everything one host tells another; exactly one field is set.
 type PeerMessage struct{}
+
+// Poll asks an upstream for its report.
+type Poll struct {
+	Upstream core.UpstreamID
+	Address  string
+}
+
+// ListHosts asks the platform for its lagging list.
+type ListHosts struct{}
+
+func (Poll) isEffect()      {}
+func (ListHosts) isEffect() {}
--- a/internal/core/node/events.go
+++ b/internal/core/node/events.go
@@ -102,3 +102,10 @@
 func (HostsListed) isEvent() {}
 func (Tick) isEvent()        {}
 func (Leave) isEvent()       {}
+
+// Query runs a read between two steps. It is not part of the node's decisions.
+type Query struct {
+	Do func(n *Node, now core.Instant)
+}
+
+func (Query) isEvent() {}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -1,84 +1,167 @@
 // Package host runs one node: a single duty takes events from a bounded ring,
-// steps the node and carries out its effects.
+// steps the node and hands its effects to the carriers.
 package host
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/node"
+	"gentiancroft/internal/supervise"
 )
 
-// eventRing is how many events may wait for the node.
-const eventRing = 8192
-
-// overloadedRetry is when a caller refused by a full ring should come back.
-const overloadedRetry = time.Second
+const (
+	eventRing       = 8192
+	tickEvery       = 50 * time.Millisecond
+	overloadedRetry = time.Second // when a caller refused by a full ring should come back
+)
 
-// Orders carries adapter orders to engines.
-type Orders interface {
-	// Do runs an order to its end.
-	Do(ctx context.Context, o core.AdapterOrder) core.OrderDone
-}
+// Metric names.
+const (
+	MetricEvents       = "node.events"
+	MetricStepTime     = "node.step_ns"
+	MetricPeerDropped  = "node.peer_messages_dropped"
+	MetricTicksDropped = "node.ticks_dropped"
+	decisionPrefix     = "decision."
+)
 
 // Host owns a node and its event ring.
 type Host struct {
-	node   *node.Node
-	orders Orders
-	events chan node.Event
-	start  time.Time
+	node     *node.Node
+	carriers Carriers
+	metrics  metrics.Registry
+	events   *supervise.Ring[node.Event]
+	objects  *pool
+	orders   *pool
+	polls    *pool
+	own      []node.Event // of the node's duty alone
+	start    time.Time
+	left     chan struct{}
+	leftOnce sync.Once
 
 	mu        sync.Mutex
 	exchanges map[core.RequestID]*Exchange
 }
 
-// New returns a host that is not running yet.
-func New(n *node.Node, orders Orders) *Host {
+// New returns a host whose duties are not running yet.
+func New(n *node.Node, c Carriers, registry metrics.Registry, start time.Time) *Host {
 	return &Host{
 		node:      n,
-		orders:    orders,
-		events:    make(chan node.Event, eventRing),
-		start:     time.Now(),
+		carriers:  c,
+		metrics:   registry,
+		events:    supervise.NewRing[node.Event]("events", eventRing, supervise.Refuse),
+		objects:   newPool("object calls", objectWorkers),
+		orders:    newPool("adapter orders", orderWorkers),
+		polls:     newPool("polls", pollWorkers),
+		start:     start,
+		left:      make(chan struct{}),
 		exchanges: map[core.RequestID]*Exchange{},
 	}
 }
 
+// Register puts the host's duties under supervision.
+func (h *Host) Register(t *supervise.Tree) {
+	h.objects.register(t)
+	h.orders.register(t)
+	h.polls.register(t)
+	t.Add("node", h.run)
+	t.Add("ticker", h.tick)
+}
+
 // Now is the host's monotonic clock.
 func (h *Host) Now() core.Instant { return core.Instant(time.Since(h.start)) }
 
-// Tell hands the node an event. It waits while the ring is full: an event that
-// ends something must not be lost.
-func (h *Host) Tell(e node.Event) { h.events <- e }
+// Left is closed once the host may exit.
+func (h *Host) Left() <-chan struct{} { return h.left }
+
+// Tell hands the node an event and waits while the ring is full: an event that
+// ends something must not be lost. The node's own duty never calls it.
+func (h *Host) Tell(e node.Event) { h.events.Put(e) }
 
 // Offer hands the node an event unless the ring is full.
-func (h *Host) Offer(e node.Event) bool {
+func (h *Host) Offer(e node.Event) bool { return h.events.TryPush(e) }
+
+// FromPeer hands the node a message from a link; a full ring drops it, as the
+// network may.
+func (h *Host) FromPeer(from core.HostID, m node.PeerMessage) {
+	if !h.Offer(node.FromPeer{From: from, Message: m}) {
+		h.count(MetricPeerDropped)
+	}
+}
+
+// Read runs f between two steps of the node and waits for it.
+func (h *Host) Read(ctx context.Context, f func(n *node.Node, now core.Instant)) error {
+	done := make(chan struct{})
+	q := node.Query{Do: func(n *node.Node, now core.Instant) {
+		f(n, now)
+		close(done)
+	}}
+	if err := h.events.Push(q); err != nil {
+		return err
+	}
 	select {
-	case h.events <- e:
-		return true
-	default:
-		return false
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Host) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-h.events.Items():
+			h.step(e)
+			h.stepOwn()
+		}
 	}
 }
 
-// Serve steps the node until ctx ends.
-func (h *Host) Serve(ctx context.Context) error {
+// stepOwn steps the events that carrying out effects gave rise to.
+func (h *Host) stepOwn() {
+	for len(h.own) > 0 {
+		e := h.own[0]
+		h.own = h.own[1:]
+		h.step(e)
+	}
+}
+
+func (h *Host) step(e node.Event) {
+	now := h.Now()
+	effects := h.node.Step(now, e)
+	metrics.GetOrRegisterCounter(MetricEvents, h.metrics).Inc(1)
+	metrics.GetOrRegisterCounter(MetricStepTime, h.metrics).Inc(int64(h.Now().Sub(now)))
+	for _, effect := range effects {
+		h.do(effect)
+	}
+}
+
+func (h *Host) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case e := <-h.events:
-			for _, effect := range h.node.Step(h.Now(), e) {
-				h.do(ctx, effect)
+		case <-ticker.C:
+			if !h.Offer(node.Tick{}) {
+				h.count(MetricTicksDropped)
 			}
 		}
 	}
 }
 
-func (h *Host) do(ctx context.Context, effect node.Effect) {
+func (h *Host) count(name string) { metrics.GetOrRegisterCounter(name, h.metrics).Inc(1) }
+
+func (h *Host) do(effect node.Effect) {
 	switch x := effect.(type) {
 	case node.Dispatch:
 		h.decide(x.ID, x)
@@ -91,9 +174,21 @@
 	case node.Cancel:
 		h.decide(x.ID, x)
 	case node.Order:
-		go func() { h.Tell(node.OrderDone{OrderDone: h.orders.Do(ctx, x.AdapterOrder)}) }()
+		h.order(x.AdapterOrder)
+	case node.Object:
+		h.object(x.Call)
+	case node.Poll:
+		h.poll(x)
+	case node.ListHosts:
+		h.list()
+	case node.ToPeer:
+		h.carriers.Links.Send(x.To, x.Address, x.Message)
+	case node.Note:
+		h.note(x)
+	case node.Left:
+		h.leftOnce.Do(func() { close(h.left) })
 	default:
-		log.WithField("effect", x).Debug("no carrier")
+		log.WithField("effect", fmt.Sprintf("%T", effect)).Error("effect without a carrier")
 	}
 }
 
@@ -105,3 +200,50 @@
 		x.decide(effect)
 	}
 }
+
+func (h *Host) order(o core.AdapterOrder) {
+	taken := h.orders.submit(func(ctx context.Context) {
+		h.Tell(node.OrderDone{OrderDone: h.carriers.Orders.Do(ctx, o)})
+	})
+	if !taken {
+		h.own = append(h.own, node.OrderDone{OrderDone: core.OrderDone{ID: o.ID, Sure: true}})
+	}
+}
+
+func (h *Host) object(c core.ObjectCall) {
+	taken := h.objects.submit(func(ctx context.Context) {
+		h.Tell(node.ObjectDone{Result: h.carriers.Objects.Do(ctx, c)})
+	})
+	if !taken {
+		h.own = append(h.own, node.ObjectDone{Result: core.ObjectResult{Tag: c.Tag, Status: core.ObjectUnavailable}})
+	}
+}
+
+func (h *Host) poll(p node.Poll) {
+	h.polls.submit(func(ctx context.Context) {
+		sent := h.Now()
+		report := h.carriers.Polls.Poll(ctx, p.Upstream, p.Address)
+		report.Upstream = p.Upstream
+		report.Sent = sent
+		h.Tell(node.Report{UpstreamReport: report})
+	})
+}
+
+func (h *Host) list() {
+	h.polls.submit(func(ctx context.Context) {
+		hosts, err := h.carriers.Listing.List(ctx)
+		if err != nil {
+			log.WithError(err).Debug("host list not read")
+			return
+		}
+		h.Tell(node.HostsListed{Hosts: hosts})
+	})
+}
+
+// note counts a decision by its reason and logs it.
+func (h *Host) note(n node.Note) {
+	h.count(decisionPrefix + n.Name + "." + n.Reason)
+	log.WithFields(log.Fields{"decision": n.Name, "reason": n.Reason, "request": string(n.ID)}).Debug("decided")
+}
+
+func workerName(pool string, i int) string { return fmt.Sprintf("%s %d", pool, i) }
