Feed: keyed latest values, the configuration in force, freshness and cut-off

Cause: what hosts publish and the accepted configuration had no way to every host. Change: internal/core/feed (one link = one set of changed keys with one message in flight; small fleets direct, large ones a tree computed from the membership; watchers read and watch the store, others pull chunks by hash; freshness relayed by age from the asker's own ping), wired into the virtual-time fleet together with leases. Ruled out: comparing clocks for freshness; sums over busy keys as the only gap check.

--- a/internal/measure/membership/fleet.go
+++ b/internal/measure/membership/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/feed"
 	"gentiancroft/internal/core/lease"
 )
 
@@ -46,18 +47,21 @@
 // Packet is one message between hosts.
 type Packet struct {
 	Lease *lease.Message `cbor:"1,keyasint,omitempty"`
+	Feed  *feed.Message  `cbor:"2,keyasint,omitempty"`
 }
 
 // Host is one host of a fleet.
 type Host struct {
 	Member core.Member
 	Lease  *lease.Machine
+	Feed   *feed.Machine // nil in a fleet without feed
 	Dead   bool
 	Paused bool
 
-	ppm    int64        // how fast its clock runs, millionths
-	offset core.Instant // its clock at time 0
-	queue  []func()     // events held while it is paused
+	ppm     int64        // how fast its clock runs, millionths
+	offset  core.Instant // its clock at time 0
+	coupled uint64       // the view that the feed has
+	queue   []func()     // events held while it is paused
 
 	In, Out  int // bytes of host links
 	Store    int // bytes of object calls
@@ -88,6 +92,7 @@
 	Trace *Trace
 
 	Shards  []core.Shard
+	Feeds   bool                                         // hosts have a feed too
 	Tune    func(*lease.Settings)                        // before a host is made
 	Fault   func(h *Host, c core.ObjectCall) Fault       // of an object call
 	Link    func(from, to *Host) (cut, twice bool)       // of a message
@@ -158,6 +163,9 @@
 	}
 	h := &Host{Member: m, Lease: lease.New(s, core.NewRand(f.Rng.Uint64())), offset: core.Instant(f.Rng.Int64N(int64(time.Hour)))}
 	h.Lease.SetShards(f.Shards)
+	if f.Feeds {
+		h.Feed = feed.New(feed.Settings{Self: m}, core.NewRand(f.Rng.Uint64()))
+	}
 	f.Hosts[id] = h
 	f.Order = append(f.Order, id)
 	f.After(time.Duration(f.Rng.Int64N(int64(tickEvery))), func() { f.tick(h) })
@@ -173,7 +181,12 @@
 	}
 	f.After(tickEvery, func() { f.tick(h) })
 	if !h.Paused {
-		f.step(h, func(now core.Instant) { f.apply(h, h.Lease.Tick(now)) })
+		f.step(h, func(now core.Instant) {
+			f.apply(h, h.Lease.Tick(now))
+			if h.Feed != nil {
+				f.Apply(h, h.Feed.Tick(now))
+			}
+		})
 	}
 }
 
@@ -215,6 +228,9 @@
 func (f *Fleet) step(h *Host, do func(now core.Instant)) {
 	h.Steps++
 	do(h.Local(f.Now))
+	if h.Feed != nil {
+		f.couple(h)
+	}
 	f.changes(h)
 	f.claims(h)
 	if f.Stepped != nil {
@@ -260,6 +276,39 @@
 	}
 }
 
+// Apply carries out what a feed machine wants.
+func (f *Fleet) Apply(h *Host, out feed.Output) {
+	for _, c := range out.Calls {
+		f.object(h, c, func(now core.Instant, r core.ObjectResult) { f.Apply(h, h.Feed.Object(now, r)) })
+	}
+	for i := range out.Sends {
+		f.send(h, out.Sends[i].To, Packet{Feed: &out.Sends[i].Message})
+	}
+}
+
+// headKey is the membership head in the feed.
+var headKey = feed.Key{Topic: feed.TopicMembers, Name: "head"}
+
+// couple joins a host's two machines as a node does: the feed follows the
+// membership, and carries its head.
+func (f *Fleet) couple(h *Host) {
+	now := h.Local(f.Now)
+	for _, e := range h.Feed.Changed() {
+		if e.Key == headKey {
+			f.apply(h, h.Lease.Learn(now, e.Value, 0))
+		}
+	}
+	if h.coupled == h.Lease.View() || !h.Lease.Joined() {
+		return
+	}
+	h.coupled = h.Lease.View()
+	h.Feed.SetMembers(now, h.coupled, h.Lease.Members())
+	out, err := h.Feed.Set(now, headKey, feed.Stamp{Seq: h.coupled}, h.Lease.Head())
+	if err == nil {
+		f.Apply(h, out)
+	}
+}
+
 // send carries a message over a link.
 func (f *Fleet) send(h *Host, to core.HostID, p Packet) {
 	t := f.Hosts[to]
@@ -296,6 +345,9 @@
 	if p.Lease != nil {
 		f.apply(t, t.Lease.Peer(now, from, *p.Lease))
 	}
+	if p.Feed != nil {
+		f.Apply(t, t.Feed.Peer(now, from, *p.Feed))
+	}
 }
 
 func (f *Fleet) latency(a, b *Host, size int) time.Duration {
