--- /dev/null
+++ b/internal/core/config/chunks.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// bucketEntries is how many entries a chunk holds on average. A change resends
+// its chunk and the head, and the head names every chunk: at 15,000 adapters
+// both are of the same order.
+const bucketEntries = 128
+
+// MaxChunkBytes bounds a chunk; the object API takes values up to 1 MB.
+const MaxChunkBytes = 512 << 10
+
+// canonicalMode encodes equal values as equal bytes.
+var canonicalMode = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(Error.Wrap(err)) // fixed options
+	}
+	return mode
+}()
+
+// Encode splits a document into content-addressed chunks. The result's Version,
+// By, At and Token are the caller's to fill in. Entries go to chunks by a hash
+// of their identity, so that a change of one entry changes one chunk.
+func Encode(d *Document) (Head, map[string][]byte, error) {
+	c := Canonical(d)
+	e := encoder{chunks: map[string][]byte{}}
+	split(&e, c.BaseModels, func(p *Document, list []BaseModel) { p.BaseModels = list })
+	split(&e, c.Workspaces, func(p *Document, list []Workspace) { p.Workspaces = list })
+	split(&e, c.Keys, func(p *Document, list []Key) { p.Keys = list })
+	split(&e, c.Adapters, func(p *Document, list []Adapter) { p.Adapters = list })
+	split(&e, c.Routes, func(p *Document, list []Route) { p.Routes = list })
+	split(&e, c.Upstreams, func(p *Document, list []Upstream) { p.Upstreams = list })
+	if e.err != nil {
+		return Head{}, nil, e.err
+	}
+	return Head{Hash: hashOfHashes(e.order), Chunks: e.order}, e.chunks, nil
+}
+
+type encoder struct {
+	chunks map[string][]byte
+	order  []string
+	err    error
+}
+
+// split adds the chunks of one list. Their number is a power of two, so that
+// growth seldom moves entries between chunks.
+func split[T Entry](e *encoder, list []T, set func(*Document, []T)) {
+	n := uint64(1)
+	if over := (len(list) - 1) / bucketEntries; over > 0 {
+		n = 1 << bits.Len(uint(over))
+	}
+	buckets := make([][]T, n)
+	for _, x := range list {
+		b := xxhash.Sum64String(x.Identity()) % n
+		buckets[b] = append(buckets[b], x)
+	}
+	for _, bucket := range buckets {
+		if len(bucket) > 0 {
+			var part Document
+			set(&part, bucket)
+			e.add(&part)
+		}
+	}
+}
+
+func (e *encoder) add(part *Document) {
+	b, err := canonicalMode.Marshal(part)
+	if err != nil {
+		e.err = Error.Wrap(err)
+		return
+	}
+	if len(b) > MaxChunkBytes {
+		e.err = Error.New("a chunk of %d bytes is over the bound of %d", len(b), MaxChunkBytes)
+		return
+	}
+	h := HashChunk(b)
+	e.chunks[h] = b
+	e.order = append(e.order, h)
+}
+
+// HashChunk returns the name of a chunk: the hex SHA-256 of its content.
+func HashChunk(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
+func hashOfHashes(order []string) string {
+	h := sha256.New()
+	for _, x := range order {
+		h.Write([]byte(x))
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Missing returns the chunks of a head that have reports false for.
+func Missing(h Head, have func(hash string) bool) []string {
+	var out []string
+	for _, x := range h.Chunks {
+		if !have(x) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Decode puts a document together from its chunks. Every hash is checked, so
+// that a document is either the accepted one or an error.
+func Decode(h Head, get func(hash string) ([]byte, bool)) (*Document, error) {
+	if hashOfHashes(h.Chunks) != h.Hash {
+		return nil, Error.New("version %d: the head's hash does not match its chunks", h.Version)
+	}
+	d := &Document{}
+	for _, x := range h.Chunks {
+		b, ok := get(x)
+		if !ok {
+			return nil, Error.New("version %d: chunk %s is missing", h.Version, shortHash(x))
+		}
+		if HashChunk(b) != x {
+			return nil, Error.New("version %d: chunk %s has other content than its name says", h.Version, shortHash(x))
+		}
+		var part Document
+		if err := cbor.Unmarshal(b, &part); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		d.join(&part)
+	}
+	return Canonical(d), nil
+}
+
+func (d *Document) join(part *Document) {
+	d.BaseModels = append(d.BaseModels, part.BaseModels...)
+	d.Workspaces = append(d.Workspaces, part.Workspaces...)
+	d.Keys = append(d.Keys, part.Keys...)
+	d.Adapters = append(d.Adapters, part.Adapters...)
+	d.Routes = append(d.Routes, part.Routes...)
+	d.Upstreams = append(d.Upstreams, part.Upstreams...)
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,261 @@
+// Package platform is the client of the platform's services: the object API
+// and the lagging list of hosts.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"gentiancroft/internal/core"
+)
+
+// Error is the class of failed look-ups of the host list.
+var Error = errs.Class("platform")
+
+// NotSent is the class of calls that surely did not reach the platform.
+var NotSent = errs.Class("platform: not sent")
+
+// Paths and headers of the platform's HTTP interface. Keys travel as query
+// arguments, values as bodies, versions in HeaderVersion.
+const (
+	PathObject    = "/v1/object"  // GET, PUT, DELETE ?key=
+	PathObjects   = "/v1/objects" // GET ?prefix=
+	PathWatch     = "/v1/watch"   // GET ?prefix=&after=
+	PathHosts     = "/v1/hosts"   // GET
+	HeaderVersion = "X-Object-Version"
+	HeaderMatch   = "If-Match"      // the version that must stand
+	HeaderNone    = "If-None-Match" // "*": the key must not exist
+)
+
+// MaxValueBytes is the largest value that the object API takes.
+const MaxValueBytes = 1 << 20
+
+// Times and bounds of the client.
+const (
+	DefaultTimeout      = 5 * time.Second
+	DefaultWatchTimeout = 30 * time.Second
+	dialTimeout         = 2 * time.Second
+	maxConns            = 64
+	maxAnswerBytes      = 64 << 20
+)
+
+// Listing is the answer to a list or a watch.
+type Listing struct {
+	Version uint64        `json:"version"`
+	Objects []core.Object `json:"objects"`
+}
+
+// Listed is one entry of the platform's lagging list.
+type Listed struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Client calls one platform. It is safe for concurrent use.
+type Client struct {
+	address string
+	http    *fasthttp.HostClient
+	timeout time.Duration
+	watch   time.Duration
+}
+
+// Options of a client. Zero values mean the defaults.
+type Options struct {
+	Address      string // ip:port
+	Timeout      time.Duration
+	WatchTimeout time.Duration // longer than the platform's own
+}
+
+// New returns a client of the platform at an address.
+func New(o Options) *Client {
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.WatchTimeout == 0 {
+		o.WatchTimeout = DefaultWatchTimeout
+	}
+	return &Client{
+		address: o.Address,
+		timeout: o.Timeout,
+		watch:   o.WatchTimeout,
+		http: &fasthttp.HostClient{
+			Addr:                          o.Address,
+			Dial:                          dial,
+			MaxConns:                      maxConns,
+			MaxResponseBodySize:           maxAnswerBytes,
+			NoDefaultUserAgentHeader:      true,
+			DisablePathNormalizing:        true,
+			DisableHeaderNamesNormalizing: false,
+			// Invariant: the client sends a call once. A second try is the
+			// decision of the machine that knows whether it is safe.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+				return false, false
+			},
+		},
+	}
+}
+
+// dial marks its failures as calls that were not sent.
+func dial(address string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, NotSent.Wrap(err)
+	}
+	return c, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do carries out one call. A status of Unavailable means that the call surely
+// had no effect, Unknown that a write may have had.
+func (c *Client) Do(ctx context.Context, call core.ObjectCall) core.ObjectResult {
+	result := core.ObjectResult{Tag: call.Tag}
+	if len(call.Value) > MaxValueBytes {
+		result.Status = core.ObjectUnavailable
+		return result
+	}
+	request := encode(c.address, call)
+	timeout := c.timeout
+	if call.Op == core.ObjectWatch {
+		timeout = c.watch
+	}
+	response, err := c.send(ctx, request, timeout)
+	if err != nil {
+		result.Status = core.ObjectUnknown
+		if unsent(err) {
+			result.Status = core.ObjectUnavailable
+		}
+		return result
+	}
+	decode(&result, call, response)
+	return result
+}
+
+// unsent tells whether a failed call surely was not sent.
+func unsent(err error) bool {
+	return NotSent.Has(err) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
+
+// send runs one exchange until it ends or ctx does.
+func (c *Client) send(ctx context.Context, request *fasthttp.Request, timeout time.Duration) (*fasthttp.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, NotSent.Wrap(err)
+	}
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	response := &fasthttp.Response{}
+	done := make(chan error, 1)
+	go func() { done <- c.http.DoDeadline(request, response, deadline) }()
+	select {
+	case err := <-done:
+		return response, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// encode turns a call into its HTTP request.
+func encode(address string, call core.ObjectCall) *fasthttp.Request {
+	r := &fasthttp.Request{}
+	version := strconv.FormatUint(call.IfVersion, 10)
+	query := url.Values{}
+	path := PathObject
+	switch call.Op {
+	case core.ObjectList:
+		path = PathObjects
+		query.Set("prefix", call.Key)
+	case core.ObjectWatch:
+		path = PathWatch
+		query.Set("prefix", call.Key)
+		query.Set("after", version)
+	default:
+		query.Set("key", call.Key)
+	}
+	r.SetRequestURI("http://" + address + path + "?" + query.Encode())
+	switch call.Op {
+	case core.ObjectCreate:
+		r.Header.SetMethod(fasthttp.MethodPut)
+		r.Header.Set(HeaderNone, "*")
+		r.SetBody(call.Value)
+	case core.ObjectUpdate:
+		r.Header.SetMethod(fasthttp.MethodPut)
+		r.Header.Set(HeaderMatch, version)
+		r.SetBody(call.Value)
+	case core.ObjectDelete:
+		r.Header.SetMethod(fasthttp.MethodDelete)
+		if call.IfVersion != 0 {
+			r.Header.Set(HeaderMatch, version)
+		}
+	}
+	return r
+}
+
+// decode turns an HTTP answer into a result.
+func decode(result *core.ObjectResult, call core.ObjectCall, r *fasthttp.Response) {
+	switch r.StatusCode() {
+	case fasthttp.StatusOK:
+		result.Status = core.ObjectOK
+	case fasthttp.StatusNotFound:
+		result.Status = core.ObjectNotFound
+		return
+	case fasthttp.StatusPreconditionFailed:
+		result.Status = core.ObjectConflict
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusBadRequest:
+		result.Status = core.ObjectUnavailable // the platform says that it did nothing
+		return
+	default:
+		result.Status = core.ObjectUnknown
+		return
+	}
+	if call.Op == core.ObjectList || call.Op == core.ObjectWatch {
+		var l Listing
+		if json.Unmarshal(r.Body(), &l) != nil {
+			result.Status = core.ObjectUnknown
+			return
+		}
+		result.Objects, result.Version = l.Objects, l.Version
+		return
+	}
+	version, err := strconv.ParseUint(string(r.Header.Peek(HeaderVersion)), 10, 64)
+	if err != nil {
+		if result.Status == core.ObjectOK && call.Op != core.ObjectDelete {
+			result.Status = core.ObjectUnknown // an answer without a version proves nothing
+		}
+		return
+	}
+	result.Object = core.Object{Key: call.Key, Version: version, Value: append([]byte(nil), r.Body()...)}
+	if result.Status == core.ObjectOK && (call.Op == core.ObjectCreate || call.Op == core.ObjectUpdate) {
+		result.Object.Value = call.Value
+	}
+}
+
+// Hosts returns the platform's list of live and leaving hosts and upstreams.
+// The list lags.
+func (c *Client) Hosts(ctx context.Context) ([]Listed, error) {
+	r := &fasthttp.Request{}
+	r.SetRequestURI("http://" + c.address + PathHosts)
+	response, err := c.send(ctx, r, c.timeout)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return nil, Error.New("the host list answered status %d", response.StatusCode())
+	}
+	var list []Listed
+	if err := json.Unmarshal(response.Body(), &list); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return list, nil
+}
