Admission queue: weighted fair in tokens, bounded, ageing

Cause: the owner of an upstream needs one queue that all entry hosts share. Change: internal/core/admission.Queue, start-time fair queueing a class over the workspaces that wait, shedding at the workspace furthest over its share, deadlines, ageing by one class, settling by what was used. Conclusion: placement can use the API.

--- /dev/null
+++ b/internal/core/admission/queue.go
@@ -0,0 +1,231 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	"gentiancroft/internal/core"
+)
+
+// Item is one waiting request.
+type Item struct {
+	Request   core.RequestID
+	Entry     core.HostID // the host that the caller is connected to
+	Workspace core.WorkspaceID
+	Weight    int // the workspace's share against others; below 1 counts as 1
+	Class     core.Class
+	Cost      core.Tokens // the estimate: prompt and allowed output; below 1 counts as 1
+	Adapter   core.AdapterRef
+	Enqueued  core.Instant // zero: when it was pushed
+	Deadline  core.Instant // zero: none
+	// Charged is the class whose share paid for the item, which ageing may
+	// have raised. Pop sets it; hand it to Settle.
+	Charged core.Class
+}
+
+// QueueSettings bound a queue. Zero fields take the defaults.
+type QueueSettings struct {
+	Bound    int           // items that may wait
+	AgeAfter time.Duration // wait after which an item competes one class higher
+	RetryMin time.Duration // least retry_after
+	RetryMax time.Duration // greatest retry_after
+}
+
+// Defaults of QueueSettings.
+const (
+	DefaultBound    = 512
+	DefaultAgeAfter = 30 * time.Second
+	DefaultRetryMin = 200 * time.Millisecond
+	DefaultRetryMax = 30 * time.Second
+)
+
+// Limits of what one item may state.
+const (
+	maxCost   = core.Tokens(1) << 24
+	maxWeight = 1 << 16
+)
+
+func (s QueueSettings) withDefaults() QueueSettings {
+	if s.Bound <= 0 {
+		s.Bound = DefaultBound
+	}
+	if s.AgeAfter <= 0 {
+		s.AgeAfter = DefaultAgeAfter
+	}
+	if s.RetryMin <= 0 {
+		s.RetryMin = DefaultRetryMin
+	}
+	if s.RetryMax < s.RetryMin {
+		s.RetryMax = max(DefaultRetryMax, s.RetryMin)
+	}
+	return s
+}
+
+// Queue is a bounded, weighted fair queue. It is not safe for concurrent use.
+type Queue struct {
+	settings QueueSettings
+	levels   [core.Classes]level
+	items    map[core.RequestID]*entry
+	waiting  map[core.AdapterRef]int
+	backlog  backlogs // workspaces with waiting items, the furthest over its share first
+	owners   map[core.WorkspaceID]*backlog
+	expiry   expiries
+	drain    drain
+	seq      uint64
+	weights  int64 // sum over workspaces with waiting items
+}
+
+// entry is an item in the queue.
+type entry struct {
+	Item
+	seq    uint64
+	level  core.Class // where it competes now
+	flow   *flow
+	lane   *lane
+	owner  *backlog
+	expiry int // index in expiries, -1: no deadline
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(s QueueSettings) *Queue {
+	q := &Queue{
+		settings: s.withDefaults(),
+		items:    make(map[core.RequestID]*entry),
+		waiting:  make(map[core.AdapterRef]int),
+		owners:   make(map[core.WorkspaceID]*backlog),
+	}
+	for i := range q.levels {
+		q.levels[i] = newLevel()
+	}
+	return q
+}
+
+// Len is the number of waiting items.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Waiting is the number of items that wait for an adapter.
+func (q *Queue) Waiting(a core.AdapterRef) int { return q.waiting[a] }
+
+// Push adds an item and returns what had to go to keep the bound: the newest
+// item of the least urgent class of the workspace that is furthest over its
+// share, which may be the pushed one. An item that waits already stays once.
+func (q *Queue) Push(now core.Instant, it Item) (shed []Item) {
+	if _, ok := q.items[it.Request]; ok {
+		return nil
+	}
+	q.insert(normalise(now, it))
+	for len(q.items) > q.settings.Bound {
+		shed = append(shed, q.shedOne())
+	}
+	return shed
+}
+
+func normalise(now core.Instant, it Item) Item {
+	it.Weight = min(max(it.Weight, 1), maxWeight)
+	it.Cost = min(max(it.Cost, 1), maxCost)
+	it.Class = min(it.Class, core.Overnight)
+	it.Charged = it.Class
+	if it.Enqueued == 0 || now.Before(it.Enqueued) {
+		it.Enqueued = now
+	}
+	return it
+}
+
+func (q *Queue) insert(it Item) {
+	q.seq++
+	e := &entry{Item: it, seq: q.seq, level: it.Class, expiry: -1}
+	q.items[it.Request] = e
+	q.waiting[it.Adapter]++
+	q.addBacklog(e)
+	q.levels[e.level].add(e)
+	if it.Deadline != 0 {
+		heap.Push(&q.expiry, e)
+	}
+}
+
+// take removes an entry from every index.
+func (q *Queue) take(e *entry) Item {
+	delete(q.items, e.Request)
+	if q.waiting[e.Adapter]--; q.waiting[e.Adapter] == 0 {
+		delete(q.waiting, e.Adapter)
+	}
+	q.dropBacklog(e)
+	q.levels[e.level].remove(e)
+	if e.expiry >= 0 {
+		heap.Remove(&q.expiry, e.expiry)
+	}
+	e.Charged = e.level
+	return e.Item
+}
+
+// Pop removes the item to run next among those whose adapter is ready, in
+// order of class, then of the workspaces' virtual time, then of arrival.
+func (q *Queue) Pop(now core.Instant, ready func(core.AdapterRef) bool) (Item, bool) {
+	return q.PopUpTo(now, core.Overnight, ready)
+}
+
+// PopUpTo is Pop among items that compete at class least or a more urgent one,
+// so that a caller can keep its last free places for urgent work.
+func (q *Queue) PopUpTo(now core.Instant, least core.Class, ready func(core.AdapterRef) bool) (Item, bool) {
+	q.age(now)
+	for c := core.Interactive; c <= min(least, core.Overnight); c++ {
+		e, ok := q.levels[c].next(ready)
+		if !ok {
+			continue
+		}
+		q.levels[c].charge(e.flow, e.Cost, e.Weight)
+		q.drain.popped(now, e.Cost)
+		return q.take(e), true
+	}
+	return Item{}, false
+}
+
+// age lets items that have waited long compete one class higher than their
+// own. Overnight work so never competes with an interactive caller.
+func (q *Queue) age(now core.Instant) {
+	for c := core.Normal; c < core.Classes; c++ {
+		lv := &q.levels[c]
+		for e := lv.oldest(); e != nil && now.Sub(e.Enqueued) >= q.settings.AgeAfter; e = lv.oldest() {
+			lv.remove(e)
+			e.level = c - 1
+			q.levels[e.level].add(e)
+		}
+	}
+}
+
+// Remove takes an item out, as when its caller has gone.
+func (q *Queue) Remove(id core.RequestID) (Item, bool) {
+	e, ok := q.items[id]
+	if !ok {
+		return Item{}, false
+	}
+	return q.take(e), true
+}
+
+// Expire removes the items whose deadline has come, the earliest first.
+func (q *Queue) Expire(now core.Instant) []Item {
+	var out []Item
+	for len(q.expiry) > 0 && !now.Before(q.expiry[0].Deadline) {
+		out = append(out, q.take(q.expiry[0]))
+	}
+	return out
+}
+
+// Settle corrects a workspace's virtual time by what a popped item really
+// used. Class is the item's Charged.
+func (q *Queue) Settle(ws core.WorkspaceID, class core.Class, charged, used core.Tokens) {
+	charged = min(max(charged, 1), maxCost)
+	used = min(max(used, 0), maxCost)
+	q.levels[min(class, core.Overnight)].correct(ws, used-charged)
+}
+
+// RetryAfter estimates when a refused request of a workspace would find room:
+// the time to serve the workspace's backlog at its share of the present drain.
+func (q *Queue) RetryAfter(now core.Instant, ws core.WorkspaceID) time.Duration {
+	o, ok := q.owners[ws]
+	if !ok {
+		return q.settings.RetryMin
+	}
+	d := q.drain.timeFor(now, o.queued, q.weights, int64(o.weight))
+	return min(max(d, q.settings.RetryMin), q.settings.RetryMax)
+}
