--- /dev/null
+++ b/internal/core/dispatch/pick/score_locality.go
@@ -0,0 +1,15 @@
+package pick
+
+// Locality prefers the asking host's own failure domain.
+type Locality struct{}
+
+// Name implements Scorer.
+func (Locality) Name() string { return "locality" }
+
+// Score implements Scorer.
+func (Locality) Score(r *Request, c *Candidate) float64 {
+	if r.Domain != "" && r.Domain == c.Domain {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/placement/loader.go
@@ -0,0 +1,365 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"gentiancroft/internal/core"
+)
+
+// need is an adapter that the loader should bring somewhere.
+type need struct {
+	adapter   core.AdapterRef
+	pool      string
+	hosts     map[core.HostID]int // callers that wait, by entry host
+	class     core.Class
+	since     core.Instant
+	avoid     []core.UpstreamID
+	tries     int
+	notBefore core.Instant
+	spread    bool // a further replica of a busy adapter
+	job       uint64
+}
+
+func (n *need) waiting() int {
+	sum := 0
+	for _, w := range n.hosts {
+		sum += w
+	}
+	return sum
+}
+
+// transit is one load under way.
+type transit struct {
+	id       uint64
+	adapter  core.AdapterRef
+	upstream core.UpstreamID
+	ends     core.Instant
+}
+
+// fame is the remembered popularity of an adapter that is not resident.
+type fame struct {
+	score float64
+	at    core.Instant
+}
+
+// loader spends the fleet's one budget of adapter loads.
+type loader struct {
+	tokens  float64 // loads that the store's rate allows now
+	accrued core.Instant
+	since   core.Instant
+	// assumed is how many loads of a former loader may still be under way,
+	// until assumedEnd. Keeps: never more than InTransit at once.
+	assumed    int
+	assumedEnd core.Instant
+	heard      map[core.HostID]bool // members that told what they load
+	transits   map[uint64]*transit
+	needs      map[core.AdapterRef]*need
+	fame       map[core.AdapterRef]fame
+	lastID     uint64
+}
+
+// unbounded lets a load evict whatever is worth least.
+const unbounded = -1.0
+
+// Pacing of the loader.
+const (
+	tokenBurst    = 2.0 // loads saved up while nothing is wanted
+	retryBackoff  = 500 * time.Millisecond
+	maxBackoff    = 8 * time.Second
+	noSlotBackoff = 250 * time.Millisecond
+)
+
+func (m *Machine) scanLoader() {
+	serving := m.own.Serving(m.now, LoaderShard)
+	if !serving {
+		m.loader = nil
+		return
+	}
+	if m.loader != nil {
+		return
+	}
+	m.loader = &loader{
+		accrued:    m.now,
+		since:      m.now,
+		assumed:    m.settings.InTransit,
+		assumedEnd: m.now.Add(m.settings.LoadTimeout + m.settings.OrderLinger),
+		heard:      map[core.HostID]bool{},
+		transits:   map[uint64]*transit{},
+		needs:      map[core.AdapterRef]*need{},
+		fame:       map[core.AdapterRef]fame{},
+		lastID:     uint64(m.now),
+	}
+	m.note("loader.taken", "")
+}
+
+// greetLoader tells a new loader what this host's upstreams load.
+func (m *Machine) greetLoader(o *owned) {
+	loader, ok := m.own.Owner(LoaderShard)
+	if !ok || loader == o.loader {
+		return
+	}
+	o.loader = loader
+	msg := LoadingMessage{Adapters: []core.AdapterRef{}}
+	for _, x := range m.owned.list {
+		x.loader = loader
+		msg.Adapters = append(msg.Adapters, slices.SortedFunc(maps.Keys(x.jobs), compareRefs)...)
+	}
+	m.send(loader, Message{Loading: &msg})
+}
+
+func (m *Machine) loadingElsewhere(from core.HostID, msg LoadingMessage) {
+	l := m.loader
+	if l == nil {
+		return
+	}
+	l.heard[from] = true
+	for _, a := range msg.Adapters {
+		l.lastID++
+		l.transits[l.lastID] = &transit{id: l.lastID, adapter: a, ends: l.assumedEnd}
+	}
+}
+
+func (m *Machine) wanted(from core.HostID, w WantMessage) {
+	l := m.loader
+	if l == nil {
+		return
+	}
+	l.famed(w.Adapter, float64(w.Arrived), m.now, m.settings.HalfLife)
+	n := l.needs[w.Adapter]
+	if n == nil && w.Waiting == 0 {
+		return
+	}
+	if u, ok := m.holderFor(w); ok {
+		m.send(from, Message{Wanted: &WantedMessage{Adapter: w.Adapter, Upstream: u}})
+		return
+	}
+	if n == nil {
+		n = &need{adapter: w.Adapter, pool: w.Pool, hosts: map[core.HostID]int{}, since: m.now, class: core.Overnight}
+		l.needs[w.Adapter] = n
+	}
+	n.spread = false
+	n.class = min(n.class, w.Class)
+	n.hosts[from] = w.Waiting
+	for _, u := range w.Avoid {
+		if !slices.Contains(n.avoid, u) {
+			n.avoid = append(n.avoid, u)
+		}
+	}
+	if w.Waiting == 0 {
+		delete(n.hosts, from)
+		l.settleNeed(n)
+		return
+	}
+	m.pumpLoader()
+}
+
+// holderFor is an upstream that the asking host should have known of.
+func (m *Machine) holderFor(w WantMessage) (core.UpstreamID, bool) {
+	for _, x := range m.view.holders[w.Adapter] {
+		usable := x.config.Pool == w.Pool && !x.leaving() && !m.view.listed[x.Upstream]
+		if usable && !slices.Contains(w.Avoid, x.Upstream) {
+			return x.Upstream, true
+		}
+	}
+	return "", false
+}
+
+// settleNeed forgets a need that nobody has any more.
+func (l *loader) settleNeed(n *need) {
+	if len(n.hosts) == 0 && n.job == 0 && !n.spread {
+		delete(l.needs, n.adapter)
+	}
+}
+
+func (l *loader) famed(a core.AdapterRef, add float64, now core.Instant, halfLife time.Duration) {
+	f := l.fame[a]
+	f.score = decay(f.score, now.Sub(f.at), halfLife) + add
+	f.at = now
+	l.fame[a] = f
+}
+
+func (l *loader) hostLost(h core.HostID) {
+	for _, a := range slices.SortedFunc(maps.Keys(l.needs), compareRefs) {
+		n := l.needs[a]
+		delete(n.hosts, h)
+		l.settleNeed(n)
+	}
+}
+
+func (l *loader) learned(Residency) {}
+
+func (m *Machine) spread(s SpreadMessage) {
+	l := m.loader
+	if l == nil || l.needs[s.Adapter] != nil {
+		return
+	}
+	l.famed(s.Adapter, 0, m.now, m.settings.HalfLife)
+	l.needs[s.Adapter] = &need{adapter: s.Adapter, pool: s.Pool, hosts: map[core.HostID]int{}, since: m.now, class: core.Overnight, spread: true}
+	l.fame[s.Adapter] = fame{score: s.Score, at: m.now}
+}
+
+func (l *loader) accrue(now core.Instant, rate float64) {
+	l.tokens = min(l.tokens+rate*now.Sub(l.accrued).Seconds(), tokenBurst)
+	l.accrued = now
+}
+
+// room is how many loads may start now.
+func (l *loader) room(now core.Instant, inTransit int) int {
+	if !now.Before(l.assumedEnd) {
+		l.assumed = 0
+	}
+	return min(inTransit-l.assumed-len(l.transits), int(l.tokens))
+}
+
+func (m *Machine) tickLoader() {
+	l := m.loader
+	if l == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.transits)) {
+		t := l.transits[id]
+		if m.now.Before(t.ends) {
+			continue
+		}
+		delete(l.transits, id)
+		if n := l.needs[t.adapter]; n != nil && n.job == id {
+			m.retryNeed(n, t.upstream, true)
+		}
+	}
+	if l.assumed > 0 && m.everyoneHeard() {
+		l.assumed = 0
+	}
+	m.pumpLoader()
+}
+
+func (m *Machine) everyoneHeard() bool {
+	for _, h := range m.own.Members() {
+		if !m.loader.heard[h.Host] {
+			return false
+		}
+	}
+	return true
+}
+
+// pumpLoader starts loads while the budget allows, the most pressing first.
+func (m *Machine) pumpLoader() {
+	l := m.loader
+	l.accrue(m.now, m.settings.StoreRate)
+	if l.room(m.now, m.settings.InTransit) <= 0 || len(l.needs) == 0 {
+		return
+	}
+	due := make([]*need, 0, len(l.needs))
+	for _, n := range l.needs {
+		if n.job == 0 && !m.now.Before(n.notBefore) {
+			due = append(due, n)
+		}
+	}
+	slices.SortFunc(due, func(a, b *need) int { return m.compareNeeds(a, b) })
+	for _, n := range due {
+		if l.room(m.now, m.settings.InTransit) <= 0 {
+			return
+		}
+		m.startNeed(n)
+	}
+}
+
+// compareNeeds puts waiting callers before spreading, urgent classes first,
+// then whoever saves the most waiting.
+func (m *Machine) compareNeeds(a, b *need) int {
+	if a.spread != b.spread {
+		if b.spread {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(a.class, b.class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(m.pressure(b), m.pressure(a)); c != 0 {
+		return c
+	}
+	return compareRefs(a.adapter, b.adapter)
+}
+
+func (m *Machine) pressure(n *need) float64 {
+	return float64(n.waiting()) * (1 + m.now.Sub(n.since).Seconds())
+}
+
+func (m *Machine) startNeed(n *need) {
+	l := m.loader
+	score := 0.0
+	if f, ok := l.fame[n.adapter]; ok {
+		score = decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
+	}
+	most := unbounded
+	if n.spread {
+		most = score * replicaDiscount
+	}
+	u, ok := m.loadTarget(n, most)
+	if !ok {
+		n.notBefore = m.now.Add(noSlotBackoff)
+		return
+	}
+	owner, ok := m.own.Owner(core.Shard{Kind: core.ShardUpstream, Name: string(u)})
+	if !ok {
+		return
+	}
+	l.tokens--
+	l.lastID++
+	n.job = l.lastID
+	l.transits[n.job] = &transit{id: n.job, adapter: n.adapter, upstream: u, ends: m.now.Add(m.settings.LoadTimeout + 2*m.settings.OrderLinger)}
+	msg := LoadMessage{ID: n.job, Adapter: n.adapter, Upstream: u, Score: score, Most: most}
+	m.send(owner, Message{Load: &msg})
+}
+
+// loadDone ends a load: tell who waits, or try elsewhere.
+func (m *Machine) loadDone(d LoadDoneMessage) {
+	l := m.loader
+	if l == nil {
+		return
+	}
+	if d.Evicted.Adapter != (core.AdapterRef{}) {
+		l.fame[d.Evicted.Adapter] = fame{score: d.Evicted.Score, at: m.now}
+	}
+	t := l.transits[d.ID]
+	if t == nil {
+		return
+	}
+	delete(l.transits, d.ID)
+	if d.End == LoadNoSlot || d.End == LoadNotOwner {
+		l.tokens = min(l.tokens+1, tokenBurst) // the store was not touched
+	}
+	n := l.needs[d.Adapter]
+	if n == nil || n.job != d.ID {
+		return
+	}
+	if d.End != LoadOK {
+		m.retryNeed(n, d.Upstream, d.End == LoadFailed)
+		m.pumpLoader()
+		return
+	}
+	delete(l.needs, d.Adapter)
+	m.view.gained(d.Upstream, d.Adapter)
+	for _, h := range slices.Sorted(maps.Keys(n.hosts)) {
+		m.send(h, Message{Wanted: &WantedMessage{Adapter: d.Adapter, Upstream: d.Upstream}})
+	}
+	m.pumpLoader()
+}
+
+func (m *Machine) retryNeed(n *need, u core.UpstreamID, failed bool) {
+	n.job = 0
+	if n.spread {
+		delete(m.loader.needs, n.adapter)
+		return
+	}
+	n.notBefore = m.now.Add(noSlotBackoff)
+	if failed {
+		n.tries++
+		n.avoid = append(n.avoid, u)
+		n.notBefore = m.now.Add(min(retryBackoff<<min(n.tries, 8), maxBackoff))
+	}
+	m.loader.settleNeed(n)
+}
