--- /dev/null
+++ b/internal/peer/certs.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+)
+
+// clockSkew is how far behind a host's clock may be when a certificate is made.
+const clockSkew = 5 * time.Minute
+
+// Authority signs the certificates of a deployment's hosts.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	PEM         []byte // the certificate that every host is given
+}
+
+// Identity is one host's certificate and private key in PEM form.
+type Identity struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// NewAuthority makes an authority that is valid for a term. Its private key
+// stays in memory.
+func NewAuthority(name string, term time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, MaterialError.Wrap(err)
+	}
+	template, err := newTemplate(name, term)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.MaxPathLenZero = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, MaterialError.Wrap(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, MaterialError.Wrap(err)
+	}
+	return &Authority{certificate: certificate, key: key, PEM: encodePEM("CERTIFICATE", der)}, nil
+}
+
+// Issue makes the certificate of a host, good for both ends of a link.
+func (a *Authority) Issue(host string, term time.Duration) (Identity, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Identity{}, MaterialError.Wrap(err)
+	}
+	template, err := newTemplate(host, term)
+	if err != nil {
+		return Identity{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	template.DNSNames = []string{hostName}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return Identity{}, MaterialError.Wrap(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Identity{}, MaterialError.Wrap(err)
+	}
+	return Identity{Certificate: encodePEM("CERTIFICATE", der), Key: encodePEM("PRIVATE KEY", private)}, nil
+}
+
+// Material issues a host's certificate and returns it ready for New.
+func (a *Authority) Material(host string, term time.Duration) (Material, error) {
+	id, err := a.Issue(host, term)
+	if err != nil {
+		return Material{}, err
+	}
+	return ParseMaterial(a.PEM, id.Certificate, id.Key)
+}
+
+// KeyPEM is the authority's private key, for an operator who issues
+// certificates later.
+func (a *Authority) KeyPEM() ([]byte, error) {
+	private, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, MaterialError.Wrap(err)
+	}
+	return encodePEM("PRIVATE KEY", private), nil
+}
+
+func newTemplate(name string, term time.Duration) (*x509.Certificate, error) {
+	const serialBits = 127
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, MaterialError.Wrap(err)
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(term),
+	}, nil
+}
+
+func encodePEM(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
