--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -205,9 +205,9 @@
 	l.closed = true
 	l.mu.Unlock()
 	l.cancel()
+	l.tasks.Wait() // each task says good-bye on its connection; the transport would not
 	_ = l.transport.Close()
 	_ = l.socket.Close()
-	l.tasks.Wait()
 }
 
 func quicConfig() *quic.Config {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,9 +1,11 @@
-// Package upstream speaks to engines and plain services.
+// Package upstream speaks to engines and plain services: requests, adapter
+// orders and polls of their load.
 package upstream
 
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strconv"
@@ -12,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"gentiancroft/internal/core"
 )
 
@@ -21,91 +25,270 @@
 	NotReached = errs.Class("upstream not reached")
 	// Broken wraps failures after a request was sent.
 	Broken = errs.Class("upstream connection broken")
+	// TooLong wraps an answer over its bound.
+	TooLong = errs.Class("upstream answer too long")
 )
 
-// Limits of what an upstream may send.
+// Limits of what an upstream may send and take.
 const (
-	dialTimeout    = 2 * time.Second
-	readBuffer     = 16 << 10 // bytes
-	maxAnswerBytes = 8 << 20
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 5 * time.Second
+	readBuffer   = 16 << 10 // bytes; also bounds an answer's header
+	// MaxAnswer is the most bytes of an answer that is buffered whole.
+	MaxAnswer = 8 << 20
 )
 
+// Header is one header field of a request.
+type Header struct{ Name, Value string }
+
 // Call is one request to an upstream.
 type Call struct {
-	Address string
-	Method  string
-	Path    string
-	Body    []byte
-	Request core.RequestID
-	Adapter core.AdapterRef
-	Class   core.Class
-	Fence   core.Fence
+	Upstream core.UpstreamID // for the metrics
+	Address  string          // ip:port
+	Method   string
+	Path     string   // with the query
+	Headers  []Header // forwarded from the caller, already filtered
+	Body     []byte
+	Request  core.RequestID
+	Adapter  core.AdapterRef // zero for a plain service
+	Class    core.Class
+	Fence    core.Fence
+	Once     bool // on a new connection: no doubt about whether a kept one was already closed
 }
 
 // Answer is a response whose body streams. Close it in every case.
 type Answer struct {
 	Status      int
 	ContentType string
+	NotRun      bool // the upstream says that it did not run the request
+	RetryAfter  string
 	Body        io.Reader
-	conn        net.Conn
-	stop        func() bool
-	response    *fasthttp.Response
+
+	response *fasthttp.Response
+	conn     *conn
+	stop     func() bool
+	client   *Client
+	keep     bool // the upstream keeps the connection open
+	closed   bool
 }
 
-// Close ends the call; an unfinished one is cancelled at the upstream by the
+// Close ends the call. A connection whose answer was read whole is kept for
+// the next call; an unfinished call is cancelled at the upstream by the
 // closing of its connection.
 func (a *Answer) Close() {
-	a.stop()
+	if a.closed {
+		return
+	}
+	a.closed = true
+	untouched := a.stop()
+	whole := a.whole()
+	_ = a.response.CloseBodyStream()
+	if untouched && whole {
+		a.client.pool.put(a.conn)
+		return
+	}
 	_ = a.conn.Close()
 }
 
-// Do sends a call. The connection is closed as soon as ctx ends, also before
-// the response's headers.
-func Do(ctx context.Context, c Call) (*Answer, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.Address)
+// whole reports whether the answer was read to its end and nothing follows it.
+func (a *Answer) whole() bool {
+	if !a.keep || a.response.Header.ContentLength() < -1 {
+		return false
+	}
+	var one [1]byte
+	body, ok := a.Body.(*tail)
+	if !ok || !body.ended {
+		return false
+	}
+	n, err := a.Body.Read(one[:])
+	return n == 0 && errors.Is(err, io.EOF) && a.conn.reader.Buffered() == 0
+}
+
+// tail remembers that a body has ended, so that closing never waits for one
+// that has not.
+type tail struct {
+	io.Reader
+	ended bool
+}
+
+// Read implements io.Reader.
+func (t *tail) Read(p []byte) (int, error) {
+	if t.ended {
+		return 0, io.EOF
+	}
+	n, err := t.Reader.Read(p)
+	if err == io.EOF {
+		t.ended = true
+	}
+	return n, err
+}
+
+// conn is a connection to an upstream with its read buffer.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	idle    time.Time // since when it is unused
+}
+
+// Client calls upstreams over kept connections.
+type Client struct {
+	pool     *pool
+	registry metrics.Registry
+	now      func() core.Instant
+}
+
+// NewClient returns a client. The registry takes its metrics, nil for a
+// registry of its own; now is the host's clock, nil where no order has a bound.
+func NewClient(registry metrics.Registry, now func() core.Instant) *Client {
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	return &Client{pool: newPool(), registry: registry, now: now}
+}
+
+var shared = NewClient(nil, nil)
+
+// Do sends a call with a shared client.
+func Do(ctx context.Context, c Call) (*Answer, error) { return shared.Do(ctx, c) }
+
+// Close closes the kept connections.
+func (c *Client) Close() { c.pool.close() }
+
+// Do sends a call, once. The connection is closed as soon as ctx ends, also
+// before the answer's header. A failure after sending is Broken even where a
+// kept connection was closed at that moment: the upstream may have crashed on
+// this very request, and sending it again is not this client's decision.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
+	c.count(call, "calls")
+	conn, err := c.connect(ctx, call)
 	if err != nil {
+		c.count(call, "not_reached")
 		return nil, NotReached.Wrap(err)
 	}
+	answer, err := c.attempt(ctx, conn, call)
+	return answer, c.failed(call, err)
+}
+
+func (c *Client) connect(ctx context.Context, call Call) (*conn, error) {
+	if !call.Once {
+		if kept := c.pool.get(call.Address); kept != nil {
+			return kept, nil
+		}
+	}
+	return dial(ctx, call.Address)
+}
+
+func (c *Client) failed(call Call, err error) error {
+	if err == nil {
+		return nil
+	}
+	c.count(call, "failures")
+	return Broken.Wrap(err)
+}
+
+func (c *Client) count(call Call, name string) {
+	if call.Upstream == "" {
+		return
+	}
+	metrics.GetOrRegisterCounter("upstream."+string(call.Upstream)+"."+name, c.registry).Inc(1)
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn:    c,
+		address: address,
+		reader:  bufio.NewReaderSize(c, readBuffer),
+		writer:  bufio.NewWriter(c),
+	}, nil
+}
+
+func (c *Client) attempt(ctx context.Context, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	answer, err := exchange(conn, c)
+	answer, err := exchange(conn, call)
 	if err != nil {
 		stop()
 		_ = conn.Close()
-		return nil, Broken.Wrap(err)
+		return nil, err
 	}
 	answer.stop = stop
+	answer.client = c
 	return answer, nil
 }
 
-func exchange(conn net.Conn, c Call) (*Answer, error) {
-	var request fasthttp.Request
-	request.Header.SetMethod(c.Method)
-	request.SetRequestURI("http://" + c.Address + c.Path)
-	request.Header.SetContentType("application/json")
-	request.Header.Set("X-Request-Id", string(c.Request))
-	request.Header.Set("X-Priority", strconv.Itoa(int(c.Class)))
-	request.Header.Set("X-Fence", strconv.FormatUint(uint64(c.Fence), 10))
-	if c.Adapter != (core.AdapterRef{}) {
-		request.Header.Set("X-Adapter", c.Adapter.String())
-	}
-	request.SetBodyRaw(c.Body)
-	w := bufio.NewWriter(conn)
-	if err := request.Write(w); err != nil {
+func exchange(conn *conn, call Call) (*Answer, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	writeHeader(request, call)
+	request.SetBodyRaw(call.Body)
+	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := request.Write(conn.writer); err != nil {
 		return nil, err
 	}
-	if err := w.Flush(); err != nil {
+	if err := conn.writer.Flush(); err != nil {
 		return nil, err
 	}
 	response := &fasthttp.Response{StreamBody: true}
-	if err := response.ReadLimitBody(bufio.NewReaderSize(conn, readBuffer), maxAnswerBytes); err != nil {
+	if err := response.ReadLimitBody(conn.reader, MaxAnswer); err != nil {
 		return nil, err
 	}
+	var body io.Reader = response.BodyStream()
+	if body == nil {
+		body = eof{}
+	}
 	return &Answer{
 		Status:      response.StatusCode(),
 		ContentType: string(response.Header.ContentType()),
-		Body:        response.BodyStream(),
-		conn:        conn,
+		NotRun:      string(response.Header.Peek("X-Ran")) == string(core.RanNo),
+		RetryAfter:  string(response.Header.Peek("Retry-After")),
+		Body:        &tail{Reader: body},
 		response:    response,
+		conn:        conn,
+		keep:        !response.ConnectionClose(),
 	}, nil
 }
+
+// writeHeader keeps the invariant that only filtered headers and this host's
+// own reach an upstream.
+func writeHeader(request *fasthttp.Request, call Call) {
+	h := &request.Header
+	h.SetMethod(call.Method)
+	request.SetRequestURI("http://" + call.Address + call.Path)
+	if call.Body != nil {
+		h.SetContentType("application/json")
+	}
+	for _, f := range call.Headers {
+		h.Set(f.Name, f.Value)
+	}
+	if call.Request != "" {
+		h.Set("X-Request-Id", string(call.Request))
+	}
+	h.Set("X-Priority", strconv.Itoa(int(call.Class)))
+	h.Set("X-Fence", strconv.FormatUint(uint64(call.Fence), 10))
+	if call.Adapter != (core.AdapterRef{}) {
+		h.Set("X-Adapter", call.Adapter.String())
+	}
+}
+
+type eof struct{}
+
+// Read implements io.Reader.
+func (eof) Read([]byte) (int, error) { return 0, io.EOF }
+
+// ReadWhole reads an answer that must fit limit bytes.
+func ReadWhole(a *Answer, limit int) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(a.Body, int64(limit)+1))
+	if err != nil {
+		return nil, Broken.Wrap(err)
+	}
+	if len(b) > limit {
+		return nil, TooLong.New("over %d bytes", limit)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/upstream/poll.go
@@ -0,0 +1,91 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"gentiancroft/internal/core"
+)
+
+// pollTimeout bounds a poll; an upstream that is slower counts as failing it.
+const pollTimeout = time.Second
+
+// LoadReport is what an upstream answers to GET /load.
+type LoadReport struct {
+	Incarnation string         `json:"incarnation"` // changes when the upstream restarts
+	Running     int            `json:"running"`     // requests in the batch
+	Waiting     int            `json:"waiting"`     // requests queued inside the upstream
+	Adapters    []AdapterCount `json:"adapters"`
+	Loading     []string       `json:"loading"` // adapter versions, "id@version"
+	Leaving     bool           `json:"leaving"`
+}
+
+// AdapterCount is one adapter in a load report.
+type AdapterCount struct {
+	Name    string `json:"name"` // "id@version"
+	Running int    `json:"running"`
+}
+
+// Poll asks an upstream for its load. A failed poll gives a report that is not OK.
+func (c *Client) Poll(ctx context.Context, id core.UpstreamID, address string) core.UpstreamReport {
+	report := core.UpstreamReport{Upstream: id}
+	if c.now != nil {
+		report.Sent = c.now()
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	a, err := c.Do(ctx, Call{Upstream: id, Address: address, Method: "GET", Path: "/load"})
+	if err != nil {
+		return report
+	}
+	defer a.Close()
+	body, err := ReadWhole(a, MaxAnswer)
+	if err != nil || a.Status != http.StatusOK {
+		return report
+	}
+	var load LoadReport
+	if json.Unmarshal(body, &load) != nil || !fill(&report, load) {
+		c.count(Call{Upstream: id}, "bad_reports")
+		return report
+	}
+	report.OK = true
+	return report
+}
+
+// fill copies a report; false where it names an adapter that can't be one.
+func fill(report *core.UpstreamReport, load LoadReport) bool {
+	report.Incarnation = load.Incarnation
+	report.Running = load.Running
+	report.Waiting = load.Waiting
+	report.Leaving = load.Leaving
+	for _, a := range load.Adapters {
+		ref, ok := ParseAdapter(a.Name)
+		if !ok {
+			return false
+		}
+		report.Adapters = append(report.Adapters, core.AdapterLoad{Adapter: ref, Running: a.Running})
+	}
+	for _, name := range load.Loading {
+		ref, ok := ParseAdapter(name)
+		if !ok {
+			return false
+		}
+		report.Loading = append(report.Loading, ref)
+	}
+	return true
+}
+
+// ParseAdapter reads "id@version", the name an engine knows an adapter by.
+func ParseAdapter(name string) (core.AdapterRef, bool) {
+	id, version, ok := strings.Cut(name, "@")
+	if !ok || id == "" {
+		return core.AdapterRef{}, false
+	}
+	v, err := strconv.Atoi(version)
+	ref := core.AdapterRef{ID: core.AdapterID(id), Version: v}
+	return ref, err == nil && ref.String() == name
+}
