Entry: hang-ups seen at once, bodies bounded, streams whole or typed

Cause: a hang-up was only noticed at the next write, the caller's body went upstream as it came, and a broken stream ended like a whole one. Ruled out: a body-stream writer (a goroutine and a pipe a request); passing the body on unchanged, since two JSON readers can differ on repeated names.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,14 +2,23 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
+	"net"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"gentiancroft/internal/core"
 )
 
+// retryBroken is when a caller should repeat a request whose answer broke off.
+const retryBroken = time.Second
+
+// outcomeOK is the outcome of a request that got a whole answer.
+const outcomeOK core.Code = "ok"
+
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
@@ -54,10 +63,16 @@
 	return body
 }
 
+// lastEvent ends a stream that is not whole. It never looks like [DONE].
+func lastEvent(r *core.Refusal) []byte {
+	event := append([]byte("event: error\ndata: "), encodeRefusal(r)...)
+	return append(event, "\n\n"...)
+}
+
 func refuse(ctx *fasthttp.RequestCtx, r *core.Refusal) {
 	status, ok := statuses[r.Code]
 	if !ok {
-		status = 503
+		status = fasthttp.StatusServiceUnavailable
 	}
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
@@ -66,3 +81,26 @@
 	}
 	ctx.SetBody(encodeRefusal(r))
 }
+
+// unreadable answers a request that could not even be read.
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	s.metrics.unreadable.Inc(1)
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	status := 0
+	refusal := malformed("the request is not well-formed HTTP")
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		refusal = core.Refuse(core.CodeTooLarge, 0, "the body is too large")
+	case errors.As(err, &small):
+		refusal = core.Refuse(core.CodeTooLarge, 0, "the header is too large")
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &network) && network.Timeout():
+		refusal = core.Refuse(core.CodeBadRequest, 0, "the request did not arrive in time")
+		status = fasthttp.StatusRequestTimeout
+	}
+	refuse(ctx, refusal)
+	if status != 0 {
+		ctx.SetStatusCode(status)
+	}
+}
--- /dev/null
+++ b/internal/entry/exposition.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// quantiles that are shown of each distribution.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// exposition shows a registry in the text form that usual collectors read.
+// A name ends with its unit where it has one.
+func (s *Server) exposition(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	ctx.SetBody(expose(s.metrics.registry))
+}
+
+func expose(r metrics.Registry) []byte {
+	var lines []string
+	r.Each(func(name string, m any) {
+		lines = append(lines, exposeOne(seriesOf(name), m)...)
+	})
+	slices.Sort(lines)
+	var b bytes.Buffer
+	for _, l := range lines {
+		b.WriteString(l)
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+// series is a metric's name with its label, if any.
+type series struct{ name, label string }
+
+// seriesOf turns "upstream.ID.calls" into a series labelled with the upstream,
+// and every other name into one without a label.
+func seriesOf(name string) series {
+	const labelled = "upstream."
+	last := strings.LastIndexByte(name, '.')
+	if strings.HasPrefix(name, labelled) && last > len(labelled) {
+		return series{"gentiancroft_upstream_" + plain(name[last+1:]), fmt.Sprintf("upstream=%q", name[len(labelled):last])}
+	}
+	return series{name: "gentiancroft_" + plain(name)}
+}
+
+func plain(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+func (s series) line(suffix, label string, value any) string {
+	labels := strings.Trim(s.label+","+label, ",")
+	if labels != "" {
+		labels = "{" + labels + "}"
+	}
+	return fmt.Sprintf("%s%s%s %v", s.name, suffix, labels, value)
+}
+
+func exposeOne(s series, m any) []string {
+	switch m := m.(type) {
+	case metrics.Counter:
+		return []string{s.line("", "", m.Count())}
+	case metrics.Gauge:
+		return []string{s.line("", "", m.Value())}
+	case metrics.GaugeFloat64:
+		return []string{s.line("", "", m.Value())}
+	case metrics.Meter:
+		return []string{s.line("_count", "", m.Count())}
+	case metrics.Histogram:
+		h := m.Snapshot()
+		return exposeQuantiles(s, h.Percentiles(quantiles), h.Count())
+	}
+	return nil
+}
+
+func exposeQuantiles(s series, values []float64, count int64) []string {
+	lines := []string{s.line("_count", "", count)}
+	for i, q := range quantiles {
+		lines = append(lines, s.line("", fmt.Sprintf("quantile=\"%g\"", q), values[i]))
+	}
+	return lines
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -292,3 +293,32 @@
 	}
 	return b, nil
 }
+
+// settleTime bounds the wait for the end of an answer that is complete by its
+// content.
+const settleTime = time.Second
+
+// Settle ends a call whose content is complete (a stream after [DONE]). It
+// reads the end of the answer in the background, so that the connection can be
+// kept, and closes the connection where that end does not come. The call's
+// context no longer matters.
+func (a *Answer) Settle() {
+	if !a.stop() {
+		a.Close()
+		return
+	}
+	a.stop = func() bool { return true }
+	_ = a.conn.SetReadDeadline(time.Now().Add(settleTime))
+	go func() {
+		n, err := io.Copy(io.Discard, io.LimitReader(a.Body, readBuffer))
+		_ = a.conn.SetReadDeadline(time.Time{})
+		a.keep = a.keep && n == 0 && err == nil
+		a.Close()
+	}()
+}
+
+// Dropped reports whether an upstream let go of a connection in the middle of
+// a call, as one does that crashes.
+func Dropped(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
