--- a/internal/core/node/effects.go
+++ b/internal/core/node/effects.go
@@ -15,6 +15,7 @@
 	Address   string
 	Adapter   core.AdapterRef // zero for a plain service
 	Fence     core.Fence
+	Until     core.Instant // of this host's clock; not to be sent from then on
 	Workspace core.WorkspaceID
 	Class     core.Class
 	Record    bool // the answer is recorded: buffer it whole
@@ -65,7 +66,9 @@
 }
 
 // Left says that the host may exit: nothing is in flight and all is handed over.
-type Left struct{}
+type Left struct {
+	Fenced bool // this identity is over: rejoin under a new one
+}
 
 func (Dispatch) isEffect() {}
 func (Cancel) isEffect()   {}
@@ -78,9 +81,6 @@
 func (Note) isEffect()     {}
 func (Left) isEffect()     {}
 
-// PeerMessage is everything one host tells another; exactly one field is set.
-type PeerMessage struct{}
-
 // Poll asks an upstream for its report.
 type Poll struct {
 	Upstream core.UpstreamID
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -1,71 +1,118 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/config"
+	"gentiancroft/internal/core/dispatch/once"
+	"gentiancroft/internal/core/dispatch/retry"
+	"gentiancroft/internal/core/dispatch/suspect"
+	"gentiancroft/internal/core/feed"
+	"gentiancroft/internal/core/lease"
+	"gentiancroft/internal/core/limit"
+	"gentiancroft/internal/core/placement"
 )
 
-// Retry hints given to callers.
+// Settings of one node. The Self of each part is filled in.
+type Settings struct {
+	Self      core.Member
+	Seed      uint64
+	Lease     lease.Settings
+	Feed      feed.Settings
+	Limit     limit.Settings
+	Placement placement.Settings
+	Retry     retry.Settings
+
+	PollEvery time.Duration // of an upstream by its owner
+	ListEvery time.Duration // of the platform's host list
+	KeepTime  time.Duration // how long a leaving host still takes requests
+	Drain     time.Duration // most that a leaving host waits for what is in flight
+	Capacity  int           // requests in flight at which this host counts as full
+}
+
+// Defaults of Settings.
 const (
-	retryNoUpstream = time.Second
-	retryCutOff     = 2 * time.Second
+	DefaultPollEvery = 250 * time.Millisecond
+	DefaultListEvery = time.Second
+	DefaultKeepTime  = 10 * time.Second
+	DefaultDrain     = time.Hour
+	DefaultCapacity  = 512
 )
 
-// Settings of one node.
-type Settings struct {
-	Self core.Member
-	Seed uint64
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
 }
 
-// Node is one host's decisions.
-type Node struct {
-	settings Settings
-	rng      *core.Rand
-	snapshot *config.Snapshot
-	requests map[core.RequestID]*request
-	resident map[core.UpstreamID]map[core.AdapterRef]bool
-	orders   map[uint64]order
-	order    uint64
-	out      []Effect
+func (s *Settings) fill() {
+	orDefault(&s.PollEvery, DefaultPollEvery)
+	orDefault(&s.ListEvery, DefaultListEvery)
+	orDefault(&s.KeepTime, DefaultKeepTime)
+	orDefault(&s.Drain, DefaultDrain)
+	orDefault(&s.Capacity, DefaultCapacity)
+	s.Lease.Self = s.Self
+	s.Feed.Self = s.Self
+	s.Limit.Self = s.Self.Host
+	s.Placement.Self = s.Self.Host
+	s.Placement.Domain = s.Self.Domain
 }
 
-type request struct {
-	arrive   Arrive
-	key      *config.Key
-	adapter  core.AdapterRef
-	pool     string
-	upstream core.UpstreamID
-	attempt  int
-	answered bool
+// Node is one host's decisions.
+type Node struct {
+	settings  Settings
+	rng       *core.Rand
+	now       core.Instant
+	out       []Effect
+	lease     *lease.Machine
+	feed      *feed.Machine
+	limit     *limit.Machine
+	placement *placement.Machine
+	once      *once.Machine
+	suspect   *suspect.Machine
+	retries   *retry.Budget
+	snapshot  *config.Snapshot
+	requests  *table
+	calls     calls
+	members   members
+	listed    listed
+	due       due
+	leaving   leaving
 }
 
-type order struct {
-	upstream core.UpstreamID
-	adapter  core.AdapterRef
+// due is when periodic work is next done.
+type due struct {
+	poll core.Instant
+	list core.Instant
+	load core.Instant
 }
 
-// New returns a node without a configuration.
+// New returns the node of a host that is not a member yet and has no
+// configuration.
 func New(s Settings) *Node {
+	s.fill()
+	rng := core.NewRand(s.Seed)
 	return &Node{
-		settings: s,
-		rng:      core.NewRand(s.Seed),
-		requests: map[core.RequestID]*request{},
-		resident: map[core.UpstreamID]map[core.AdapterRef]bool{},
-		orders:   map[uint64]order{},
-	}
-}
-
-// SetSnapshot puts a configuration in force unless it is older than the present one.
-func (n *Node) SetSnapshot(s *config.Snapshot) {
-	if n.snapshot == nil || s.Version > n.snapshot.Version {
-		n.snapshot = s
+		settings:  s,
+		rng:       rng,
+		lease:     lease.New(s.Lease, core.NewRand(rng.Uint64())),
+		feed:      feed.New(s.Feed, core.NewRand(rng.Uint64())),
+		limit:     limit.New(s.Limit, core.NewRand(rng.Uint64())),
+		placement: placement.New(s.Placement, core.NewRand(rng.Uint64())),
+		once:      once.New(s.Self.Host, core.NewRand(rng.Uint64())),
+		suspect:   suspect.New(s.Self.Host, core.NewRand(rng.Uint64())),
+		retries:   retry.NewBudget(s.Retry),
+		requests:  newTable(),
+		calls:     calls{open: map[uint64]call{}},
 	}
 }
 
 // Step handles one event and returns what to do.
 func (n *Node) Step(now core.Instant, event Event) []Effect {
+	n.now = max(n.now, now)
 	n.out = nil
 	switch e := event.(type) {
 	case Arrive:
@@ -73,131 +120,93 @@
 	case Gone:
 		n.gone(e)
 	case FirstByte:
-		if r := n.requests[e.ID]; r != nil {
-			r.answered = true
-		}
+		n.firstByte(e)
 	case Ended:
 		n.ended(e)
+	case Report:
+		n.placementResult(n.placement.Report(n.now, n.lease, e.UpstreamReport))
 	case OrderDone:
-		n.orderDone(e)
-	}
+		n.placementResult(n.placement.OrderDone(n.now, n.lease, e.OrderDone))
+	case ObjectDone:
+		n.objectDone(e.Result)
+	case FromPeer:
+		n.fromPeer(e)
+	case HostsListed:
+		n.hostsListed(e)
+	case Tick:
+		n.tick()
+	case Leave:
+		n.leave()
+	case Query:
+		e.Do(n, n.now)
+	}
+	n.spread()
 	return n.out
 }
 
 func (n *Node) emit(e Effect) { n.out = append(n.out, e) }
 
-func (n *Node) refuse(id core.RequestID, r *core.Refusal) {
-	delete(n.requests, id)
-	n.emit(Refuse{ID: id, Refusal: r})
+func (n *Node) note(name, reason string, id core.RequestID) {
+	n.emit(Note{Name: name, Reason: reason, ID: id})
 }
 
-func (n *Node) arrive(e Arrive) {
-	if n.snapshot == nil {
-		n.refuse(e.ID, core.Refuse(core.CodeCutOff, retryCutOff, "no configuration yet"))
-		return
-	}
-	route := n.snapshot.Route(e.Path)
-	if route == nil {
-		n.refuse(e.ID, core.Refuse(core.CodeUnknownRoute, 0, "no route "+e.Path))
-		return
-	}
-	key := n.snapshot.Key(e.KeyHash)
-	if key == nil || key.Withdrawn {
-		n.refuse(e.ID, core.Refuse(core.CodeNoKey, 0, "the key is missing or not valid"))
-		return
-	}
-	r := &request{arrive: e, key: key, pool: route.Pool}
-	if route.Kind != config.RouteService {
-		ref, _, refusal := n.snapshot.Resolve(e.Model, key.Workspace)
-		if refusal != nil {
-			n.refuse(e.ID, refusal)
-			return
-		}
-		r.adapter = ref
-	}
-	n.requests[e.ID] = r
-	n.place(r)
+// tick lets time pass in every machine.
+func (n *Node) tick() {
+	n.leaseOutput(n.lease.Tick(n.now))
+	n.feedOutput(n.feed.Tick(n.now))
+	n.limitResult(n.limit.Tick(n.now, n.lease))
+	n.placementResult(n.placement.Tick(n.now, n.lease))
+	n.onceResult(n.once.Tick(n.now, n.lease))
+	n.suspectResult(n.suspect.Tick(n.now, n.lease))
+	n.expire()
+	n.failClosed()
+	n.poll()
+	n.publishLoad()
+	n.leaveOn()
 }
 
-// place dispatches a request to an upstream that holds its adapter, or orders
-// the load that it waits for.
-func (n *Node) place(r *request) {
-	pool := n.snapshot.Pool(r.pool)
-	if len(pool) == 0 {
-		n.refuse(r.arrive.ID, core.Refuse(core.CodeNoUpstream, retryNoUpstream, "no upstream serves this route"))
-		return
-	}
-	for _, u := range pool {
-		if r.adapter == (core.AdapterRef{}) || n.resident[u.ID][r.adapter] {
-			n.dispatch(r, u)
-			return
+// poll asks the upstreams that this host owns for their reports, and the
+// platform for its list.
+func (n *Node) poll() {
+	if n.now >= n.due.poll {
+		n.due.poll = n.now.Add(n.settings.PollEvery)
+		for _, id := range n.placement.Polls() {
+			if u := n.upstream(id); u != nil {
+				n.emit(Poll{Upstream: id, Address: u.Address})
+			}
 		}
 	}
-	for _, o := range n.orders {
-		if o.adapter == r.adapter {
-			return
-		}
+	if n.now >= n.due.list {
+		n.due.list = n.now.Add(n.settings.ListEvery)
+		n.emit(ListHosts{})
 	}
-	u := pool[n.rng.IntN(len(pool))]
-	n.order++
-	n.orders[n.order] = order{upstream: u.ID, adapter: r.adapter}
-	n.emit(Order{core.AdapterOrder{ID: n.order, Upstream: u.ID, Address: u.Address, Load: true, Adapter: r.adapter, Timeout: 10 * time.Second}})
-}
-
-func (n *Node) dispatch(r *request, u *config.Upstream) {
-	r.attempt++
-	r.upstream = u.ID
-	n.emit(Dispatch{ID: r.arrive.ID, Attempt: r.attempt, Upstream: u.ID, Address: u.Address, Adapter: r.adapter, Workspace: r.key.Workspace})
 }
 
-func (n *Node) orderDone(e OrderDone) {
-	o, ok := n.orders[e.ID]
-	if !ok {
-		return
-	}
-	delete(n.orders, e.ID)
-	if e.OK {
-		if n.resident[o.upstream] == nil {
-			n.resident[o.upstream] = map[core.AdapterRef]bool{}
-		}
-		n.resident[o.upstream][o.adapter] = true
-	}
-	for id, r := range n.requests {
-		if r.adapter != o.adapter || r.upstream != "" {
-			continue
-		}
-		if e.OK {
-			n.place(r)
-			continue
-		}
-		n.refuse(id, core.Refuse(core.CodeNoUpstream, retryNoUpstream, "the adapter could not be loaded"))
+func (n *Node) upstream(id core.UpstreamID) *config.Upstream {
+	if n.snapshot == nil {
+		return nil
 	}
+	return n.snapshot.Upstream(id)
 }
 
-func (n *Node) gone(e Gone) {
-	r := n.requests[e.ID]
-	if r == nil {
-		return
-	}
-	delete(n.requests, e.ID)
-	if r.upstream != "" {
-		n.emit(Cancel{ID: e.ID, Attempt: r.attempt})
-	}
+// listed is the platform's lagging list, as far as it says who is leaving.
+type listed struct {
+	leaving   []string // sorted
+	upstreams []core.UpstreamID
 }
 
-func (n *Node) ended(e Ended) {
-	r := n.requests[e.ID]
-	if r == nil || r.attempt != e.Attempt {
-		return
-	}
-	delete(n.requests, e.ID)
-	switch e.Kind {
-	case EndOK, EndCancelled:
-	case EndNotRun, EndMissing:
-		n.refuse(e.ID, core.Refuse(core.CodeNoUpstream, retryNoUpstream, "the upstream did not take the request"))
-	case EndFailed:
-		n.emit(Refuse{ID: e.ID, Refusal: &core.Refusal{Code: core.CodeUpstreamFailed, Message: "the upstream failed", Ran: core.RanUnknown, RetryAfter: retryNoUpstream}})
-	case EndBroken:
-		n.emit(Cut{ID: e.ID, Refusal: &core.Refusal{Code: core.CodeStreamBroken, Message: "the upstream broke off", Ran: core.RanYes, RetryAfter: retryNoUpstream}})
+func (n *Node) hostsListed(e HostsListed) {
+	n.listed = listed{}
+	for _, h := range e.Hosts {
+		if !h.Leaving {
+			continue
+		}
+		n.listed.leaving = append(n.listed.leaving, h.Name)
+		if n.upstream(core.UpstreamID(h.Name)) != nil {
+			n.listed.upstreams = append(n.listed.upstreams, core.UpstreamID(h.Name))
+		}
 	}
+	slices.Sort(n.listed.leaving)
+	slices.Sort(n.listed.upstreams)
+	n.placementResult(n.placement.Leaving(n.now, n.lease, n.listed.upstreams))
 }
