At most once and suspects: property tests found three faults, mended

Cause: interleavings of doubled claims, revoked leaves and lost answers were unproven. Ruled out: re-asking a home after an early revocation, which sent the claim to a second home.

--- a/internal/core/dispatch/once/once.go
+++ b/internal/core/dispatch/once/once.go
@@ -87,6 +87,7 @@
 	version   uint64 // of the record, once it is known to be ours
 	attempts  int
 	cancelled bool
+	dropped   bool
 	outcome   record
 	tag       uint64       // of the call that is out; 0: none
 	due       core.Instant // of the next try, or of the end of the wait for tag
@@ -102,7 +103,9 @@
 	serial  uint64
 	byTag   map[uint64]*entry
 	byID    map[core.RequestID]*entry
-	entries []*entry // in order of Begin
+	entries []*entry // in order of Begin; dropped ones until the next tick
+	open    int      // entries that are not dropped
+	cleanup int      // of these, those in stepCleanup
 	pending int      // bytes of outcomes that wait
 	sweeper sweeper
 	out     Result
@@ -120,15 +123,7 @@
 
 // Pending is how many requests of this host still need the object API. A
 // leaving host waits for 0, within its drain time.
-func (m *Machine) Pending() int {
-	n := 0
-	for _, e := range m.entries {
-		if e.step != stepCleanup {
-			n++
-		}
-	}
-	return n
-}
+func (m *Machine) Pending() int { return m.open - m.cleanup }
 
 // Begin records a request. Its decision comes with this result or a later one.
 func (m *Machine) Begin(now core.Instant, r Request) Result {
@@ -150,6 +145,7 @@
 	}
 	m.byID[r.ID] = e
 	m.entries = append(m.entries, e)
+	m.open++
 	m.create(now, e)
 	return m.out
 }
@@ -195,8 +191,9 @@
 // Tick retries what is due. own says who sweeps expired records; nil: nobody here.
 func (m *Machine) Tick(now core.Instant, own core.Ownership) Result {
 	m.out = Result{}
-	for _, e := range slices.Clone(m.entries) {
-		if e.step == stepRun || now.Before(e.due) {
+	m.entries = slices.DeleteFunc(m.entries, func(e *entry) bool { return e.dropped })
+	for _, e := range m.entries {
+		if e.dropped || e.step == stepRun || now.Before(e.due) {
 			continue
 		}
 		if e.tag != 0 {
@@ -251,13 +248,17 @@
 }
 
 func (m *Machine) drop(e *entry) {
+	e.dropped = true
+	m.open--
+	if e.step == stepCleanup {
+		m.cleanup--
+	}
 	if e.outcome.Outcome != nil {
 		m.pending -= len(e.outcome.Outcome.Body)
 	}
 	if m.byID[e.req.ID] == e {
 		delete(m.byID, e.req.ID)
 	}
-	m.entries = slices.DeleteFunc(m.entries, func(x *entry) bool { return x == e })
 }
 
 // later puts an entry's next try off.
--- a/internal/core/dispatch/once/steps.go
+++ b/internal/core/dispatch/once/steps.go
@@ -169,25 +169,16 @@
 func (m *Machine) giveUpBegin(now core.Instant, e *entry) {
 	m.storeDown(e)
 	delete(m.byID, e.req.ID)
-	if m.cleanups() >= maxCleanups {
+	if m.cleanup >= maxCleanups {
 		m.drop(e)
 		return
 	}
 	e.step = stepCleanup
+	m.cleanup++
 	e.giveUp = now.Add(giveUpAfter)
 	m.later(now, e)
 }
 
-func (m *Machine) cleanups() int {
-	n := 0
-	for _, e := range m.entries {
-		if e.step == stepCleanup {
-			n++
-		}
-	}
-	return n
-}
-
 // cleaned takes the read of what a refused Begin may have left.
 func (m *Machine) cleaned(now core.Instant, e *entry, r core.ObjectResult) {
 	switch r.Status {
@@ -199,6 +190,7 @@
 		}
 		e.version = r.Object.Version
 		e.step = stepRelease
+		m.cleanup--
 		m.proceed(now, e)
 	case core.ObjectNotFound:
 		m.drop(e)
--- a/internal/core/dispatch/suspect/entry.go
+++ b/internal/core/dispatch/suspect/entry.go
@@ -1,83 +1,143 @@
 package suspect
 
-import "gentiancroft/internal/core"
+import (
+	"slices"
+	"strconv"
+
+	"gentiancroft/internal/core"
+)
 
 // homes is how many homes an entry host asks before it decides alone.
 const homes = 2
 
-// ask sends a claim to the next home that has not been asked.
+// ask sends a claim to a home that has not been asked yet.
 func (m *Machine) ask(now core.Instant, c *claim) {
-	home, ok := core.HostID(""), false
-	if c.tries < homes {
-		home, ok = m.home(c.req.Fingerprint, c.tries)
+	if c.apart {
+		m.end(now, c, EndNotSent)
+		m.refuse(c, core.Refuse(core.CodeSuspect, busyRetry, "a suspected request got no turn"), "no turn")
+		return
 	}
-	if !ok {
+	if n := len(c.asked); n > 0 {
+		m.silent[c.asked[n-1]] = now.Add(silentTerm)
+	}
+	home, ok := m.home(now, c.req.Fingerprint)
+	if !ok || c.tries == homes {
 		m.alone(now, c)
 		return
 	}
+	first, _ := core.Rendezvous(m.hosts, homeOfFingerprint, strconv.FormatUint(c.req.Fingerprint, 16))
 	c.tries++
-	c.home = home
+	c.asked = append(c.asked, home)
 	c.due = now.Add(claimWait)
-	m.tell(now, home, Message{Claim: &ClaimMessage{ID: c.req.ID, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream}})
+	m.tell(now, home, Message{Claim: &ClaimMessage{
+		ID:          c.req.ID,
+		Fingerprint: c.req.Fingerprint,
+		Upstream:    c.req.Upstream,
+		Second:      home != first,
+	}})
 }
 
-// alone decides a claim that no home has answered. A host without any home is
-// mostly cut off from the upstream's owner too; a fingerprint without strikes
-// may run, so that a lost home does not stop serving.
-func (m *Machine) alone(now core.Instant, c *claim) {
-	c.decided = true
-	c.home = ""
-	if m.struck(now, c.req.Fingerprint) > 0 {
-		m.forget(c.req.ID)
-		m.decide(Decision{ID: c.req.ID, Refusal: core.Refuse(core.CodeSuspect, busyRetry, "a suspected request can't be checked now"), Reason: "suspect without a home"})
+// end tells everybody who may know of a claim that it is over.
+func (m *Machine) end(now core.Instant, c *claim, end End) {
+	delete(m.claims, c.req.ID)
+	if home, ok := m.home(now, c.req.Fingerprint); ok && !slices.Contains(c.asked, home) {
+		c.asked = append(c.asked, home)
+	}
+	r := ReleaseMessage{ID: c.req.ID, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream, End: end, Age: now.Sub(c.since)}
+	for _, home := range c.asked {
+		m.tell(now, home, Message{Release: &r})
+	}
+	if !c.apart {
 		return
 	}
-	c.allowed = true
-	m.decide(Decision{ID: c.req.ID, Allowed: true, Reason: "no home answers"})
+	if keeper, ok := m.keeper(now, c.req.Upstream); ok {
+		m.tell(now, keeper, Message{Free: &FreeMessage{ID: c.req.ID, Upstream: c.req.Upstream}})
+	}
 }
 
-// follow tells a new home about a request that runs.
-func (m *Machine) follow(now core.Instant, c *claim) {
-	home, ok := m.home(c.req.Fingerprint, 0)
-	if !ok || home == c.home {
+// alone decides a claim that no home has answered. A host that reaches no home
+// is mostly cut off from the upstream's owner too; a fingerprint without
+// strikes may run, so that lost homes do not stop serving.
+func (m *Machine) alone(now core.Instant, c *claim) {
+	if m.struck(now, c.req.Fingerprint) > 0 {
+		m.refuse(c, core.Refuse(core.CodeSuspect, busyRetry, "a suspected request can't be checked now"), "suspect without a home")
 		return
 	}
-	c.home = home
-	m.tell(now, home, Message{Claim: &ClaimMessage{ID: c.req.ID, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream, Running: true}})
+	m.allow(now, c, false, "no home answers")
 }
 
-// verdict takes a home's answer at the entry host.
-func (m *Machine) verdict(now core.Instant, from core.HostID, v VerdictMessage) {
-	c := m.claims[v.ID]
-	if c == nil {
-		return // released before; the release follows the claim to its home
-	}
-	if c.decided {
+func (m *Machine) allow(now core.Instant, c *claim, apart bool, reason string) {
+	c.decided = true
+	c.apart = apart
+	c.due = now.Add(renewEvery)
+	m.decide(Decision{ID: c.req.ID, Allowed: true, Suspect: apart, Reason: reason})
+}
+
+func (m *Machine) refuse(c *claim, r *core.Refusal, reason string) {
+	delete(m.claims, c.req.ID)
+	m.decide(Decision{ID: c.req.ID, Refusal: r, Reason: reason})
+}
+
+// renew tells the present home about a request that runs.
+func (m *Machine) renew(now core.Instant, c *claim) {
+	c.due = now.Add(renewEvery)
+	home, ok := m.home(now, c.req.Fingerprint)
+	if !ok {
 		return
 	}
-	c.decided = true
-	if v.Allowed {
-		c.allowed, c.apart = true, v.Suspect
-		m.decide(Decision{ID: v.ID, Allowed: true, Suspect: v.Suspect, Reason: "home " + string(from)})
+	if !slices.Contains(c.asked, home) {
+		c.asked = append(c.asked, home)
+	}
+	m.tell(now, home, Message{Claim: &ClaimMessage{
+		ID:          c.req.ID,
+		Fingerprint: c.req.Fingerprint,
+		Upstream:    c.req.Upstream,
+		Running:     true,
+		Age:         now.Sub(c.since),
+	}})
+	if !c.apart {
 		return
 	}
-	m.forget(v.ID)
-	if v.Struck >= Budget {
+	if keeper, ok := m.keeper(now, c.req.Upstream); ok {
+		m.tell(now, keeper, Message{Apart: &ApartMessage{ID: c.req.ID, Entry: m.self, Upstream: c.req.Upstream}})
+	}
+}
+
+// verdict takes a home's answer at the entry host. One for a claim that is
+// over needs nothing: its release follows it to the home.
+func (m *Machine) verdict(now core.Instant, from core.HostID, v VerdictMessage) {
+	delete(m.silent, from)
+	c := m.claims[v.ID]
+	switch {
+	case c == nil:
+	case v.Revoked:
+		m.revoked(now, c)
+	case c.decided:
+	case v.Waiting:
+		c.apart = true
+		c.due = now.Add(apartWait)
+	case v.Allowed:
+		m.allow(now, c, v.Suspect, "home "+string(from))
+	case v.Struck >= Budget:
 		m.learn(now, Strike{Fingerprint: c.req.Fingerprint, Count: v.Struck})
-		m.decide(Decision{ID: v.ID, Refusal: convicted(), Reason: "convicted"})
-		return
+		m.refuse(c, convicted(), "convicted")
+	default:
+		if c.apart {
+			m.end(now, c, EndNotSent) // the keeper's queue is full: the home must hear of it
+		}
+		m.refuse(c, core.Refuse(core.CodeOverloaded, busyRetry, "the same request is being tried elsewhere"), "budget in use")
+		m.out.Decisions[len(m.out.Decisions)-1].Use = v.Use
 	}
-	m.decide(Decision{
-		ID:      v.ID,
-		Use:     v.Use,
-		Refusal: core.Refuse(core.CodeOverloaded, busyRetry, "the same request is being tried elsewhere"),
-		Reason:  "budget in use",
-	})
 }
 
-// free ends a suspect's hold on its upstream, or its wait.
-func (m *Machine) free(now core.Instant, r Request) {
-	if host, ok := m.nth(homeOfUpstream, string(r.Upstream), 0); ok {
-		m.tell(now, host, Message{Free: &FreeMessage{ID: r.ID, Upstream: r.Upstream}})
+// revoked takes back a leave whose upstream has died. One that waited for its
+// batch place meanwhile must not run on the restarted upstream.
+func (m *Machine) revoked(now core.Instant, c *claim) {
+	refusal := core.Refuse(core.CodeSuspect, busyRetry, "the same request was running on an upstream that died")
+	if !c.decided {
+		m.end(now, c, EndNotSent) // the leave itself is still on its way, and void
+		m.refuse(c, refusal, "upstream died")
+		return
 	}
+	m.decide(Decision{ID: c.req.ID, Revoked: true, Refusal: refusal, Reason: "upstream died"})
 }
--- a/internal/core/dispatch/suspect/home.go
+++ b/internal/core/dispatch/suspect/home.go
@@ -13,15 +13,22 @@
 	struckAt core.Instant
 	cleared  core.Instant // until when a completed run speaks for it; 0: not
 	active   []run
+	deaths   []death // behind the strikes
 	touched  core.Instant
 }
 
+// death is an upstream's death that counted against a fingerprint.
+type death struct {
+	upstream core.UpstreamID
+	at       core.Instant
+}
+
 // run is one claim that a home has allowed.
 type run struct {
 	id       core.RequestID
 	entry    core.HostID
 	upstream core.UpstreamID
-	since    core.Instant
+	seen     core.Instant // claimed or renewed
 }
 
 // handle takes a message as a home or as an entry host.
@@ -59,15 +66,20 @@
 func (m *Machine) claimed(now core.Instant, from core.HostID, c ClaimMessage) {
 	r := m.recordOf(now, c.Fingerprint)
 	r.lapse(now)
-	if r.holds(c.ID) {
-		r.drop(c.ID) // a doubled or repeated claim replaces the first
+	if i := slices.IndexFunc(r.active, func(x run) bool { return x.id == c.ID }); i >= 0 {
+		// Invariant: a doubled claim never takes away what was allowed.
+		r.active[i].seen = now
+		if !c.Running && r.strikes == 0 {
+			m.tell(now, from, Message{Verdict: &VerdictMessage{ID: c.ID, Allowed: true}})
+		}
+		return
 	}
-	x := run{id: c.ID, entry: from, upstream: c.Upstream, since: now}
+	x := run{id: c.ID, entry: from, upstream: c.Upstream, seen: now}
 	if c.Running {
 		r.active = append(r.active, x) // a fact, not a question
 		return
 	}
-	if !r.allows(now, c.Upstream) {
+	if !r.allows(now, c) {
 		v := VerdictMessage{ID: c.ID, Struck: r.strikes}
 		if r.strikes == 0 {
 			v.Use = r.upstreams()
@@ -84,8 +96,9 @@
 }
 
 // allows is the rule that bounds the upstreams that a fingerprint can take:
-// those it has taken and those it runs on never exceed Budget together.
-func (r *record) allows(now core.Instant, u core.UpstreamID) bool {
+// those it has taken and those it runs on never exceed Budget together. A
+// second home, which does not know what the first has allowed, allows one.
+func (r *record) allows(now core.Instant, c ClaimMessage) bool {
 	if r.strikes >= Budget {
 		return false
 	}
@@ -95,8 +108,12 @@
 	if now.Before(r.cleared) {
 		return true
 	}
+	budget := Budget
+	if c.Second {
+		budget = 1
+	}
 	in := r.upstreams()
-	return slices.Contains(in, u) || len(in) < Budget
+	return slices.Contains(in, c.Upstream) || len(in) < budget
 }
 
 // upstreams are the distinct upstreams that a fingerprint runs on.
@@ -110,62 +127,75 @@
 	return in
 }
 
-func (r *record) holds(id core.RequestID) bool {
-	return slices.ContainsFunc(r.active, func(x run) bool { return x.id == id })
-}
-
 func (r *record) drop(id core.RequestID) {
 	r.active = slices.DeleteFunc(r.active, func(x run) bool { return x.id == id })
 }
 
 // lapse forgets claims and suspicions that are too old.
 func (r *record) lapse(now core.Instant) {
-	r.active = slices.DeleteFunc(r.active, func(x run) bool { return now.Sub(x.since) >= claimTerm })
+	r.active = slices.DeleteFunc(r.active, func(x run) bool { return now.Sub(x.seen) >= claimTerm })
 	term := suspicionTerm
 	if r.strikes >= Budget {
 		term = ConvictionTerm
 	}
 	if r.strikes > 0 && now.Sub(r.struckAt) >= term {
 		r.strikes = 0
+		r.deaths = nil
 	}
 }
 
 // released takes the end of a claim, or a death seen without one.
 func (m *Machine) released(now core.Instant, e ReleaseMessage) {
 	r := m.cases[e.Fingerprint]
-	held := r != nil && r.holds(e.ID)
+	if r == nil && e.End != EndDied {
+		return
+	}
+	if e.End == EndDied {
+		r = m.recordOf(now, e.Fingerprint)
+	}
+	r.lapse(now)
+	r.drop(e.ID)
 	switch e.End {
 	case EndDied:
-		r = m.recordOf(now, e.Fingerprint)
-		m.died(now, r, e, held)
+		m.died(now, r, e)
 	case EndOK:
-		if held {
-			r.drop(e.ID)
-			m.clear(now, e.Fingerprint, r)
-		}
-	default:
-		if held {
-			r.drop(e.ID)
-		}
+		m.clear(now, e.Fingerprint, r)
 	}
 }
 
-// died counts a death once, however many requests and hosts report it: the
-// first report ends every claim on the upstream, and later reports of those
-// claims find nothing.
-func (m *Machine) died(now core.Instant, r *record, e ReleaseMessage, held bool) {
-	there := slices.ContainsFunc(r.active, func(x run) bool { return x.upstream == e.Upstream })
-	if !held && !there && r.strikes > 0 {
-		return
+// died counts a death once, however many requests and hosts report it: a
+// dispatch that was out when a counted death of its upstream happened was ended
+// by that death.
+func (m *Machine) died(now core.Instant, r *record, e ReleaseMessage) {
+	dispatched := now.Add(-e.Age - deathSlack)
+	for _, d := range r.deaths {
+		if d.upstream == e.Upstream && !d.at.Before(dispatched) {
+			return
+		}
+	}
+	m.revoke(now, r, e.Upstream)
+	r.deaths = append(r.deaths, death{upstream: e.Upstream, at: now})
+	if over := len(r.deaths) - Budget; over > 0 {
+		r.deaths = r.deaths[over:]
 	}
-	r.active = slices.DeleteFunc(r.active, func(x run) bool { return x.upstream == e.Upstream })
-	r.strikes++
+	r.strikes = min(r.strikes+1, Budget)
 	r.serial++
 	r.struckAt = now
 	r.cleared = 0
 	m.publish(e.Fingerprint, r)
 }
 
+// revoke ends every claim on an upstream that died.
+func (m *Machine) revoke(now core.Instant, r *record, u core.UpstreamID) {
+	ended := slices.Clone(r.active)
+	r.active = slices.DeleteFunc(r.active, func(x run) bool { return x.upstream == u })
+	for _, x := range ended {
+		if x.upstream == u {
+			m.tell(now, x.entry, Message{Verdict: &VerdictMessage{ID: x.id, Revoked: true}})
+		}
+	}
+}
+
 // clear takes suspicion from a fingerprint that completed.
 func (m *Machine) clear(now core.Instant, f uint64, r *record) {
 	if r.strikes >= Budget {
@@ -174,6 +204,7 @@
 	r.cleared = now.Add(clearedTerm)
 	if r.strikes > 0 {
 		r.strikes = 0
+		r.deaths = nil
 		r.serial++
 		m.publish(f, r)
 	}
@@ -181,28 +212,24 @@
 
 func (m *Machine) publish(f uint64, r *record) {
 	s := Strike{Fingerprint: f, Count: r.strikes, Serial: r.serial}
+	delete(m.learned, f) // what others published is older
 	m.out.Publish = append(m.out.Publish, s)
 }
 
-// expire bounds what a home keeps: the oldest fingerprints without strikes and
-// claims go first.
+// expire bounds what a home keeps. It looks at some fingerprints a tick, in
+// turn; those without strikes and claims go, sooner where there are too many.
 func (m *Machine) expire(now core.Instant) {
 	m.expireLanes(now)
-	if len(m.aged) == 0 {
-		return
-	}
-	kept := m.aged[:0]
-	over := len(m.aged) - maxCases
-	for _, f := range m.aged {
+	n := min(len(m.aged), expireStep)
+	for _, f := range m.aged[:n] {
 		r := m.cases[f]
 		r.lapse(now)
 		idle := r.strikes == 0 && len(r.active) == 0
-		if idle && (over > 0 || (!now.Before(r.cleared) && now.Sub(r.touched) >= clearedTerm)) {
-			over--
+		if idle && (len(m.cases) > maxCases || now.Sub(r.touched) >= clearedTerm) {
 			delete(m.cases, f)
 			continue
 		}
-		kept = append(kept, f)
+		m.aged = append(m.aged, f)
 	}
-	m.aged = kept
+	m.aged = slices.Delete(m.aged, 0, n)
 }
--- a/internal/core/dispatch/suspect/lane.go
+++ b/internal/core/dispatch/suspect/lane.go
@@ -16,10 +16,11 @@
 
 // keepApart passes an allowed suspect on to the host that keeps its upstream's lane.
 func (m *Machine) keepApart(now core.Instant, x run) {
-	host, ok := m.nth(homeOfUpstream, string(x.upstream), 0)
+	host, ok := m.keeper(now, x.upstream)
 	if !ok {
-		return // the entry host decides alone after its wait
+		return // the entry host refuses it after its wait
 	}
+	m.tell(now, x.entry, Message{Verdict: &VerdictMessage{ID: x.id, Waiting: true}})
 	m.tell(now, host, Message{Apart: &ApartMessage{ID: x.id, Entry: x.entry, Upstream: x.upstream}})
 }
 
--- a/internal/core/dispatch/suspect/learned.go
+++ b/internal/core/dispatch/suspect/learned.go
@@ -34,7 +34,7 @@
 		m.heard = append(m.heard, s.Fingerprint)
 	}
 	m.learned[s.Fingerprint] = learnedStrike{count: s.Count, serial: max(s.Serial, old.serial), until: now.Add(term)}
-	if len(m.heard) > maxStrikes {
+	for len(m.heard) > maxStrikes {
 		delete(m.learned, m.heard[0])
 		m.heard = m.heard[1:]
 	}
--- a/internal/core/dispatch/suspect/suspect.go
+++ b/internal/core/dispatch/suspect/suspect.go
@@ -26,6 +26,7 @@
 	maxCases   = 16384 // fingerprints at their home
 	maxWaiting = 64    // suspects that wait for one upstream
 	maxStrikes = 8192  // strikes learned from others
+	expireStep = 256   // fingerprints looked at in one tick
 )
 
 // Times.
@@ -33,8 +34,14 @@
 	ConvictionTerm = 24 * time.Hour         // how long a fingerprint stays refused
 	suspicionTerm  = time.Hour              // how long one strike counts
 	clearedTerm    = 10 * time.Minute       // how long a completed run speaks for a fingerprint
-	claimTerm      = 15 * time.Minute       // a claim not released by then is forgotten
+	claimTerm      = time.Minute            // a claim not renewed by then is forgotten
+	renewEvery     = 20 * time.Second       // a running request's claim is renewed
 	claimWait      = 250 * time.Millisecond // before the second home is asked
+	silentTerm     = 5 * time.Second        // a home that did not answer is passed over
+	apartWait      = 20 * time.Second       // how long a suspect waits for its turn
+	deathSlack     = time.Second            // between a death and the last report of it, beyond the claim's age
+	lingerTerm     = 3 * time.Second        // how long a cut request may yet be the cause of a death
+	sameDeath      = time.Minute            // an unclaimed report of the same upstream is of the same death
 	busyRetry      = time.Second
 	convictRetry   = 0 // asking again does not help
 )
@@ -51,9 +58,10 @@
 
 // Ends of a dispatch.
 const (
-	EndOK    End = iota + 1 // completed: the fingerprint is cleared
-	EndDied                 // the upstream died while it ran
-	EndOther                // not dispatched, cancelled or failed without a death: proves nothing
+	EndOK      End = iota + 1 // completed: the fingerprint is cleared
+	EndDied                   // the upstream died while it ran
+	EndNotSent                // surely not dispatched
+	EndCut                    // cancelled or failed: proves nothing, and the upstream may yet die of it
 )
 
 // Strike says that a fingerprint was running on upstreams that died.
@@ -64,10 +72,11 @@
 }
 
 // Decision answers a claim. Exactly one comes for each, unless it was released
-// before.
+// before; a second one, Revoked, may follow an Allowed one.
 type Decision struct {
 	ID      core.RequestID
 	Allowed bool
+	Revoked bool              // the upstream died since: if not dispatched yet, refuse it or claim anew
 	Suspect bool              // run it apart: never in one batch with another suspect
 	Use     []core.UpstreamID // not allowed: upstreams where a claim would be
 	Refusal *core.Refusal     // not allowed
@@ -95,7 +104,9 @@
 	ID          core.RequestID  `cbor:"1,keyasint"`
 	Fingerprint uint64          `cbor:"2,keyasint"`
 	Upstream    core.UpstreamID `cbor:"3,keyasint"`
-	Running     bool            `cbor:"4,keyasint,omitempty"` // it runs already: the home is new
+	Running     bool            `cbor:"4,keyasint,omitempty"` // it runs already: a renewal, or the home is new
+	Age         time.Duration   `cbor:"5,keyasint,omitempty"` // since the claim was made
+	Second      bool            `cbor:"6,keyasint,omitempty"` // the first home did not answer
 }
 
 // VerdictMessage answers a claim.
@@ -105,6 +116,8 @@
 	Suspect bool              `cbor:"3,keyasint,omitempty"`
 	Struck  int               `cbor:"4,keyasint,omitempty"`
 	Use     []core.UpstreamID `cbor:"5,keyasint,omitempty"`
+	Waiting bool              `cbor:"6,keyasint,omitempty"` // a suspect in the queue of its upstream; the answer follows
+	Revoked bool              `cbor:"7,keyasint,omitempty"` // takes back what was allowed
 }
 
 // ReleaseMessage ends a claim.
@@ -113,6 +126,7 @@
 	Fingerprint uint64          `cbor:"2,keyasint"`
 	Upstream    core.UpstreamID `cbor:"3,keyasint"`
 	End         End             `cbor:"4,keyasint"`
+	Age         time.Duration   `cbor:"5,keyasint,omitempty"` // since the claim was made
 }
 
 // ApartMessage asks the host that keeps suspects apart on an upstream.
@@ -137,23 +151,25 @@
 // claim is this host's own request, from Claim to Release.
 type claim struct {
 	req     Request
-	home    core.HostID
+	since   core.Instant
+	asked   []core.HostID // homes that may know of it
 	tries   int
-	due     core.Instant // of the next try while waiting
+	due     core.Instant // of the next try, or of the next renewal
 	decided bool
-	allowed bool
-	apart   bool // runs as a suspect
+	apart   bool         // runs as a suspect, or waits to
+	cut     core.Instant // when it was cut; 0: it was not
 }
 
 // Machine decides for one host, as an entry host and as a home.
 type Machine struct {
 	self    core.HostID
 	rng     *core.Rand
-	own     core.Ownership
+	hosts   []core.HostID                // the membership in force
+	silent  map[core.HostID]core.Instant // homes that did not answer, until when they are passed over
 	claims  map[core.RequestID]*claim
-	order   []core.RequestID // of claims, oldest first
+	order   []core.RequestID // of claims, oldest first; may name ended ones
 	cases   map[uint64]*record
-	aged    []uint64 // of cases, oldest first
+	aged    []uint64 // of cases, in order of expiry checks
 	learned map[uint64]learnedStrike
 	heard   []uint64 // of learned, oldest first
 	lanes   map[core.UpstreamID]*lane
@@ -166,6 +182,7 @@
 	return &Machine{
 		self:    self,
 		rng:     rng,
+		silent:  map[core.HostID]core.Instant{},
 		claims:  map[core.RequestID]*claim{},
 		cases:   map[uint64]*record{},
 		learned: map[uint64]learnedStrike{},
@@ -173,11 +190,25 @@
 	}
 }
 
-func (m *Machine) begin(own core.Ownership) {
+// begin starts an event's result and reports whether the membership changed.
+func (m *Machine) begin(own core.Ownership) bool {
 	m.out = Result{}
-	if own != nil {
-		m.own = own
+	if own == nil {
+		return false
 	}
+	members := own.Members()
+	same := len(members) == len(m.hosts)
+	for i := 0; same && i < len(members); i++ {
+		same = members[i].Host == m.hosts[i]
+	}
+	if same {
+		return false
+	}
+	m.hosts = make([]core.HostID, 0, len(members))
+	for _, x := range members {
+		m.hosts = append(m.hosts, x.Host)
+	}
+	return true
 }
 
 // Claim asks for leave to dispatch a request.
@@ -187,7 +218,7 @@
 		m.decide(Decision{ID: r.ID, Refusal: convicted(), Reason: "convicted"})
 		return m.out
 	}
-	c := &claim{req: r}
+	c := &claim{req: r, since: now}
 	m.claims[r.ID] = c
 	m.order = append(m.order, r.ID)
 	m.ask(now, c)
@@ -201,27 +232,31 @@
 	if c == nil {
 		return m.out
 	}
-	m.forget(id)
-	if c.allowed && c.home == "" {
-		return m.out // allowed without a home: nobody else knows
-	}
-	m.tell(now, c.home, Message{Release: &ReleaseMessage{ID: id, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream, End: end}})
-	if c.apart || !c.decided {
-		m.free(now, c.req)
+	if end == EndCut && c.decided {
+		if c.cut == 0 {
+			c.cut = now
+			c.due = now.Add(lingerTerm)
+		}
+		return m.out
 	}
+	m.end(now, c, end)
 	return m.out
 }
 
 // Died reports an upstream's death with the fingerprints that were running on
-// it, as far as this host knows beyond its own claims.
+// it, as far as this host knows beyond its own claims. Of its own, those that
+// were cut shortly before are reported here, the others by their Release.
 func (m *Machine) Died(now core.Instant, own core.Ownership, u core.UpstreamID, fingerprints []uint64) Result {
 	m.begin(own)
+	for _, id := range m.order {
+		if c := m.claims[id]; c != nil && c.cut != 0 && c.req.Upstream == u {
+			m.end(now, c, EndDied)
+		}
+	}
 	for _, f := range fingerprints {
-		home, ok := m.home(f, 0)
-		if !ok {
-			continue
+		if home, ok := m.home(now, f); ok {
+			m.tell(now, home, Message{Release: &ReleaseMessage{Fingerprint: f, Upstream: u, End: EndDied, Age: sameDeath}})
 		}
-		m.tell(now, home, Message{Release: &ReleaseMessage{Fingerprint: f, Upstream: u, End: EndDied}})
 	}
 	return m.out
 }
@@ -233,31 +268,36 @@
 	return m.out
 }
 
-// Tick retries claims without an answer and moves them when homes move.
+// Tick retries claims without an answer, renews those that run, tells a new
+// home of them, and forgets what is too old.
 func (m *Machine) Tick(now core.Instant, own core.Ownership) Result {
-	m.begin(own)
+	moved := m.begin(own)
+	m.order = slices.DeleteFunc(m.order, func(id core.RequestID) bool { return m.claims[id] == nil })
 	for _, id := range slices.Clone(m.order) {
 		c := m.claims[id]
-		if !c.decided && !now.Before(c.due) {
+		switch {
+		case c.cut != 0 && !now.Before(c.due):
+			m.end(now, c, EndCut)
+		case c.cut != 0:
+		case c.decided && (moved || !now.Before(c.due)):
+			m.renew(now, c)
+		case !c.decided && !now.Before(c.due):
 			m.ask(now, c)
-		} else if c.allowed {
-			m.follow(now, c)
 		}
 	}
 	m.expire(now)
+	for h, until := range m.silent {
+		if !now.Before(until) {
+			delete(m.silent, h)
+		}
+	}
 	return m.out
 }
 
-// Running is how many of this host's requests hold or wait for leave.
+// Running is how many of this host's requests hold leave, wait for it, or were
+// cut just now.
 func (m *Machine) Running() int { return len(m.claims) }
 
-func (m *Machine) forget(id core.RequestID) {
-	delete(m.claims, id)
-	if i := slices.Index(m.order, id); i >= 0 {
-		m.order = slices.Delete(m.order, i, i+1)
-	}
-}
-
 func (m *Machine) decide(d Decision) { m.out.Decisions = append(m.out.Decisions, d) }
 
 // tell sends a message, or handles it here where this host is the addressee.
@@ -266,30 +306,31 @@
 		m.handle(now, m.self, msg)
 		return
 	}
-	if to != "" {
-		m.out.Send(to, msg)
-	}
+	m.out.Send(to, msg)
 }
 
-// home is the n-th choice of home of a fingerprint.
-func (m *Machine) home(f uint64, n int) (core.HostID, bool) {
-	return m.nth(homeOfFingerprint, strconv.FormatUint(f, 16), n)
+// home is the host that decides for a fingerprint.
+func (m *Machine) home(now core.Instant, f uint64) (core.HostID, bool) {
+	return m.best(now, homeOfFingerprint, strconv.FormatUint(f, 16))
 }
 
-func (m *Machine) nth(kind uint8, name string, n int) (core.HostID, bool) {
-	if m.own == nil {
-		return "", false
-	}
-	members := m.own.Members()
-	hosts := make([]core.HostID, 0, len(members))
-	for _, x := range members {
-		hosts = append(hosts, x.Host)
-	}
-	chosen := core.RendezvousN(hosts, kind, name, n+1)
-	if len(chosen) <= n {
-		return "", false
+// keeper is the host that keeps suspects apart on an upstream.
+func (m *Machine) keeper(now core.Instant, u core.UpstreamID) (core.HostID, bool) {
+	return m.best(now, homeOfUpstream, string(u))
+}
+
+// best is the host with the highest score for a name among those that answer.
+func (m *Machine) best(now core.Instant, kind uint8, name string) (core.HostID, bool) {
+	best, top := core.HostID(""), uint64(0)
+	for _, h := range m.hosts {
+		if len(m.silent) > 0 && now.Before(m.silent[h]) {
+			continue
+		}
+		if s := core.Score(h, kind, name); best == "" || s > top {
+			best, top = h, s
+		}
 	}
-	return chosen[n], true
+	return best, best != ""
 }
 
 func convicted() *core.Refusal {
--- /dev/null
+++ b/internal/core/dispatch/suspect/suspect_test.go
@@ -0,0 +1,270 @@
+package suspect
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"gentiancroft/internal/core"
+)
+
+func upstream(i int) core.UpstreamID { return core.UpstreamID("u" + strconv.Itoa(i)) }
+
+func TestPoisonThroughEveryHostAtOnce(t *testing.T) {
+	is := is.New(t)
+	const hosts, poison = 30, 7
+	f := newFleet(hosts)
+	f.poison[poison] = true
+	for i := range hosts {
+		f.claim(f.list[i].Host, poison, upstream(i))
+	}
+	f.settle()
+	is.Equal(f.deaths[poison], Budget)
+	for round := range 20 { // its callers send it again and again
+		f.tick(time.Second)
+		f.claim(f.list[round].Host, poison, upstream(100+round))
+		f.settle()
+	}
+	is.Equal(f.deaths[poison], Budget)
+	is.Equal(f.strikes[len(f.strikes)-1].Count, Budget)
+}
+
+func TestPoisonInAnyOrderTakesTwoUpstreams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const poison = 9
+		f := newFleet(rapid.IntRange(1, 6).Draw(t, "hosts"))
+		f.poison[poison] = true
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			host := f.list[rapid.IntRange(0, len(f.list)-1).Draw(t, "host")].Host
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				f.claim(host, poison, upstream(rapid.IntRange(0, 9).Draw(t, "upstream")))
+			case 2, 3:
+				if n := len(f.net); n > 0 {
+					f.deliver(rapid.IntRange(0, n-1).Draw(t, "packet"))
+				}
+			case 4:
+				if n := len(f.net); n > 0 {
+					f.net = append(f.net, f.net[rapid.IntRange(0, n-1).Draw(t, "doubled")])
+				}
+			case 5:
+				if n := len(f.noticed); n > 0 {
+					f.notice(rapid.IntRange(0, n-1).Draw(t, "death"))
+				}
+			case 6:
+				f.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			}
+		}
+		f.settle()
+		if f.deaths[poison] > Budget {
+			t.Fatalf("lost %d upstreams", f.deaths[poison])
+		}
+	})
+}
+
+// advance passes time while homes answer, a message and its answer in less than
+// claimWait, and a death is noticed before the upstream is up again.
+func (f *fleet) advance(d time.Duration) {
+	const step = claimWait / 4
+	for ; d > 0; d -= step {
+		f.tick(min(d, step))
+		for len(f.net) > 0 && f.now.Sub(f.net[0].at) >= step {
+			f.deliver(0)
+		}
+		for len(f.noticed) > 0 && f.now.Sub(f.noticed[0].died) >= restart/2 {
+			f.notice(0)
+		}
+	}
+}
+
+func TestNeighboursAreClearedAndNotConvicted(t *testing.T) {
+	is := is.New(t)
+	const poison, neighbours = 1000, 16
+	f := newFleet(6)
+	f.poison[poison] = true
+	for i := range neighbours {
+		f.claim(f.list[i%6].Host, uint64(i), upstream(0))
+	}
+	f.settle()
+	f.claim(f.list[0].Host, poison, upstream(0))
+	f.settle()
+	is.Equal(len(f.running), 0) // all died with it
+	// The neighbours are tried again on two upstreams, and the poison with them.
+	for i := range neighbours {
+		f.claim(f.list[i%6].Host, uint64(i), upstream(1+i%2))
+	}
+	f.claim(f.list[0].Host, poison, upstream(1))
+	f.settle()
+	turns := 0
+	for ; len(f.running) > 0; turns++ {
+		f.finish(0)
+		f.tick(100 * time.Millisecond)
+		f.settle()
+	}
+	is.Equal(f.deaths[poison], Budget)
+	is.Equal(turns, neighbours) // each ran once more, none was lost with the second death
+	is.Equal(len(f.refused), 0) // and none was refused
+	for i := range neighbours { // cleared: they may run anywhere, together
+		f.claim(f.list[0].Host, uint64(i), upstream(3))
+		f.claim(f.list[1].Host, uint64(i), upstream(4))
+		f.claim(f.list[2].Host, uint64(i), upstream(5))
+	}
+	f.settle()
+	is.Equal(len(f.running), 3*neighbours)
+}
+
+func TestManyReportsOfOneDeathCountOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	const fp = 3
+	for i := range 5 {
+		f.claim(f.list[i].Host, fp, upstream(0))
+	}
+	f.settle()
+	f.noticed, f.running = f.running, nil // an innocent upstream death
+	f.notice(0)
+	f.tick(30 * time.Second) // the other hosts notice much later, and renew before
+	f.settle()
+	home := f.machines[f.home(fp)]
+	is.Equal(home.cases[fp].strikes, 1)
+}
+
+func (f *fleet) home(fp uint64) core.HostID {
+	h := f.list[0].Host
+	m := f.machines[h]
+	m.begin(f.own(h))
+	home, _ := m.home(f.now, fp)
+	return home
+}
+
+func TestUnprovenRequestMayUseTwoUpstreamsAndIsTold(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.claim("h0", 5, upstream(0))
+	f.claim("h1", 5, upstream(1))
+	f.settle()
+	id := f.claim("h2", 5, upstream(2))
+	f.settle()
+	is.Equal(f.refused[id], core.CodeOverloaded)
+	is.Equal(f.use[id], []core.UpstreamID{upstream(0), upstream(1)})
+	f.claim("h2", 5, upstream(1))
+	f.settle()
+	is.Equal(len(f.running), 3)
+	f.finish(0) // one completion speaks for all
+	f.settle()
+	f.claim("h3", 5, upstream(3))
+	f.settle()
+	is.Equal(len(f.running), 3)
+}
+
+func TestHomeLost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6)
+	const poison = 11
+	f.poison[poison] = true
+	f.claim("h0", poison, upstream(0))
+	f.settle()
+	is.Equal(f.deaths[poison], 1)
+	for _, m := range f.machines { // the strike has spread
+		m.Learned(f.now, f.strikes)
+	}
+	f.lose(f.home(poison))
+	f.tick(time.Second)
+	entry := f.list[0].Host
+	f.claim(entry, poison, upstream(1))
+	f.settle()
+	is.Equal(f.deaths[poison], Budget) // the new home knew of the first
+	id := f.claim(f.list[1].Host, poison, upstream(2))
+	f.settle()
+	is.Equal(f.deaths[poison], Budget)
+	is.Equal(f.refused[id], core.CodeSuspect)
+}
+
+func TestSilentHomeTakesOneMore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8)
+	const poison = 12
+	f.poison[poison] = true
+	dead := f.home(poison)
+	delete(f.machines, dead) // lost, but its lease still stands
+	f.list = append([]core.Member(nil), f.list...)
+	var live []core.HostID
+	for _, x := range f.list {
+		if x.Host != dead {
+			live = append(live, x.Host)
+		}
+	}
+	for i, h := range live {
+		f.claim(h, poison, upstream(i))
+	}
+	f.settle()
+	is.Equal(f.deaths[poison], 0) // all wait for the silent home
+	f.now = f.now.Add(claimWait)
+	for _, h := range live {
+		f.take(h, f.machines[h].Tick(f.now, f.own(h)))
+	}
+	f.settle()
+	is.True(f.deaths[poison] <= Budget)
+	is.True(f.deaths[poison] >= 1)
+}
+
+func TestNoHomeAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9)
+	f.claim("h0", 21, upstream(0))
+	for range 4 {
+		f.net = nil // cut off
+		f.now = f.now.Add(claimWait)
+		f.take("h0", f.machines["h0"].Tick(f.now, f.own("h0")))
+	}
+	is.Equal(len(f.running), 1) // serving goes on for what is not suspected
+	f.machines["h0"].Learned(f.now, []Strike{{Fingerprint: 22, Count: 1, Serial: 1}})
+	id := f.claim("h0", 22, upstream(0))
+	for range 4 {
+		f.net = nil
+		f.now = f.now.Add(claimWait)
+		f.take("h0", f.machines["h0"].Tick(f.now, f.own("h0")))
+	}
+	is.Equal(f.refused[id], core.CodeSuspect)
+}
+
+func TestDeathJustAfterTheCallerLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	f.claim("h0", 31, upstream(0))
+	f.settle()
+	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[0].req.ID, EndCut))
+	f.tick(time.Second)
+	f.take("h0", f.machines["h0"].Died(f.now, f.own("h0"), upstream(0), nil))
+	f.settle()
+	is.Equal(f.machines[f.home(31)].cases[31].strikes, 1)
+	f.claim("h0", 32, upstream(1))
+	f.settle()
+	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[1].req.ID, EndCut))
+	f.tick(lingerTerm)
+	f.settle()
+	is.Equal(f.machines["h0"].Running(), 0)
+	is.Equal(len(f.machines[f.home(32)].cases[32].active), 0)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	for i := range 3 * maxCases {
+		f.claim("h0", uint64(i), upstream(i%10))
+		f.finish(0)
+		if i%100 == 0 {
+			f.tick(100 * time.Millisecond)
+		}
+	}
+	for range 400 {
+		f.tick(100 * time.Millisecond)
+	}
+	m := f.machines["h0"]
+	is.True(len(m.cases) <= maxCases)
+	is.Equal(len(m.cases), len(m.aged))
+	is.Equal(len(m.claims), 0)
+}
