--- a/internal/core/config/canonical.go
+++ b/internal/core/config/canonical.go
@@ -8,15 +8,16 @@
 )
 
 // Canonical returns a copy in canonical form: every list sorted by its
-// identity. Two documents that mean the same are equal in canonical form.
+// identity, an empty one nil. Two documents that mean the same are equal in
+// canonical form.
 func Canonical(d *Document) *Document {
 	c := &Document{
-		BaseModels: slices.Clone(d.BaseModels),
-		Workspaces: slices.Clone(d.Workspaces),
-		Keys:       slices.Clone(d.Keys),
-		Adapters:   slices.Clone(d.Adapters),
-		Routes:     slices.Clone(d.Routes),
-		Upstreams:  slices.Clone(d.Upstreams),
+		BaseModels: byIdentity(d.BaseModels),
+		Workspaces: byIdentity(d.Workspaces),
+		Keys:       byIdentity(d.Keys),
+		Adapters:   byIdentity(d.Adapters),
+		Routes:     byIdentity(d.Routes),
+		Upstreams:  byIdentity(d.Upstreams),
 	}
 	for i := range c.Adapters {
 		a := &c.Adapters[i]
@@ -26,12 +27,6 @@
 	for i := range c.Routes {
 		c.Routes[i].Workspaces = sorted(c.Routes[i].Workspaces)
 	}
-	sortByIdentity(c.BaseModels)
-	sortByIdentity(c.Workspaces)
-	sortByIdentity(c.Keys)
-	sortByIdentity(c.Adapters)
-	sortByIdentity(c.Routes)
-	sortByIdentity(c.Upstreams)
 	return c
 }
 
@@ -44,8 +39,13 @@
 	return out
 }
 
-func sortByIdentity[T Entry](list []T) {
-	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(a.Identity(), b.Identity()) })
+func byIdentity[T Entry](in []T) []T {
+	if len(in) == 0 {
+		return nil
+	}
+	out := slices.Clone(in)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(a.Identity(), b.Identity()) })
+	return out
 }
 
 // ParseClass reads the name of a priority class; none is normal.
