--- /dev/null
+++ b/internal/entry/fake_test.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/node"
+)
+
+const testKey = "key-of-a-caller"
+
+// TestMain looks for leaked goroutines. fasthttp's two sleepers are its own: one
+// per process, and one per server that ends within ten seconds of its shutdown.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// fakeNode answers each arrival by a script and keeps what it is told.
+type fakeNode struct {
+	script func(*fakeExchange, node.Arrive)
+	told   chan node.Event
+}
+
+func (n *fakeNode) Begin(a node.Arrive) Exchange {
+	x := &fakeExchange{decisions: make(chan node.Effect, 8)}
+	n.told <- a
+	n.script(x, a)
+	return x
+}
+
+func (n *fakeNode) Tell(e node.Event) { n.told <- e }
+
+type fakeExchange struct {
+	decisions chan node.Effect
+	mu        sync.Mutex
+	cancel    context.CancelFunc
+	cut       *core.Refusal
+}
+
+func (x *fakeExchange) Decisions() <-chan node.Effect { return x.decisions }
+func (x *fakeExchange) Close()                        {}
+
+func (x *fakeExchange) Attempt(parent context.Context) (context.Context, context.CancelFunc) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	ctx, cancel := context.WithCancel(parent)
+	x.cancel = cancel
+	return ctx, cancel
+}
+
+func (x *fakeExchange) CutBy() *core.Refusal {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.cut
+}
+
+func (x *fakeExchange) cutWith(r *core.Refusal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cut = r
+	x.cancel()
+}
+
+// bench is a server before a fake node and one upstream.
+type bench struct {
+	is       *is.I
+	node     *fakeNode
+	address  string
+	upstream string
+	logs     *memory.Handler
+	exchange chan *fakeExchange
+}
+
+var quotes = core.AdapterRef{ID: "quotes", Version: 2}
+
+// newBench starts a server; a nil handler leaves requests queued for ever.
+func newBench(t *testing.T, engine http.HandlerFunc, options ...Option) *bench {
+	b := &bench{is: is.New(t), logs: memory.New(), exchange: make(chan *fakeExchange, 16)}
+	b.node = &fakeNode{told: make(chan node.Event, 256), script: func(x *fakeExchange, a node.Arrive) { b.exchange <- x }}
+	if engine != nil {
+		up := httptest.NewServer(engine)
+		t.Cleanup(up.Close)
+		b.upstream = strings.TrimPrefix(up.URL, "http://")
+		b.node.script = func(x *fakeExchange, a node.Arrive) {
+			b.exchange <- x
+			x.decisions <- b.dispatch(a.ID, 1)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	b.is.NoErr(err)
+	b.address = l.Addr().String()
+	logger := &log.Logger{Handler: b.logs, Level: log.InfoLevel}
+	s := NewFor(b.node, []byte("secret"), append([]Option{WithLogger(logger)}, options...)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = s.Serve(ctx, l); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return b
+}
+
+func (b *bench) dispatch(id core.RequestID, attempt int) node.Dispatch {
+	return node.Dispatch{ID: id, Attempt: attempt, Upstream: "u", Address: b.upstream, Adapter: quotes, Workspace: "care-homes"}
+}
+
+// next returns the next event that the node was told.
+func (b *bench) next() node.Event { return <-b.node.told }
+
+// ended skips to the end of an attempt.
+func (b *bench) ended() node.Ended {
+	for {
+		if e, ok := b.next().(node.Ended); ok {
+			return e
+		}
+	}
+}
+
+func (b *bench) dial() *caller {
+	c, err := net.Dial("tcp", b.address)
+	b.is.NoErr(err)
+	return &caller{Conn: c, reader: bufio.NewReader(c), is: b.is}
+}
+
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+	is     *is.I
+}
+
+const streamBody = `{"model":"quotes","prompt":"a grab rail","max_tokens":8,"stream":true}`
+
+func post(path, body string, headers ...string) string {
+	head := "POST " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + testKey + "\r\n"
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	return head + "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func (c *caller) send(s string) {
+	_, err := c.Write([]byte(s))
+	c.is.NoErr(err)
+}
+
+func (c *caller) response() *http.Response {
+	r, err := http.ReadResponse(c.reader, nil)
+	c.is.NoErr(err)
+	return r
+}
+
+// readEvent blocks the way a caller does who follows a stream.
+func (c *caller) readEvent(r *http.Response) string {
+	var b [512]byte
+	n, err := r.Body.Read(b[:])
+	c.is.NoErr(err)
+	return string(b[:n])
+}
+
+func event(w http.ResponseWriter, data string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = w.Write([]byte("data: " + data + "\n\n"))
+	w.(http.Flusher).Flush()
+}
--- /dev/null
+++ b/internal/entry/hangup_test.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/node"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func TestHangUpWhileQueued(t *testing.T) {
+	b := newBench(t, nil)
+	c := b.dial()
+	c.send(post("/v1/completions", streamBody))
+	arrived := b.next().(node.Arrive)
+	b.is.NoErr(c.Close())
+	b.is.Equal(b.next(), node.Gone{ID: arrived.ID})
+}
+
+func TestHangUpDuringPrefillCancelsTheUpstream(t *testing.T) {
+	running, cancelled := make(chan struct{}), make(chan struct{})
+	b := newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body) // the server notices a hang-up once it has the body
+		close(running)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	c := b.dial()
+	c.send(post("/v1/completions", streamBody))
+	arrived := b.next().(node.Arrive)
+	<-running
+	b.is.NoErr(c.Close())
+	<-cancelled
+	b.is.Equal(b.next(), node.Gone{ID: arrived.ID})
+	b.is.Equal(b.ended().Kind, node.EndCancelled)
+}
+
+func TestHangUpMidStreamCancelsTheUpstream(t *testing.T) {
+	cancelled := make(chan struct{})
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		event(w, `{"choices":[{"text":"a"}]}`)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	c := b.dial()
+	c.send(post("/v1/completions", streamBody))
+	arrived := b.next().(node.Arrive)
+	b.is.Equal(b.next(), node.FirstByte{ID: arrived.ID, Attempt: 1})
+	c.readEvent(c.response())
+	b.is.NoErr(c.Close())
+	<-cancelled
+	b.is.Equal(b.next(), node.Gone{ID: arrived.ID})
+	e := b.ended()
+	b.is.Equal(e.Kind, node.EndCancelled)
+	b.is.Equal(e.Received, core.Tokens(1))
+	b.is.Equal(e.Used, arrived.Prompt+1) // what was not generated is not charged
+}
+
+func TestHangUpDuringARecordedAttemptLetsItFinish(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(running)
+		<-finish
+		_, _ = w.Write([]byte("booked"))
+	})
+	b.node.script = func(x *fakeExchange, a node.Arrive) {
+		d := b.dispatch(a.ID, 1)
+		d.Adapter, d.Record = core.AdapterRef{}, true
+		x.decisions <- d
+	}
+	c := b.dial()
+	c.send(post("/bookings", "{}", "Idempotency-Key: k"))
+	arrived := b.next().(node.Arrive)
+	<-running
+	b.is.NoErr(c.Close())
+	close(finish)
+	e := b.next().(node.Ended)
+	b.is.Equal(e.Kind, node.EndOK)
+	b.is.Equal(string(e.Outcome.Body), "booked")
+	b.is.Equal(b.next(), node.Gone{ID: arrived.ID}) // told once the outcome is safe
+}
+
+func TestPipelinedRequestsAreKept(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})
+	c := b.dial()
+	request := func(i int) string {
+		return post("/v1/completions", `{"model":"quotes","prompt":"number `+itoa(i)+`"}`)
+	}
+	c.send(request(0) + request(1) + request(2)[:40])
+	first := b.next().(node.Arrive) // the first is served while the others wait in part
+	c.send(request(2)[40:])
+	c.send(request(3))
+	close(release)
+	for i := range 4 {
+		body, err := io.ReadAll(c.response().Body)
+		b.is.NoErr(err)
+		b.is.True(strings.Contains(string(body), "number "+itoa(i)))
+	}
+	b.is.NoErr(c.Close())
+	for range 7 { // three more arrivals and four ends, and no Gone
+		switch e := b.next().(type) {
+		case node.Gone:
+			t.Error("a hang-up between requests was taken for one of", e.ID, first.ID)
+		}
+	}
+}
+
+func TestSlowCallerIsCancelledAndHoldsNothingUp(t *testing.T) {
+	cancelled := make(chan struct{})
+	limits := DefaultLimits
+	limits.Stall = 20 * time.Millisecond
+	text := strings.Repeat("x", 32<<10)
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		for strings.Contains(string(body), "endless") && r.Context().Err() == nil {
+			event(w, text)
+		}
+		if r.Context().Err() != nil {
+			close(cancelled)
+			return
+		}
+		event(w, "[DONE]")
+	}, WithLimits(limits))
+	slow := b.dial()
+	b.is.NoErr(slow.Conn.(*net.TCPConn).SetReadBuffer(4 << 10))
+	slow.send(post("/v1/completions", `{"model":"quotes","prompt":"endless","stream":true}`))
+	quick := b.dial()
+	quick.send(post("/v1/completions", streamBody))
+	body, err := io.ReadAll(quick.response().Body)
+	b.is.NoErr(err)
+	b.is.Equal(string(body), "data: [DONE]\n\n")
+	<-cancelled
+	_ = slow.Close()
+	_ = quick.Close()
+}
+
+func TestConnReadsAheadWithoutLosingBytes(t *testing.T) {
+	b := newBench(t, nil)
+	ours, theirs := net.Pipe()
+	c := newConn(ours, time.Second)
+	gone := make(chan struct{})
+	c.watch(func() { close(gone) })
+	_, err := theirs.Write([]byte("next"))
+	b.is.NoErr(err)
+	got := make([]byte, 2)
+	for _, want := range []string{"ne", "xt"} {
+		_, err = io.ReadFull(c, got)
+		b.is.NoErr(err)
+		b.is.Equal(string(got), want)
+	}
+	b.is.NoErr(theirs.Close())
+	<-gone
+	_, err = c.Read(got)
+	b.is.Equal(err, io.EOF)
+	late := false
+	c.watch(func() { late = true })
+	b.is.True(late) // a watch that begins after the end tells at once
+}
