A fleet of real hosts: node wired into processes over QUIC, HTTP and the object API

Cause: the node was composed but nothing ran it. Change: wiring (dig) of node, carriers, links and entry; the demo starts three hosts, an object API and three engines. Before: one host without peers. Virtual-time tests of the composed node: at-most-once, withdrawn keys, a lost host, leaving.

--- a/internal/core/node/finish.go
+++ b/internal/core/node/finish.go
@@ -84,7 +84,7 @@
 	case stagePlace, stageClaim:
 		n.placementResult(n.placement.Withdraw(n.now, n.lease, r.id()))
 	}
-	n.releaseClaim(r, suspect.EndOther)
+	n.releaseClaim(r, suspect.EndNotSent)
 	if r.record {
 		n.onceResult(n.once.Finish(n.now, r.id(), core.Outcome{}, ran))
 	}
@@ -117,6 +117,9 @@
 		NotReached: e.Kind == EndNotRun,
 	}))
 	n.releaseClaim(r, suspectEnd(e))
+	if e.Crashed {
+		n.suspectResult(n.suspect.Died(n.now, n.lease, r.ticket.Upstream, nil))
+	}
 	switch e.Kind {
 	case EndOK:
 		n.succeeded(r, e)
@@ -142,8 +145,10 @@
 		return suspect.EndOK
 	case e.Crashed:
 		return suspect.EndDied
+	case e.Kind == EndNotRun || e.Kind == EndMissing:
+		return suspect.EndNotSent
 	}
-	return suspect.EndOther
+	return suspect.EndCut
 }
 
 // account adds up what an attempt used: the upstream's count, else what this
--- /dev/null
+++ b/internal/core/node/fleet_test.go
@@ -0,0 +1,346 @@
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/config"
+	"gentiancroft/internal/standin/platform"
+)
+
+// Times of the fakes.
+const (
+	linkDelay   = 1500 * time.Microsecond
+	objectDelay = 5 * time.Millisecond
+	loadDelay   = 250 * time.Millisecond
+	runDelay    = 400 * time.Millisecond // of a whole request at an engine
+	tickDelay   = 50 * time.Millisecond
+)
+
+// happening is something due at an instant.
+type happening struct {
+	at  core.Instant
+	seq int
+	do  func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// answer is what a caller got.
+type answer struct {
+	refusal *core.Refusal
+	adapter core.AdapterRef
+	outcome *core.Outcome // replayed
+	ok      bool
+	cut     bool
+}
+
+// run is a request at an engine.
+type run struct {
+	host    *fakeHost
+	id      core.RequestID
+	attempt int
+	adapter core.AdapterRef
+}
+
+// engine is a fake upstream that checks what is asked of it.
+type engine struct {
+	id       core.UpstreamID
+	adapters map[core.AdapterRef]bool
+	running  []run
+	starts   map[core.RequestID]int
+	poisoned bool // a request with this mark kills it
+	life     int
+}
+
+type fakeHost struct {
+	node *Node
+	id   core.HostID
+	down bool // crashed, or cut off from everything
+}
+
+// fleet drives nodes, a store and engines in virtual time.
+type fleet struct {
+	t       *testing.T
+	now     core.Instant
+	agenda  agenda
+	seq     int
+	store   *platform.Store
+	hosts   []*fakeHost
+	engines map[core.UpstreamID]*engine
+	answers map[core.RequestID]*answer
+	starts  int // requests begun at any engine
+	calls   int // to the object API
+	sends   int
+	left    []core.HostID
+	doc     *config.Document
+	version uint64
+	object  uint64
+}
+
+func newFleet(t *testing.T, hosts int, doc *config.Document) *fleet {
+	f := &fleet{t: t, store: platform.NewStore(), engines: map[core.UpstreamID]*engine{}, answers: map[core.RequestID]*answer{}, doc: doc}
+	for _, u := range doc.Upstreams {
+		f.engines[u.ID] = &engine{id: u.ID, adapters: map[core.AdapterRef]bool{}, starts: map[core.RequestID]int{}, life: 1}
+	}
+	f.publish(doc)
+	for i := range hosts {
+		f.join(i)
+	}
+	return f
+}
+
+func (f *fleet) join(i int) *fakeHost {
+	id := core.HostID(fmt.Sprintf("host-%d", i))
+	domain := core.Domain(fmt.Sprintf("sofia-%c", 'a'+i%3))
+	h := &fakeHost{id: id, node: New(Settings{
+		Seed: uint64(i + 1),
+		Self: core.Member{Host: id, Address: string(id), Link: string(id), Domain: domain, Region: "sofia"},
+	})}
+	f.hosts = append(f.hosts, h)
+	f.tick(h)
+	return h
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.agenda, happening{f.now.Add(d), f.seq, do})
+}
+
+func (f *fleet) tick(h *fakeHost) {
+	f.after(tickDelay, func() {
+		f.step(h, Tick{})
+		f.tick(h)
+	})
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.agenda) > 0 && f.agenda[0].at <= end {
+		next := heap.Pop(&f.agenda).(happening)
+		f.now = next.at
+		next.do()
+	}
+	f.now = end
+}
+
+// publish accepts a configuration in the store.
+func (f *fleet) publish(doc *config.Document) {
+	head, chunks, err := config.Encode(doc)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for hash, chunk := range chunks {
+		f.store.Do(core.ObjectCall{Op: core.ObjectCreate, Key: config.ChunkPrefix + hash, Value: chunk})
+	}
+	f.version++
+	head.Version = f.version
+	value, err := config.EncodeHead(head)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	op := core.ObjectUpdate
+	if f.object == 0 {
+		op = core.ObjectCreate
+	}
+	r := f.store.Do(core.ObjectCall{Op: op, Key: config.HeadKey, Value: value, IfVersion: f.object})
+	if r.Status != core.ObjectOK {
+		f.t.Fatalf("head not accepted: %v", r.Status)
+	}
+	f.object = r.Object.Version
+}
+
+func (f *fleet) step(h *fakeHost, e Event) {
+	if h.down {
+		return
+	}
+	for _, effect := range h.node.Step(f.now, e) {
+		f.do(h, effect)
+	}
+}
+
+func (f *fleet) do(h *fakeHost, effect Effect) {
+	switch x := effect.(type) {
+	case Dispatch:
+		f.after(linkDelay, func() { f.begin(h, x) })
+	case Cancel:
+		f.after(linkDelay, func() { f.cancel(h, x.ID, x.Attempt) })
+	case Refuse:
+		f.answer(x.ID).refusal = x.Refusal
+	case Cut:
+		f.answer(x.ID).refusal = x.Refusal
+		f.answer(x.ID).cut = true
+		f.after(linkDelay, func() { f.cancel(h, x.ID, h.attempt(x.ID)) })
+	case Replay:
+		f.answer(x.ID).outcome = &x.Outcome
+	case Order:
+		f.order(h, x.AdapterOrder)
+	case Object:
+		f.callObject(h, x.Call)
+	case ToPeer:
+		f.sends++
+		f.after(linkDelay, func() { f.deliver(h, x) })
+	case Poll:
+		f.poll(h, x)
+	case Left:
+		f.left = append(f.left, h.id)
+		h.down = true
+	}
+}
+
+func (h *fakeHost) attempt(id core.RequestID) int {
+	if r := h.node.requests.byID[id]; r != nil {
+		return r.attempt
+	}
+	return 0
+}
+
+func (f *fleet) answer(id core.RequestID) *answer {
+	if f.answers[id] == nil {
+		f.answers[id] = &answer{}
+	}
+	return f.answers[id]
+}
+
+func (f *fleet) deliver(from *fakeHost, x ToPeer) {
+	for _, h := range f.hosts {
+		if h.id == x.To && !from.down {
+			f.step(h, FromPeer{From: from.id, Message: x.Message})
+		}
+	}
+}
+
+func (f *fleet) callObject(h *fakeHost, c core.ObjectCall) {
+	f.calls++
+	delay := objectDelay
+	if c.Op == core.ObjectWatch {
+		delay = time.Second
+	}
+	f.after(delay, func() {
+		r := f.store.Do(c)
+		r.Tag = c.Tag
+		f.step(h, ObjectDone{Result: r})
+	})
+}
+
+// order carries an adapter order out.
+func (f *fleet) order(h *fakeHost, o core.AdapterOrder) {
+	e := f.engines[o.Upstream]
+	done := func() { f.step(h, OrderDone{core.OrderDone{ID: o.ID, OK: true, Sure: true}}) }
+	if o.Load {
+		f.after(loadDelay, func() {
+			e.adapters[o.Adapter] = true
+			done()
+		})
+		return
+	}
+	f.after(linkDelay, func() {
+		for _, r := range e.running {
+			if r.adapter == o.Adapter && !r.host.down {
+				f.t.Errorf("%s: %v evicted while request %s runs on it", e.id, o.Adapter, r.id)
+			}
+		}
+		delete(e.adapters, o.Adapter)
+		done()
+	})
+}
+
+func (f *fleet) poll(h *fakeHost, p Poll) {
+	e := f.engines[p.Upstream]
+	sent := f.now
+	f.after(2*linkDelay, func() {
+		r := core.UpstreamReport{Upstream: e.id, OK: true, Incarnation: fmt.Sprint(e.life), Running: len(e.running), Sent: sent}
+		for a := range e.adapters {
+			load := core.AdapterLoad{Adapter: a}
+			for _, x := range e.running {
+				if x.adapter == a {
+					load.Running++
+				}
+			}
+			r.Adapters = append(r.Adapters, load)
+		}
+		slices.SortFunc(r.Adapters, func(a, b core.AdapterLoad) int {
+			if a.Adapter.String() < b.Adapter.String() {
+				return -1
+			}
+			return 1
+		})
+		f.step(h, Report{r})
+	})
+}
+
+// begin starts a request at an engine.
+func (f *fleet) begin(h *fakeHost, d Dispatch) {
+	e := f.engines[d.Upstream]
+	if d.Adapter != (core.AdapterRef{}) && !e.adapters[d.Adapter] {
+		f.step(h, Ended{ID: d.ID, Attempt: d.Attempt, Kind: EndMissing})
+		return
+	}
+	f.starts++
+	e.starts[d.ID]++
+	e.running = append(e.running, run{host: h, id: d.ID, attempt: d.Attempt, adapter: d.Adapter})
+	if e.poisoned {
+		f.crash(e)
+		return
+	}
+	f.step(h, FirstByte{ID: d.ID, Attempt: d.Attempt})
+	f.after(runDelay, func() { f.finish(e, d) })
+}
+
+// finish ends a request that still runs.
+func (f *fleet) finish(e *engine, d Dispatch) {
+	r, ok := e.remove(d.ID, d.Attempt)
+	if !ok {
+		return
+	}
+	a := f.answer(d.ID)
+	a.ok = !r.host.down
+	a.adapter = d.Adapter
+	f.step(r.host, Ended{ID: d.ID, Attempt: d.Attempt, Kind: EndOK, Used: 20, Counted: true, Outcome: core.Outcome{Status: 200, Body: []byte("done")}})
+}
+
+func (e *engine) remove(id core.RequestID, attempt int) (run, bool) {
+	i := slices.IndexFunc(e.running, func(r run) bool { return r.id == id && r.attempt == attempt })
+	if i < 0 {
+		return run{}, false
+	}
+	r := e.running[i]
+	e.running = slices.Delete(e.running, i, i+1)
+	return r, true
+}
+
+func (f *fleet) cancel(h *fakeHost, id core.RequestID, attempt int) {
+	for _, e := range f.engines {
+		if _, ok := e.remove(id, attempt); ok {
+			f.step(h, Ended{ID: id, Attempt: attempt, Kind: EndCancelled, Used: 10})
+		}
+	}
+}
+
+// crash kills an engine: it restarts empty.
+func (f *fleet) crash(e *engine) {
+	all := e.running
+	e.running = nil
+	e.adapters = map[core.AdapterRef]bool{}
+	e.life++
+	for _, r := range all {
+		f.step(r.host, Ended{ID: r.id, Attempt: r.attempt, Kind: EndFailed, Crashed: true})
+	}
+}
--- a/internal/core/node/launch.go
+++ b/internal/core/node/launch.go
@@ -61,6 +61,10 @@
 }
 
 func (n *Node) claimed(d suspect.Decision) {
+	if d.Revoked {
+		n.revoked(d)
+		return
+	}
 	r := n.requests.at(d.ID, stageClaim)
 	if r == nil {
 		return
@@ -80,6 +84,13 @@
 	n.refuse(r, d.Refusal)
 }
 
+// revoked ends a running attempt whose leave was taken back.
+func (n *Node) revoked(d suspect.Decision) {
+	if r := n.requests.at(d.ID, stageRunning); r != nil {
+		n.refuse(r, d.Refusal)
+	}
+}
+
 // move gives the ticket back and asks for one at the upstreams in use.
 func (n *Node) move(r *request, use []core.UpstreamID) {
 	n.placementResult(n.placement.Release(n.now, n.lease, r.id(), placement.End{NotReached: true}))
@@ -94,7 +105,7 @@
 // dispatch sends an attempt if its ticket still holds, and renews it otherwise.
 func (n *Node) dispatch(r *request) {
 	if !n.placement.Valid(n.now, r.id()) {
-		n.releaseClaim(r, suspect.EndOther)
+		n.releaseClaim(r, suspect.EndNotSent)
 		r.stage = stagePlace
 		n.placementResult(n.placement.Renew(n.now, n.lease, r.id()))
 		return
--- /dev/null
+++ b/internal/core/node/node_test.go
@@ -0,0 +1,199 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/config"
+)
+
+var secret = []byte("secret")
+
+// sample is a small deployment.
+func sample() *config.Document {
+	d := &config.Document{
+		BaseModels: []config.BaseModel{{ID: "base"}},
+		Workspaces: []config.Workspace{
+			{ID: "care-homes", Rate: 1000, Burst: 20000, Weight: 1},
+			{ID: "housing", Rate: 1000, Burst: 20000, Weight: 1},
+		},
+		Keys: []config.Key{
+			{ID: "k1", Workspace: "care-homes", Hash: config.HashKey(secret, "key-1")},
+			{ID: "k2", Workspace: "housing", Hash: config.HashKey(secret, "key-2")},
+		},
+		Routes: []config.Route{
+			{Path: "/v1/completions", Kind: config.RouteCompletions, Pool: "drafter", Idempotent: true, Class: "interactive"},
+			{Path: "/bookings", Kind: config.RouteService, Pool: "dispatch", Class: "interactive", Cost: 10},
+		},
+	}
+	for i := range 12 {
+		d.Adapters = append(d.Adapters, config.Adapter{ID: core.AdapterID(fmt.Sprintf("quotes-%02d", i)), Base: "base", Versions: []int{1, 2}, Default: 2})
+	}
+	for i := range 3 {
+		d.Upstreams = append(d.Upstreams, config.Upstream{ID: core.UpstreamID(fmt.Sprintf("drafter-%d", i)), Kind: config.UpstreamEngine, Pool: "drafter", Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Domain: "sofia-a", Base: "base", Slots: 4, Batch: 8})
+	}
+	d.Upstreams = append(d.Upstreams, config.Upstream{ID: "dispatch-0", Kind: config.UpstreamService, Pool: "dispatch", Address: "127.0.0.1:9100", Domain: "sofia-a", Batch: 8})
+	return config.Canonical(d)
+}
+
+func ask(id, key, model string) Arrive {
+	return Arrive{ID: core.RequestID(id), KeyHash: config.HashKey(secret, key), Path: "/v1/completions", Model: model, Prompt: 10, MaxTokens: 50, Fingerprint: core.Fingerprint(1, id), Timeout: time.Minute}
+}
+
+func booking(id, idempotencyKey string) Arrive {
+	return Arrive{ID: core.RequestID(id), KeyHash: config.HashKey(secret, "key-1"), Path: "/bookings", IdempotencyKey: idempotencyKey, Body: 7, Fingerprint: 7, Timeout: time.Minute}
+}
+
+// ready returns a fleet whose hosts are members and hold the configuration.
+func ready(t *testing.T, hosts int) *fleet {
+	f := newFleet(t, hosts, sample())
+	f.run(15 * time.Second)
+	for _, h := range f.hosts {
+		if ok, why := h.node.Ready(); !ok {
+			t.Fatalf("%s is not ready: %s", h.id, why)
+		}
+	}
+	return f
+}
+
+func TestColdAndWarmAdapterOnAnyHost(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 3)
+	f.step(f.hosts[0], ask("cold", "key-1", "quotes-03"))
+	f.run(3 * time.Second)
+	is.True(f.answers["cold"] != nil && f.answers["cold"].ok)
+	is.Equal(f.answers["cold"].adapter, core.AdapterRef{ID: "quotes-03", Version: 2}) // the default version
+	f.step(f.hosts[1], ask("warm", "key-2", "quotes-03@2"))
+	f.run(600 * time.Millisecond) // no load in it
+	is.True(f.answers["warm"].ok)
+	is.Equal(f.starts, 2)
+}
+
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 3)
+	f.step(f.hosts[0], ask("bad key", "nobody", "quotes-03"))
+	f.step(f.hosts[0], ask("bad adapter", "key-1", "unknown"))
+	f.step(f.hosts[0], ask("bad version", "key-1", "quotes-03@9"))
+	f.step(f.hosts[0], booking("no idempotency key", ""))
+	large := ask("too large", "key-1", "quotes-03")
+	large.MaxTokens = 1 << 20
+	f.step(f.hosts[0], large)
+	f.run(time.Second)
+	is.Equal(f.answers["bad key"].refusal.Code, core.CodeNoKey)
+	is.Equal(f.answers["bad adapter"].refusal.Code, core.CodeUnknownAdapter)
+	is.Equal(f.answers["bad version"].refusal.Code, core.CodeUnknownAdapter)
+	is.Equal(f.answers["no idempotency key"].refusal.Code, core.CodeKeyNeeded)
+	is.Equal(f.answers["too large"].refusal.Code, core.CodeNeverFits)
+	is.Equal(f.starts, 0)
+	for id, a := range f.answers {
+		is.Equal(a.refusal.Ran, core.RanNo) // true: nothing was started
+		_ = id
+	}
+}
+
+func TestBookingRunsOnceWhicheverHostsItIsSentTo(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 3)
+	for i, h := range f.hosts {
+		f.step(h, booking(fmt.Sprint("at once ", i), "crew-17"))
+	}
+	f.run(5 * time.Second)
+	f.step(f.hosts[2], booking("later", "crew-17"))
+	f.run(5 * time.Second)
+	is.Equal(f.starts, 1)
+	is.Equal(string(f.answers["later"].outcome.Body), "done")
+}
+
+func TestWithdrawnKeyStopsARunningStreamEverywhere(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 3)
+	f.step(f.hosts[0], ask("warm up", "key-1", "quotes-01"))
+	f.run(3 * time.Second)
+	doc := config.Canonical(f.doc)
+	doc.Keys[0].Withdrawn = true
+	f.publish(doc)
+	for i := range 40 { // a request every 100 ms, the configuration spreads meanwhile
+		f.step(f.hosts[i%3], ask(fmt.Sprint("r", i), "key-1", "quotes-01"))
+		f.run(100 * time.Millisecond)
+	}
+	last := f.answers["r39"]
+	is.Equal(last.refusal.Code, core.CodeKeyWithdrawn)
+	cut := 0
+	for i := range 40 {
+		if f.answers[core.RequestID(fmt.Sprint("r", i))].cut {
+			cut++
+		}
+	}
+	is.True(cut > 0) // at least one was running when the key went
+}
+
+func TestLostHostsShardsMove(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 4)
+	f.hosts[1].down = true
+	f.run(20 * time.Second)
+	for i := range 12 {
+		f.step(f.hosts[0], ask(fmt.Sprint("after", i), "key-1", fmt.Sprintf("quotes-%02d", i)))
+		f.run(2 * time.Second)
+	}
+	for i := range 12 {
+		is.True(f.answers[core.RequestID(fmt.Sprint("after", i))].ok)
+	}
+	is.Equal(len(f.hosts[0].node.Members()), 3)
+}
+
+func TestGracefulLeaveCutsNothing(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 3)
+	f.step(f.hosts[0], ask("warm up", "key-1", "quotes-04"))
+	f.run(3 * time.Second)
+	f.step(f.hosts[0], Leave{})
+	for i := range 60 { // callers keep the address for a while
+		f.step(f.hosts[0], ask(fmt.Sprint("kept", i), "key-1", "quotes-04"))
+		f.run(100 * time.Millisecond)
+	}
+	f.run(30 * time.Second)
+	is.Equal(f.left, []core.HostID{"host-0"})
+	for i := range 60 {
+		is.True(f.answers[core.RequestID(fmt.Sprint("kept", i))].ok)
+	}
+	is.Equal(len(f.hosts[1].node.Members()), 2)
+}
+
+func TestCallersThatHangUpCostNothingMore(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 3)
+	for i := range 50 {
+		id := core.RequestID(fmt.Sprint("r", i))
+		f.step(f.hosts[i%3], ask(string(id), "key-1", fmt.Sprintf("quotes-%02d", i%12)))
+		f.run(time.Duration(i) * 7 * time.Millisecond)
+		f.step(f.hosts[i%3], Gone{ID: id})
+	}
+	f.run(10 * time.Second)
+	for _, h := range f.hosts {
+		is.Equal(h.node.InFlight(), 0)
+		is.True(h.node.placement.Idle())
+	}
+	for _, e := range f.engines {
+		is.Equal(len(e.running), 0)
+	}
+}
+
+func TestSameEventsSameEffects(t *testing.T) {
+	is := is.New(t)
+	trace := func() string {
+		f := ready(t, 3)
+		for i := range 20 {
+			f.step(f.hosts[i%3], ask(fmt.Sprint("r", i), "key-1", fmt.Sprintf("quotes-%02d", i%12)))
+			f.run(50 * time.Millisecond)
+		}
+		f.run(5 * time.Second)
+		return fmt.Sprint(f.calls, f.sends, f.starts, f.now, f.seq)
+	}
+	is.Equal(trace(), trace())
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,12 +14,12 @@
 
 	"github.com/zeebo/errs"
 
+	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/config"
-	"gentiancroft/internal/core/node"
-	"gentiancroft/internal/entry"
-	"gentiancroft/internal/host"
+	"gentiancroft/internal/peer"
 	"gentiancroft/internal/standin"
-	"gentiancroft/internal/upstream"
+	standplatform "gentiancroft/internal/standin/platform"
+	"gentiancroft/internal/wiring"
 )
 
 // Failed is the class of a demo whose steps did not all hold.
@@ -44,21 +44,30 @@
 	OK    bool   `json:"ok"`
 }
 
+const (
+	hosts     = 3
+	engines   = 3
+	demoKey   = "demo-key"
+	readyWait = 20 * time.Second
+)
+
+var secret = []byte("demo-secret")
+
 // Run starts the deployment, walks the tour and prints it.
 func Run(ctx context.Context, w io.Writer, o Options) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	address, err := start(ctx)
+	addresses, err := start(ctx)
 	if err != nil {
 		return Failed.Wrap(err)
 	}
 	result := Result{OK: true}
-	for _, name := range []string{"streamed answer on a cold adapter", "streamed answer on a warm adapter"} {
-		detail, ok := complete(address)
+	for i, name := range []string{"streamed answer on a cold adapter", "streamed answer on a warm adapter"} {
+		detail, ok := complete(addresses[i])
 		result.Steps = append(result.Steps, Step{Name: name, OK: ok, Detail: detail})
 		result.OK = result.OK && ok
 	}
-	if err := print(w, o, result); err != nil {
+	if err := write(w, o, result); err != nil {
 		return Failed.Wrap(err)
 	}
 	if !result.OK {
@@ -67,7 +76,7 @@
 	return nil
 }
 
-func print(w io.Writer, o Options, r Result) error {
+func write(w io.Writer, o Options, r Result) error {
 	if o.Output == "json" {
 		return json.NewEncoder(w).Encode(r)
 	}
@@ -77,31 +86,104 @@
 	return nil
 }
 
-func start(ctx context.Context) (string, error) {
-	const key = "demo-key"
-	secret := []byte("demo-secret")
-	engine := standin.NewEngine(standin.EngineSettings{Name: "drafter-0", LoadTime: 250 * time.Millisecond, FirstToken: 20 * time.Millisecond, TokenTime: 5 * time.Millisecond})
-	engineListener, err := net.Listen("tcp", "127.0.0.1:0")
+func serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = http.Serve(engineListener, engine.Handler()) }()
-	n := node.New(node.Settings{Seed: 1})
-	n.SetSnapshot(config.NewSnapshot(1, &config.Document{
+	go func() { _ = http.Serve(l, h) }()
+	return l.Addr().String(), nil
+}
+
+func start(ctx context.Context) ([]string, error) {
+	store := standplatform.NewStore()
+	platformAddress, err := serve(standplatform.NewServer(store).Handler())
+	if err != nil {
+		return nil, err
+	}
+	document := &config.Document{
+		BaseModels: []config.BaseModel{{ID: "base"}},
 		Workspaces: []config.Workspace{{ID: "care-homes", Rate: 1000, Burst: 10000, Weight: 1}},
-		Keys:       []config.Key{{ID: "k1", Workspace: "care-homes", Hash: config.HashKey(secret, key)}},
-		Adapters:   []config.Adapter{{ID: "quotes", Versions: []int{1, 2}, Default: 2}},
-		Routes:     []config.Route{{Path: "/v1/completions", Kind: config.RouteCompletions, Pool: "drafter", Idempotent: true}},
-		Upstreams:  []config.Upstream{{ID: "drafter-0", Kind: config.UpstreamEngine, Pool: "drafter", Address: engineListener.Addr().String()}},
-	}))
-	h := host.New(n, upstream.Orders{})
-	go func() { _ = h.Serve(ctx) }()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+		Keys:       []config.Key{{ID: "k1", Workspace: "care-homes", Hash: config.HashKey(secret, demoKey)}},
+		Adapters:   []config.Adapter{{ID: "quotes", Base: "base", Versions: []int{1, 2}, Default: 2}},
+		Routes:     []config.Route{{Path: "/v1/completions", Kind: config.RouteCompletions, Pool: "drafter", Idempotent: true, Class: "interactive"}},
+	}
+	for i := range engines {
+		engine := standin.NewEngine(standin.EngineSettings{Name: fmt.Sprint("drafter-", i), LoadTime: 250 * time.Millisecond, FirstToken: 20 * time.Millisecond, TokenTime: 5 * time.Millisecond})
+		address, err := serve(engine.Handler())
+		if err != nil {
+			return nil, err
+		}
+		document.Upstreams = append(document.Upstreams, config.Upstream{ID: core.UpstreamID(fmt.Sprint("drafter-", i)), Kind: config.UpstreamEngine, Pool: "drafter", Address: address, Domain: "sofia-a", Base: "base", Slots: 8, Batch: 8})
+	}
+	if err := publish(store, document); err != nil {
+		return nil, err
+	}
+	return startHosts(ctx, platformAddress)
+}
+
+func publish(store *standplatform.Store, d *config.Document) error {
+	head, chunks, err := config.Encode(config.Canonical(d))
 	if err != nil {
-		return "", err
+		return err
 	}
-	go func() { _ = entry.New(h, secret).Serve(ctx, l) }()
-	return l.Addr().String(), nil
+	for hash, chunk := range chunks {
+		store.Do(core.ObjectCall{Op: core.ObjectCreate, Key: config.ChunkPrefix + hash, Value: chunk})
+	}
+	head.Version = 1
+	value, err := config.EncodeHead(head)
+	if err != nil {
+		return err
+	}
+	store.Do(core.ObjectCall{Op: core.ObjectCreate, Key: config.HeadKey, Value: value})
+	return nil
+}
+
+func startHosts(ctx context.Context, platformAddress string) ([]string, error) {
+	authority, err := peer.NewAuthority("demo", time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for i := range hosts {
+		name := fmt.Sprint("entry-", i)
+		material, err := authority.Material(name, time.Hour)
+		if err != nil {
+			return nil, err
+		}
+		h, err := wiring.New(wiring.Settings{
+			Name: name, Domain: core.Domain("sofia-" + string(rune('a'+i))), Region: "sofia",
+			Callers: "127.0.0.1:0", Links: "127.0.0.1:0", Platform: platformAddress, KeySecret: secret, Material: material,
+		})
+		if err != nil {
+			return nil, err
+		}
+		go func() { _ = h.Run(ctx) }()
+		addresses = append(addresses, h.Address)
+	}
+	return addresses, waitReady(addresses)
+}
+
+func waitReady(addresses []string) error {
+	end := time.Now().Add(readyWait)
+	for _, a := range addresses {
+		for !isReady(a) {
+			if time.Now().After(end) {
+				return Failed.New("host at %s is not ready", a)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func isReady(address string) bool {
+	r, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode == http.StatusOK
 }
 
 func complete(address string) (string, bool) {
@@ -110,13 +192,13 @@
 	if err != nil {
 		return err.Error(), false
 	}
-	request.Header.Set("Authorization", "Bearer demo-key")
+	request.Header.Set("Authorization", "Bearer "+demoKey)
 	started := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err.Error(), false
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err.Error(), false
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -233,6 +233,7 @@
 		Adapter:  d.Adapter,
 		Class:    d.Class,
 		Fence:    d.Fence,
+		Until:    d.Until,
 		Once:     d.Record,
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -42,8 +42,7 @@
 	polls    *pool
 	own      []node.Event // of the node's duty alone
 	start    time.Time
-	left     chan struct{}
-	leftOnce sync.Once
+	left     chan Left
 
 	mu        sync.Mutex
 	exchanges map[core.RequestID]*Exchange
@@ -60,7 +59,7 @@
 		orders:    newPool("adapter orders", orderWorkers),
 		polls:     newPool("polls", pollWorkers),
 		start:     start,
-		left:      make(chan struct{}),
+		left:      make(chan Left, 1),
 		exchanges: map[core.RequestID]*Exchange{},
 	}
 }
@@ -77,8 +76,11 @@
 // Now is the host's monotonic clock.
 func (h *Host) Now() core.Instant { return core.Instant(time.Since(h.start)) }
 
-// Left is closed once the host may exit.
-func (h *Host) Left() <-chan struct{} { return h.left }
+// Left says that the host may exit.
+type Left = node.Left
+
+// Left gives one value once the host may exit.
+func (h *Host) Left() <-chan Left { return h.left }
 
 // Tell hands the node an event and waits while the ring is full: an event that
 // ends something must not be lost. The node's own duty never calls it.
@@ -186,7 +188,7 @@
 	case node.Note:
 		h.note(x)
 	case node.Left:
-		h.leftOnce.Do(func() { close(h.left) })
+		h.left <- x // the node says so once
 	default:
 		log.WithField("effect", fmt.Sprintf("%T", effect)).Error("effect without a carrier")
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -39,6 +39,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
 	mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
+	mux.HandleFunc("GET /load", e.report)
 	return mux
 }
 
@@ -132,3 +133,23 @@
 	defer e.mu.Unlock()
 	delete(e.adapters, body.Name)
 }
+
+type adapterCount struct {
+	Name    string `json:"name"`
+	Running int    `json:"running"`
+}
+
+type loadReport struct {
+	Incarnation string         `json:"incarnation"`
+	Adapters    []adapterCount `json:"adapters"`
+}
+
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := loadReport{Incarnation: e.settings.Name}
+	for name, n := range e.adapters {
+		r.Adapters = append(r.Adapters, adapterCount{Name: name, Running: n})
+	}
+	_ = json.NewEncoder(w).Encode(r)
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -54,7 +54,8 @@
 	Adapter  core.AdapterRef // zero for a plain service
 	Class    core.Class
 	Fence    core.Fence
-	Once     bool // on a new connection: no doubt about whether a kept one was already closed
+	Until    core.Instant // not sent from then on, of the client's clock; 0: no bound
+	Once     bool         // on a new connection: no doubt about whether a kept one was already closed
 }
 
 // Answer is a response whose body streams. Close it in every case.
@@ -168,6 +169,10 @@
 		c.count(call, "not_reached")
 		return nil, NotReached.Wrap(err)
 	}
+	if c.now != nil && call.Until != 0 && !c.now().Before(call.Until) {
+		_ = conn.Close()
+		return nil, NotReached.New("the ticket ended before the request was sent")
+	}
 	answer, err := c.attempt(ctx, conn, call)
 	return answer, c.failed(call, err)
 }
--- /dev/null
+++ b/internal/wiring/status.go
@@ -0,0 +1,90 @@
+package wiring
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/config"
+	"gentiancroft/internal/core/directory"
+	"gentiancroft/internal/core/node"
+	"gentiancroft/internal/entry"
+	"gentiancroft/internal/host"
+)
+
+// readTimeout bounds a look into the node.
+const readTimeout = 2 * time.Second
+
+// status answers the pages that need to know the fleet.
+type status struct{ host *host.Host }
+
+func (s status) read(f func(n *node.Node, now core.Instant)) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	return s.host.Read(ctx, f) == nil
+}
+
+// Ready implements entry.Status.
+func (s status) Ready() (ok bool, reason string) {
+	result := make(chan readiness, 1)
+	if !s.read(func(n *node.Node, _ core.Instant) { result <- readinessOf(n) }) {
+		return false, "overloaded"
+	}
+	r := <-result
+	return r.ok, r.reason
+}
+
+// readiness is whether a host serves, and if not why.
+type readiness struct {
+	ok     bool
+	reason string
+}
+
+func readinessOf(n *node.Node) readiness {
+	ok, reason := n.Ready()
+	return readiness{ok: ok, reason: reason}
+}
+
+// Entries implements entry.Status.
+func (s status) Entries(keyHash string) (entry.Entries, *core.Refusal) {
+	result := make(chan directory.Answer, 1)
+	if !s.read(func(n *node.Node, _ core.Instant) { result <- n.Entries(keyHash, "") }) {
+		return entry.Entries{}, core.Refuse(core.CodeOverloaded, time.Second, "the host is overloaded")
+	}
+	a := <-result
+	return entry.Entries{Addresses: a.Addresses, Keep: a.Keep}, nil
+}
+
+// Models implements entry.Status.
+func (s status) Models(keyHash string) ([]entry.Model, *core.Refusal) {
+	result := make(chan *config.Snapshot, 1)
+	if !s.read(func(n *node.Node, _ core.Instant) { result <- n.Snapshot() }) {
+		return nil, core.Refuse(core.CodeOverloaded, time.Second, "the host is overloaded")
+	}
+	snapshot := <-result
+	if snapshot == nil {
+		return nil, core.Refuse(core.CodeCutOff, time.Second, "this host has no configuration yet")
+	}
+	key := snapshot.Key(keyHash)
+	if key == nil || key.Withdrawn {
+		return nil, core.Refuse(core.CodeNoKey, 0, "the key is missing or not valid")
+	}
+	return models(snapshot, key.Workspace), nil
+}
+
+// models lists each adapter that a workspace may use, by its bare name and by
+// each version.
+func models(s *config.Snapshot, ws core.WorkspaceID) []entry.Model {
+	var all []entry.Model
+	for _, a := range s.Document.Adapters {
+		if _, _, refusal := s.Resolve(string(a.ID), ws); refusal != nil {
+			continue
+		}
+		all = append(all, entry.Model{ID: string(a.ID), Base: a.Base})
+		for _, v := range a.Versions {
+			all = append(all, entry.Model{ID: string(a.ID) + "@" + strconv.Itoa(v), Base: a.Base})
+		}
+	}
+	return all
+}
