--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -41,8 +41,11 @@
 	withheldTo core.Instant
 	acted      core.Instant // Grant.Until when last Acting
 	frozen     bool
-	stir       bool     // holders are to ask at once
-	queue      []Borrow // came before the book was open
+	stir       bool          // holders are to ask at once
+	starved    []core.HostID // got less than their part: others hold more than theirs
+	stirred    core.Instant
+	refill     []core.HostID // starved hosts to recall at the next look
+	queue      []Borrow      // came before the book was open
 	due        bool
 }
 
@@ -191,6 +194,22 @@
 		b.stir = false
 		m.recall(b, b.listed, r)
 	}
+	m.even(now, b, r)
+}
+
+// even moves slices before the next regular Ask: hosts that hold too much are
+// asked first, and at the next look those that got too little.
+func (m *Machine) even(now core.Instant, b *book, r *Result) {
+	m.recall(b, b.refill, r)
+	b.refill = nil
+	if b.frozen || b.withheld || now.Sub(b.stirred) < m.settings.Urgent {
+		return
+	}
+	if len(b.starved) == 0 && !m.poolStarved(now, b) {
+		return
+	}
+	m.recall(b, m.holdTooMuch(now, b), r)
+	b.refill, b.starved, b.stirred = b.starved, nil, now
 }
 
 // reclaim takes lapsed shares back: their holders stopped spending earlier.
@@ -227,6 +246,7 @@
 	e := m.book2entry(now, b, from, a)
 	if e == nil {
 		m.list(own, b, from, r)
+		m.shareNothing(b, from, a, r)
 		return
 	}
 	if a.Only {
@@ -296,3 +316,11 @@
 		TotalRate: b.limit.Rate, TotalBurst: b.limit.Burst, Echo: echo, Term: term,
 	}})
 }
+
+// shareNothing answers a host that holds nothing and gets nothing now.
+func (m *Machine) shareNothing(b *book, to core.HostID, a Ask, r *Result) {
+	r.Send(to, Message{Share: &Share{
+		Workspace: b.workspace, Fence: b.fence, Seq: a.Applied, TotalRate: b.limit.Rate,
+		TotalBurst: b.limit.Burst, Echo: a.Sent, Term: m.settings.Term,
+	}})
+}
--- a/internal/core/limit/bucket.go
+++ b/internal/core/limit/bucket.go
@@ -29,7 +29,7 @@
 	room nano
 }
 
-// maxSamples bounds the memory of one bucket. Merged samples are lower.
+// maxSamples bounds the memory of one bucket.
 const maxSamples = 64
 
 // advance accrues up to now. A clock that stands or goes back accrues nothing.
@@ -59,11 +59,23 @@
 	}
 	b.slack = append(b.slack, sample{b.seq, room})
 	if len(b.slack) > maxSamples {
-		b.slack[1].room = b.slack[0].room
-		b.slack = slices.Delete(b.slack, 0, 1)
+		b.merge()
 	}
 }
 
+// merge makes one of the two neighbours that differ least. The lower room
+// stands for both, so a return may come out smaller, never greater.
+func (b *bucket) merge() {
+	at := 0
+	for i := 1; i+1 < len(b.slack); i++ {
+		if b.slack[i+1].room-b.slack[i].room < b.slack[at+1].room-b.slack[at].room {
+			at = i
+		}
+	}
+	b.slack[at+1].room = b.slack[at].room
+	b.slack = slices.Delete(b.slack, at, at+1)
+}
+
 // take removes n tokens if they are there, and returns the mark that a return
 // of the unused part needs.
 func (b *bucket) take(now core.Instant, n nano) (mark uint64, ok bool) {
--- a/internal/core/limit/holder.go
+++ b/internal/core/limit/holder.go
@@ -15,14 +15,42 @@
 	until    core.Instant
 
 	asked    core.Instant // when the last Ask was sent
-	waiting  bool         // an Ask is on the agenda
+	next     core.Instant // when the next is due, 0: not on the agenda
 	answered bool         // the last Ask was
+	denied   int          // answers in a row that gave no share
 	demand   demand
-	lender   core.HostID  // lent last
-	dryUntil core.Instant // the owner refused a loan and said when to come back
-	dryFor   core.Tokens  // the size it refused
+	lender   core.HostID // lent last
+	dry      dry
 }
 
+// dry remembers a refused loan, so that the next is not asked for in vain.
+type dry struct {
+	until core.Instant
+	most  core.Tokens // smaller requests are asked for all the same
+	times int         // refusals since the last loan
+}
+
+// Bounds of how long a refused loan counts; it doubles with each refusal.
+const (
+	dryLeast = 20 * time.Millisecond
+	dryTimes = 8
+	dryLong  = 3
+)
+
+func (d *dry) refused(now core.Instant, l Lend, most time.Duration) {
+	d.times = min(d.times+1, dryTimes)
+	d.most = l.Most
+	d.until = now.Add(min(max(l.Retry, dryLeast<<d.times), most))
+}
+
+// covers reports whether a loan of n would surely be refused too. After some
+// refusals in a row, whatever one host had is gone before this host asks.
+func (d *dry) covers(now core.Instant, n core.Tokens) bool {
+	return now.Before(d.until) && (n > d.most || d.times >= dryLong)
+}
+
+func (d *dry) granted() { d.times = max(d.times-1, 0) }
+
 // demand measures what is asked of this host, in tokens a second.
 type demand struct {
 	since   core.Instant
@@ -82,19 +110,26 @@
 	s.cut(now, rate, burst)
 }
 
-// schedule puts one Ask on the agenda.
+// schedule puts the next Ask on the agenda unless one is due earlier.
 func (m *Machine) schedule(at core.Instant, ws core.WorkspaceID, h *holder) {
-	if h.waiting {
-		return
+	if h.next == 0 || at < h.next {
+		m.reschedule(at, ws, h)
 	}
-	h.waiting = true
+}
+
+// reschedule makes the next Ask due at an instant. Tasks of before are void.
+func (m *Machine) reschedule(at core.Instant, ws core.WorkspaceID, h *holder) {
+	h.next = at
 	m.agenda.add(task{at: at, duty: dutyAsk, workspace: ws})
 }
 
 // askDue renews the share in time, or lets a host that needs none fall silent.
 func (m *Machine) askDue(now core.Instant, own core.Ownership, ws core.WorkspaceID, r *Result) {
 	h := m.holder(now, ws)
-	h.waiting = false
+	if h.next == 0 || now.Before(h.next) {
+		return
+	}
+	h.next = 0
 	m.lapse(now, h)
 	if h.slice.burst == 0 && h.demand.tokens == 0 && h.demand.rate == 0 {
 		return
@@ -102,6 +137,20 @@
 	m.ask(now, own, ws, h, r)
 }
 
+// maxDenied bounds how often the time between a shareless host's asks doubles.
+const maxDenied = 4
+
+// denied makes a host that gets no share ask ever less often.
+func (m *Machine) denied(now core.Instant, s Share, h *holder) {
+	if s.Burst > 0 {
+		h.denied = 0
+		return
+	}
+	at := now.Add(m.settings.Urgent << h.denied)
+	h.denied = min(h.denied+1, maxDenied)
+	m.reschedule(at, s.Workspace, h)
+}
+
 // retryAsk is the time after which an unanswered Ask is sent again.
 const retryAsk = 3 * time.Second
 
@@ -118,7 +167,7 @@
 		h.asked, h.answered = now, false
 		h.demand.largest -= h.demand.largest / 8
 	}
-	m.schedule(now.Add(next), ws, h)
+	m.reschedule(now.Add(next), ws, h)
 }
 
 // state is what this host holds and promises.
@@ -142,7 +191,7 @@
 	a := m.state(now, c.Workspace, h)
 	r.Send(from, Message{Ask: &a})
 	h.asked, h.answered = now, false
-	m.schedule(now.Add(retryAsk), c.Workspace, h)
+	m.reschedule(now.Add(m.settings.Renew), c.Workspace, h)
 }
 
 // onShare applies a share: its slice once, its term always.
@@ -162,6 +211,7 @@
 	h.fence = s.Fence
 	h.until = max(h.until, until)
 	h.answered = true
+	m.denied(now, s, h)
 	if s.Seq == h.applied {
 		return
 	}
--- a/internal/core/limit/list.go
+++ b/internal/core/limit/list.go
@@ -169,13 +169,14 @@
 		return
 	}
 	b.unsure = false
+	was := b.listed
 	b.listed = l.Holders
 	b.wanted = slices.DeleteFunc(b.wanted, func(h core.HostID) bool {
 		_, ok := slices.BinarySearch(b.listed, h)
-		return ok
+		return ok || h == m.settings.Self
 	})
 	if b.phase == phaseOpen {
-		m.recall(b, b.listed, r)
+		m.listGrew(b, was, r)
 		return
 	}
 	b.phase = phaseOpen
@@ -220,11 +221,23 @@
 
 // list asks that a host be listed.
 func (m *Machine) list(own core.Ownership, b *book, host core.HostID, r *Result) {
-	if b.frozen || b.writing || !isMember(own, host) || len(b.listed) >= 2*m.settings.Homes {
+	if b.frozen || !isMember(own, host) || len(b.listed)+len(b.wanted) >= 2*m.settings.Homes {
 		return
 	}
 	b.wanted = union(b.wanted, []core.HostID{host})
-	m.writeList(b, union(b.listed, b.wanted), r)
+	if !b.writing {
+		m.writeList(b, union(b.listed, b.wanted), r)
+	}
+}
+
+// listGrew asks the hosts that are newly listed, and lists those that came
+// meanwhile.
+func (m *Machine) listGrew(b *book, was []core.HostID, r *Result) {
+	fresh := slices.DeleteFunc(slices.Clone(b.listed), func(h core.HostID) bool { return slices.Contains(was, h) })
+	m.recall(b, fresh, r)
+	if len(b.wanted) > 0 {
+		m.writeList(b, union(b.listed, b.wanted), r)
+	}
 }
 
 // settleList resolves a write that got no answer, else shortens the list.
--- a/internal/core/limit/loan.go
+++ b/internal/core/limit/loan.go
@@ -12,7 +12,8 @@
 	tokens    core.Tokens
 	expires   core.Instant
 	asked     core.HostID
-	retried   bool
+	retried   bool // the owner was asked after another host had nothing
+	resent    bool // asked again: a message may have been lost
 	dead      bool // refused or cancelled: a loan that comes goes back
 }
 
@@ -37,8 +38,8 @@
 // borrow asks another host for the tokens of one request.
 func (m *Machine) borrow(now core.Instant, own core.Ownership, id core.RequestID, ws core.WorkspaceID, n core.Tokens, b *book, r *Result) {
 	h := m.holder(now, ws)
-	if now.Before(h.dryUntil) && n >= h.dryFor {
-		m.refuse(r, id, core.CodeRateLimited, h.dryUntil.Sub(now), "the workspace's rate is used up")
+	if h.dry.covers(now, n) {
+		m.refuse(r, id, core.CodeRateLimited, h.dry.until.Sub(now), "the workspace's rate is used up")
 		return
 	}
 	to := m.lenderOf(now, own, ws, h, n, b)
@@ -52,9 +53,9 @@
 	}
 	p := &pending{workspace: ws, tokens: n, expires: now.Add(m.settings.BorrowBound), asked: to}
 	m.pending[id] = p
-	m.agenda.add(task{at: p.expires, duty: dutyPending, request: id})
+	m.agenda.add(task{at: now.Add(m.settings.BorrowBound / resendPart), duty: dutyPending, request: id})
 	r.Send(to, Message{Borrow: &Borrow{Workspace: ws, ID: id, Tokens: n, Entry: m.settings.Self}})
-	if now.Sub(h.asked) >= m.settings.Urgent && to != m.settings.Self && b == nil {
+	if now.Sub(h.asked) >= m.settings.Urgent && b == nil && (h.slice.burst > 0 || h.asked == 0) {
 		m.ask(now, own, ws, h, r)
 	}
 }
@@ -125,6 +126,9 @@
 	if b == nil && m.queueBorrow(q) {
 		return
 	}
+	if b != nil && !q.Forwarded {
+		m.holder(now, q.Workspace).demand.note(q.Tokens) // what others borrow here is asked of the pool
+	}
 	if m.lend(now, own, q, b) {
 		r.Send(q.Entry, Message{Lend: &Lend{Workspace: q.Workspace, ID: q.ID, Granted: true}})
 		return
@@ -137,7 +141,19 @@
 		}
 	}
 	retry := m.retryAfter(now, q.Workspace, q.Tokens, b)
-	r.Send(q.Entry, Message{Lend: &Lend{Workspace: q.Workspace, ID: q.ID, Retry: retry}})
+	r.Send(q.Entry, Message{Lend: &Lend{Workspace: q.Workspace, ID: q.ID, Retry: retry, Most: b.most(now)}})
+}
+
+// most is what one host could lend now.
+func (b *book) most(now core.Instant) core.Tokens {
+	if b == nil {
+		return 0
+	}
+	n := b.pool.level
+	for _, e := range b.entries {
+		n = max(n, e.estimate(now))
+	}
+	return core.Tokens(max(n, 0) / nanosPerToken)
 }
 
 // queueBound is how many loans wait for one book to open.
@@ -232,6 +248,7 @@
 	if l.Granted {
 		delete(m.pending, l.ID)
 		h.lender = from
+		h.dry.granted()
 		m.taken[l.ID] = reservation{workspace: p.workspace, tokens: p.tokens, source: sourceLoan, lender: from}
 		m.stats.Borrowed++
 		m.grant(r, l.ID)
@@ -253,12 +270,26 @@
 	}
 	delete(m.pending, l.ID)
 	retry := min(max(l.Retry, retryLeast), retryMost)
-	h.dryUntil, h.dryFor = now.Add(min(retry, m.settings.DryMax)), p.tokens
+	h.dry.refused(now, l, m.settings.DryMax)
 	m.refuse(r, l.ID, core.CodeRateLimited, retry, "the workspace's rate is used up")
 }
 
-// pendingDue refuses a request whose loan did not come in time.
-func (m *Machine) pendingDue(now core.Instant, id core.RequestID, r *Result) {
+// resendPart is the part of BorrowBound after which an unanswered question is
+// sent again. The lender debits an id once.
+const resendPart = 4
+
+// resend asks once more; a lender that has gone is passed over for the owner.
+func (m *Machine) resend(own core.Ownership, id core.RequestID, p *pending, r *Result) {
+	p.resent = true
+	m.agenda.add(task{at: p.expires, duty: dutyPending, request: id})
+	if owner, ok := own.Owner(shardOf(p.workspace)); ok && owner != m.settings.Self {
+		p.asked = owner
+	}
+	r.Send(p.asked, Message{Borrow: &Borrow{Workspace: p.workspace, ID: id, Tokens: p.tokens, Entry: m.settings.Self}})
+}
+
+// pendingDue asks again, and refuses a request whose loan did not come in time.
+func (m *Machine) pendingDue(now core.Instant, own core.Ownership, id core.RequestID, r *Result) {
 	p := m.pending[id]
 	if p == nil {
 		return
@@ -267,6 +298,10 @@
 		delete(m.pending, id)
 		return
 	}
+	if !p.resent {
+		m.resend(own, id, p, r)
+		return
+	}
 	p.dead = true
 	m.agenda.add(task{at: now.Add(deadKept), duty: dutyPending, request: id})
 	if h := m.holders[p.workspace]; h != nil && h.lender == p.asked {
--- a/internal/core/limit/machine.go
+++ b/internal/core/limit/machine.go
@@ -35,7 +35,7 @@
 	DefaultUrgent      = 5 * time.Second
 	DefaultHorizon     = 15 * time.Minute
 	DefaultBorrowBound = 100 * time.Millisecond
-	DefaultDryMax      = 250 * time.Millisecond
+	DefaultDryMax      = 2 * time.Second
 	DefaultDriftPPM    = 200
 	DefaultHomes       = 16
 	DefaultPending     = 1024
@@ -198,7 +198,7 @@
 	case dutyBook:
 		m.bookDue(now, own, t.workspace, r)
 	case dutyPending:
-		m.pendingDue(now, t.request, r)
+		m.pendingDue(now, own, t.request, r)
 	case dutyLanded:
 		m.loanLanded(now, t.request)
 	case dutyForget:
--- a/internal/core/limit/message.go
+++ b/internal/core/limit/message.go
@@ -68,6 +68,7 @@
 	ID        core.RequestID   `cbor:"2,keyasint"`
 	Granted   bool             `cbor:"3,keyasint"`
 	Retry     time.Duration    `cbor:"4,keyasint,omitempty"` // of a refusal
+	Most      core.Tokens      `cbor:"5,keyasint,omitempty"` // with a refusal: what one host could lend now
 }
 
 // Return gives back what a loan did not use.
--- a/internal/core/limit/reserve.go
+++ b/internal/core/limit/reserve.go
@@ -77,13 +77,15 @@
 			return
 		}
 	}
-	m.schedule(now.Add(m.rampUp()), ws, h)
+	if h.next == 0 {
+		m.schedule(now.Add(m.rampUp()), ws, h)
+	}
 	m.borrow(now, own, id, ws, n, b, r)
 }
 
 // rampUp spreads the first asks of many hosts.
 func (m *Machine) rampUp() time.Duration {
-	return time.Duration(m.rand.Jitter(int64(leastDemandSpan)))
+	return leastDemandSpan/2 + time.Duration(m.rand.Jitter(int64(leastDemandSpan)))
 }
 
 func (m *Machine) take(r *Result, id core.RequestID, v reservation) {
--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -3,25 +3,28 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gentiancroft/internal/core"
 )
 
 // Constants of how a limit is cut.
 const (
-	requestsPerSlice = 4  // a slice's burst should hold this many of the largest requests
+	requestsPerSlice = 3  // a slice's burst should hold this many of the largest requests
 	poolPart         = 16 // the owner keeps at least 1/poolPart of all weight for loans
 	hysteresis       = 8  // a slice changes by more than 1/hysteresis or not at all
+	fillTime         = 20 * time.Second
 )
 
 // party is one who may get a slice.
 type party struct {
 	host   core.HostID
-	weight int64
+	weight int64 // tokens a second that it needs
+	rank   int64 // weight, more for who holds most of a small workspace
 }
 
-// parties are the hosts that get a slice, the heaviest first: by demand, so
-// many that each slice's burst still holds some requests.
+// parties are the hosts that get a slice: by demand, so many that each slice's
+// burst still holds some requests.
 func (m *Machine) parties(now core.Instant, b *book) []party {
 	h := m.holder(now, b.workspace)
 	own := int64(h.demand.roll(now))
@@ -31,14 +34,15 @@
 	for _, e := range b.entries {
 		largest = max(largest, e.largest)
 		total += int64(e.demand)
-		if e.demand == 0 && e.burst == 0 {
-			continue
+		if e.demand > 0 || e.burst > 0 {
+			all = append(all, b.party(e.host, int64(e.demand), e.burst, e.estimate(now)))
 		}
-		all = append(all, party{e.host, sticky(int64(e.demand), e.burst, b.limit)})
 	}
-	all = append(all, party{m.settings.Self, max(sticky(own, b.pool.burst, b.limit), total/poolPart+1)})
+	self := b.party(m.settings.Self, own, b.pool.burst, b.pool.level)
+	self.weight = max(self.weight, total/poolPart+1)
+	all = append(all, self)
 	slices.SortFunc(all, func(x, y party) int {
-		if c := cmp.Compare(y.weight, x.weight); c != 0 {
+		if c := cmp.Compare(y.rank, x.rank); c != 0 {
 			return c
 		}
 		return cmp.Compare(x.host, y.host)
@@ -47,13 +51,16 @@
 	return all[:min(max(n, 1), int64(len(all)))]
 }
 
-// sticky makes a small workspace's slice stay where it is until another host
-// has twice the demand.
-func sticky(demand int64, held nano, l Limit) int64 {
-	if held > nanos(l.Burst)/2 {
-		return 2*demand + 2
+// party weighs a host by its demand and by what its slice has been short of: a
+// rate that would fill it in fillTime. A small workspace's slice stays where it
+// is until another host needs twice as much.
+func (b *book) party(host core.HostID, demand int64, burst, level nano) party {
+	missing := int64(max(burst-max(level, 0), 0)) / nanosPerToken / int64(fillTime/time.Second)
+	p := party{host, demand + missing + 1, demand + 1}
+	if burst > nanos(b.limit.Burst)/2 {
+		p.rank *= 2
 	}
-	return demand + 1
+	return p
 }
 
 // cutShare decides what a holder is to have from now on and books it. A share
@@ -63,6 +70,7 @@
 		return
 	}
 	rate, burst := m.target(now, b, e)
+	want := rate
 	rate = min(rate, e.rate+b.pool.rate)
 	burst = min(burst, e.burst+b.pool.limit())
 	if !b.frozen && near(int64(rate), int64(e.rate)) && near(int64(burst), int64(e.burst)) {
@@ -72,6 +80,9 @@
 	b.seq++
 	e.seq, e.open, e.added = b.seq, true, 0
 	e.toRate, e.toBurst = rate, burst
+	if want > rate+rate/hysteresis {
+		b.starved = union(b.starved, []core.HostID{e.host})
+	}
 	growRate, growBurst := max(rate-e.rate, 0), max(burst-e.burst, 0)
 	if growRate > 0 || growBurst > 0 {
 		e.added = b.pool.cut(now, b.pool.rate-growRate, b.pool.burst-growBurst) // debit first
@@ -87,15 +98,21 @@
 	if b.frozen {
 		return e.rate + b.pool.rate, e.burst + b.pool.limit()
 	}
+	return part(b.limit, m.parties(now, b), e.host)
+}
+
+// part is a host's part of a limit that is cut by the parties' weights.
+func part(l Limit, all []party, host core.HostID) (microRate, nano) {
 	total, weight := int64(0), int64(0)
-	for _, p := range m.parties(now, b) {
+	for _, p := range all {
 		total += p.weight
-		if p.host == e.host {
+		if p.host == host {
 			weight = p.weight
 		}
 	}
-	rate := mulDiv(int64(micros(b.limit.Rate)), weight, max(total, 1))
-	burst := mulDiv(int64(nanos(b.limit.Burst)), weight, max(total, 1))
+	total = max(total, 1)
+	rate := mulDiv(int64(micros(l.Rate)), weight, total)
+	burst := mulDiv(int64(nanos(l.Burst)), weight, total)
 	return microRate(rate), nano(burst)
 }
 
@@ -106,3 +123,22 @@
 	}
 	return max(next-old, old-next) <= old/hysteresis
 }
+
+// holdTooMuch are the hosts whose slice is to shrink at their next Ask.
+func (m *Machine) holdTooMuch(now core.Instant, b *book) []core.HostID {
+	all := m.parties(now, b)
+	var out []core.HostID
+	for _, e := range b.entries {
+		rate, _ := part(b.limit, all, e.host)
+		if rate < e.rate && !near(int64(rate), int64(e.rate)) {
+			out = append(out, e.host)
+		}
+	}
+	return out
+}
+
+// poolStarved reports whether the owner's own part is much too small.
+func (m *Machine) poolStarved(now core.Instant, b *book) bool {
+	rate, _ := part(b.limit, m.parties(now, b), m.settings.Self)
+	return rate > b.pool.rate && !near(int64(b.pool.rate), int64(rate))
+}
--- /dev/null
+++ b/internal/measure/limits/policy.go
@@ -0,0 +1,172 @@
+package limits
+
+import (
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/limit"
+)
+
+// Policy is one way to keep limits over the hosts of a fleet.
+type Policy interface {
+	// Reserve decides at the host of a slot, now or later.
+	Reserve(slot int, a Arrival, decide func(granted bool))
+	// Settle ends a granted request.
+	Settle(slot int, a Arrival)
+	// Fault tells of a change of the fleet.
+	Fault(f Fault)
+	// Messages that hosts sent each other so far.
+	Messages() uint64
+}
+
+// World is what every policy runs in.
+type World struct {
+	Loop  *Loop
+	Links *Links
+	Trace Trace
+	Alive []bool // by slot
+	Store bool   // reachable
+}
+
+// Times of the world, and what its links lose.
+const (
+	oneWay   = 1500 * time.Microsecond
+	lossRate = 0.001
+)
+
+func newWorld(t Trace, seed uint64) *World {
+	loop := &Loop{Rand: core.NewRand(seed)}
+	w := &World{Loop: loop, Trace: t, Alive: make([]bool, t.Hosts), Store: true}
+	w.Links = &Links{Loop: loop, OneWay: oneWay, Loss: lossRate}
+	for i := range w.Alive {
+		w.Alive[i] = true
+	}
+	return w
+}
+
+// slot is the live slot that a caller of s reaches.
+func (w *World) slot(s int) int {
+	for range w.Alive {
+		if w.Alive[s] {
+			return s
+		}
+		s = (s + 1) % len(w.Alive)
+	}
+	return s
+}
+
+// Counts are what one workspace saw.
+type Counts struct {
+	Asked   int
+	Refused int
+	Waited  int // decided after a round trip
+	Tokens  core.Tokens
+}
+
+// Outcome is what one policy made of one trace.
+type Outcome struct {
+	By       map[core.WorkspaceID]*Counts
+	Charges  map[core.WorkspaceID][]Charge
+	Messages uint64
+	Requests int
+}
+
+// Over is the most that any workspace got beyond its limit.
+func (o *Outcome) Over(t Trace) core.Tokens {
+	worst := core.Tokens(0)
+	for _, x := range t.Tenants {
+		bounds := []Bound{{Rate: x.Limit.Rate, Burst: x.Limit.Burst}}
+		worst = max(worst, Over(o.Charges[x.Limit.Workspace], bounds))
+	}
+	return worst
+}
+
+// warmUp is how long a trace runs before its requests are counted.
+const warmUp = 5 * time.Second
+
+// run plays a trace against a policy.
+func run(w *World, p Policy, arrivals []Arrival) *Outcome {
+	o := &Outcome{By: make(map[core.WorkspaceID]*Counts), Charges: make(map[core.WorkspaceID][]Charge)}
+	for _, t := range w.Trace.Tenants {
+		o.By[t.Limit.Workspace] = &Counts{}
+	}
+	base := core.Instant(warmUp)
+	for _, f := range w.Trace.Faults {
+		w.Loop.At(base.Add(time.Duration(f.At)), func() { w.fault(p, f) })
+	}
+	for _, a := range arrivals {
+		w.Loop.At(base.Add(time.Duration(a.At)), func() { w.arrive(p, o, a) })
+	}
+	var before uint64
+	w.Loop.At(base, func() { before = p.Messages() })
+	w.Loop.RunUntil(base.Add(w.Trace.Lasts + 20*time.Second))
+	o.Messages = p.Messages() - before
+	return o
+}
+
+func (w *World) fault(p Policy, f Fault) {
+	switch f.Kind {
+	case "lose":
+		if f.Of == "" {
+			w.Alive[f.Slot] = false
+		}
+	case "replace":
+		w.Alive[f.Slot] = true
+	case "store down":
+		w.Store = false
+	case "store up":
+		w.Store = true
+	}
+	p.Fault(f)
+}
+
+func (w *World) arrive(p Policy, o *Outcome, a Arrival) {
+	slot := w.slot(a.Slot)
+	c := o.By[a.Workspace]
+	c.Asked++
+	o.Requests++
+	asked := w.Loop.Now
+	p.Reserve(slot, a, func(granted bool) {
+		if w.Loop.Now > asked {
+			c.Waited++
+		}
+		if !granted {
+			c.Refused++
+			return
+		}
+		o.Charges[a.Workspace] = append(o.Charges[a.Workspace], Charge{a.Workspace, w.Loop.Now, a.Used})
+		c.Tokens += a.Used
+		w.Loop.After(a.Lasts, func() { p.Settle(slot, a) })
+	})
+}
+
+// central is one bucket with full knowledge and no distance.
+type central struct {
+	w       *World
+	buckets map[core.WorkspaceID]*limit.Single
+	marks   map[core.RequestID]uint64
+}
+
+func newCentral(w *World) Policy {
+	c := &central{w: w, buckets: make(map[core.WorkspaceID]*limit.Single), marks: make(map[core.RequestID]uint64)}
+	for _, t := range w.Trace.Tenants {
+		c.buckets[t.Limit.Workspace] = limit.NewSingle(0, t.Limit.Rate, t.Limit.Burst)
+	}
+	return c
+}
+
+func (c *central) Reserve(_ int, a Arrival, decide func(bool)) {
+	mark, ok := c.buckets[a.Workspace].Take(c.w.Loop.Now, a.Tokens)
+	if ok {
+		c.marks[a.ID] = mark
+	}
+	decide(ok)
+}
+
+func (c *central) Settle(_ int, a Arrival) {
+	c.buckets[a.Workspace].Settle(c.w.Loop.Now, c.marks[a.ID], a.Tokens-a.Used)
+	delete(c.marks, a.ID)
+}
+
+func (c *central) Fault(Fault)      {}
+func (c *central) Messages() uint64 { return 0 }
