--- a/internal/core/config/canonical.go
+++ b/internal/core/config/canonical.go
@@ -9,7 +9,7 @@
 
 // Canonical returns a copy in canonical form: every list sorted by its
 // identity, an empty one nil. Two documents that mean the same are equal in
-// canonical form.
+// canonical form. Lists within an entry are shared where they are sorted.
 func Canonical(d *Document) *Document {
 	c := &Document{
 		BaseModels: byIdentity(d.BaseModels),
@@ -30,21 +30,43 @@
 	return c
 }
 
+// sorted returns the list itself where it is sorted already.
 func sorted[T cmp.Ordered](in []T) []T {
 	if len(in) == 0 {
 		return nil
 	}
+	if slices.IsSorted(in) {
+		return in
+	}
 	out := slices.Clone(in)
 	slices.Sort(out)
 	return out
 }
 
+// byIdentity returns a sorted copy. It sorts names and places, since entries
+// are large to move.
 func byIdentity[T Entry](in []T) []T {
 	if len(in) == 0 {
 		return nil
 	}
-	out := slices.Clone(in)
-	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(a.Identity(), b.Identity()) })
+	type place struct {
+		name string
+		at   int
+	}
+	places := make([]place, len(in))
+	for i := range in {
+		places[i] = place{in[i].Identity(), i}
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		if c := cmp.Compare(a.name, b.name); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.at, b.at)
+	})
+	out := make([]T, len(in))
+	for i, p := range places {
+		out[i] = in[p.at]
+	}
 	return out
 }
 
--- a/internal/core/config/chunks.go
+++ b/internal/core/config/chunks.go
@@ -114,27 +114,51 @@
 // Decode puts a document together from its chunks. Every hash is checked, so
 // that a document is either the accepted one or an error.
 func Decode(h Head, get func(hash string) ([]byte, bool)) (*Document, error) {
+	return new(Decoder).Decode(h, get)
+}
+
+// Decoder keeps the decoded chunks of its last document, so that the next one
+// costs only what changed.
+type Decoder struct{ parts map[string]*Document }
+
+// Decode is Decode with the chunks of the last call at hand. The result shares
+// their entries and must not be changed.
+func (x *Decoder) Decode(h Head, get func(hash string) ([]byte, bool)) (*Document, error) {
 	if hashOfHashes(h.Chunks) != h.Hash {
 		return nil, Error.New("version %d: the head's hash does not match its chunks", h.Version)
 	}
-	d := &Document{}
-	for _, x := range h.Chunks {
-		b, ok := get(x)
-		if !ok {
-			return nil, Error.New("version %d: chunk %s is missing", h.Version, shortHash(x))
-		}
-		if HashChunk(b) != x {
-			return nil, Error.New("version %d: chunk %s has other content than its name says", h.Version, shortHash(x))
-		}
-		var part Document
-		if err := cbor.Unmarshal(b, &part); err != nil {
-			return nil, Error.Wrap(err)
+	d, parts := &Document{}, make(map[string]*Document, len(h.Chunks))
+	for _, name := range h.Chunks {
+		part := x.parts[name]
+		if part == nil {
+			var err error
+			if part, err = decodeChunk(h.Version, name, get); err != nil {
+				return nil, err
+			}
 		}
-		d.join(&part)
+		parts[name] = part
+		d.join(part)
 	}
+	x.parts = parts
 	return Canonical(d), nil
 }
 
+// decodeChunk reads one chunk and checks that it is the one that was named.
+func decodeChunk(version uint64, name string, get func(hash string) ([]byte, bool)) (*Document, error) {
+	b, ok := get(name)
+	if !ok {
+		return nil, Error.New("version %d: chunk %s is missing", version, shortHash(name))
+	}
+	if HashChunk(b) != name {
+		return nil, Error.New("version %d: chunk %s has other content than its name says", version, shortHash(name))
+	}
+	part := &Document{}
+	if err := cbor.Unmarshal(b, part); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return part, nil
+}
+
 func (d *Document) join(part *Document) {
 	d.BaseModels = append(d.BaseModels, part.BaseModels...)
 	d.Workspaces = append(d.Workspaces, part.Workspaces...)
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -22,6 +22,7 @@
 	adapters   map[core.AdapterID]*Adapter
 	routes     map[string]*Route
 	upstreams  map[core.UpstreamID]*Upstream
+	pools      map[string][]*Upstream
 }
 
 // NewSnapshot indexes a valid document.
@@ -34,6 +35,7 @@
 		adapters:   make(map[core.AdapterID]*Adapter, len(d.Adapters)),
 		routes:     make(map[string]*Route, len(d.Routes)),
 		upstreams:  make(map[core.UpstreamID]*Upstream, len(d.Upstreams)),
+		pools:      map[string][]*Upstream{},
 	}
 	for i := range d.Workspaces {
 		s.workspaces[d.Workspaces[i].ID] = &d.Workspaces[i]
@@ -48,7 +50,9 @@
 		s.routes[d.Routes[i].Path] = &d.Routes[i]
 	}
 	for i := range d.Upstreams {
-		s.upstreams[d.Upstreams[i].ID] = &d.Upstreams[i]
+		u := &d.Upstreams[i]
+		s.upstreams[u.ID] = u
+		s.pools[u.Pool] = append(s.pools[u.Pool], u)
 	}
 	return s
 }
@@ -79,35 +83,36 @@
 	return k
 }
 
-// Pool returns the upstreams of a pool in document order.
-func (s *Snapshot) Pool(name string) []*Upstream {
-	var pool []*Upstream
-	for i := range s.Document.Upstreams {
-		if s.Document.Upstreams[i].Pool == name {
-			pool = append(pool, &s.Document.Upstreams[i])
-		}
-	}
-	return pool
-}
+// Pool returns the upstreams of a pool in document order. The caller must not
+// change the slice.
+func (s *Snapshot) Pool(name string) []*Upstream { return s.pools[name] }
+
+// Adapter returns an adapter by its identity, or nil.
+func (s *Snapshot) Adapter(id core.AdapterID) *Adapter { return s.adapters[id] }
 
 // Resolve turns a model name, "adapter" or "adapter@version", into an exact
 // version that a workspace may use.
 func (s *Snapshot) Resolve(model string, ws core.WorkspaceID) (core.AdapterRef, *Adapter, *core.Refusal) {
 	name, version, versioned := strings.Cut(model, "@")
-	unknown := core.Refuse(core.CodeUnknownAdapter, 0, "no adapter "+strconv.Quote(model)+" for this workspace")
 	a := s.adapters[core.AdapterID(name)]
 	if a == nil {
-		return core.AdapterRef{}, nil, unknown
+		return core.AdapterRef{}, nil, unknownAdapter(model)
 	}
 	if len(a.Workspaces) > 0 && !slices.Contains(a.Workspaces, ws) {
-		return core.AdapterRef{}, nil, unknown
+		return core.AdapterRef{}, nil, unknownAdapter(model)
 	}
 	if !versioned {
 		return core.AdapterRef{ID: a.ID, Version: a.Default}, a, nil
 	}
 	v, err := strconv.Atoi(version)
 	if err != nil || !slices.Contains(a.Versions, v) || strconv.Itoa(v) != version {
-		return core.AdapterRef{}, nil, unknown
+		return core.AdapterRef{}, nil, unknownAdapter(model)
 	}
 	return core.AdapterRef{ID: a.ID, Version: v}, a, nil
 }
+
+// unknownAdapter is the same for an adapter that does not exist and for one of
+// another workspace, so that neither can be told from the other.
+func unknownAdapter(model string) *core.Refusal {
+	return core.Refuse(core.CodeUnknownAdapter, 0, "no adapter "+strconv.Quote(model)+" for this workspace")
+}
