Suspects: claims of one request are told apart

Cause: a request that moves to another upstream claims again under its id; the home took the second claim for a double of the first and counted the wrong upstream. EndOther is the end of what may have run, EndNotSent of what surely was not sent. Conclusion: the wiring keeps its calls; where a request was not dispatched it should release with EndNotSent, so that its place is free at once.

--- a/internal/core/dispatch/suspect/entry.go
+++ b/internal/core/dispatch/suspect/entry.go
@@ -30,7 +30,7 @@
 	c.asked = append(c.asked, home)
 	c.due = now.Add(claimWait)
 	m.tell(now, home, Message{Claim: &ClaimMessage{
-		ID:          c.req.ID,
+		ID:          c.id,
 		Fingerprint: c.req.Fingerprint,
 		Upstream:    c.req.Upstream,
 		Second:      home != first,
@@ -39,11 +39,11 @@
 
 // end tells everybody who may know of a claim that it is over.
 func (m *Machine) end(now core.Instant, c *claim, end End) {
-	delete(m.claims, c.req.ID)
+	m.forget(c)
 	if home, ok := m.home(now, c.req.Fingerprint); ok && !slices.Contains(c.asked, home) {
 		c.asked = append(c.asked, home)
 	}
-	r := ReleaseMessage{ID: c.req.ID, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream, End: end, Age: now.Sub(c.since)}
+	r := ReleaseMessage{ID: c.id, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream, End: end, Age: now.Sub(c.since)}
 	for _, home := range c.asked {
 		m.tell(now, home, Message{Release: &r})
 	}
@@ -51,7 +51,7 @@
 		return
 	}
 	if keeper, ok := m.keeper(now, c.req.Upstream); ok {
-		m.tell(now, keeper, Message{Free: &FreeMessage{ID: c.req.ID, Upstream: c.req.Upstream}})
+		m.tell(now, keeper, Message{Free: &FreeMessage{ID: c.id, Upstream: c.req.Upstream}})
 	}
 }
 
@@ -74,7 +74,7 @@
 }
 
 func (m *Machine) refuse(c *claim, r *core.Refusal, reason string) {
-	delete(m.claims, c.req.ID)
+	m.forget(c)
 	m.decide(Decision{ID: c.req.ID, Refusal: r, Reason: reason})
 }
 
@@ -89,7 +89,7 @@
 		c.asked = append(c.asked, home)
 	}
 	m.tell(now, home, Message{Claim: &ClaimMessage{
-		ID:          c.req.ID,
+		ID:          c.id,
 		Fingerprint: c.req.Fingerprint,
 		Upstream:    c.req.Upstream,
 		Running:     true,
@@ -99,7 +99,7 @@
 		return
 	}
 	if keeper, ok := m.keeper(now, c.req.Upstream); ok {
-		m.tell(now, keeper, Message{Apart: &ApartMessage{ID: c.req.ID, Entry: m.self, Upstream: c.req.Upstream}})
+		m.tell(now, keeper, Message{Apart: &ApartMessage{ID: c.id, Entry: m.self, Upstream: c.req.Upstream}})
 	}
 }
 
@@ -109,7 +109,7 @@
 	delete(m.silent, from)
 	c := m.claims[v.ID]
 	switch {
-	case c == nil:
+	case c == nil || c.cut:
 	case v.Revoked:
 		m.revoked(now, c)
 	case c.decided:
@@ -141,3 +141,10 @@
 	}
 	m.decide(Decision{ID: c.req.ID, Revoked: true, Refusal: refusal, Reason: "upstream died"})
 }
+
+func (m *Machine) forget(c *claim) {
+	delete(m.claims, c.id)
+	if m.present[c.req.ID] == c {
+		delete(m.present, c.req.ID)
+	}
+}
--- a/internal/core/dispatch/suspect/fleet_test.go
+++ b/internal/core/dispatch/suspect/fleet_test.go
@@ -94,7 +94,7 @@
 			f.use[d.ID] = d.Use
 			continue
 		}
-		c := f.machines[h].claims[d.ID]
+		c := f.machines[h].present[d.ID]
 		f.dispatch(running{entry: h, req: c.req})
 	}
 }
--- a/internal/core/dispatch/suspect/home.go
+++ b/internal/core/dispatch/suspect/home.go
@@ -25,7 +25,7 @@
 
 // run is one claim that a home has allowed.
 type run struct {
-	id       core.RequestID
+	id       claimID
 	entry    core.HostID
 	upstream core.UpstreamID
 	seen     core.Instant // claimed or renewed
@@ -127,7 +127,7 @@
 	return in
 }
 
-func (r *record) drop(id core.RequestID) {
+func (r *record) drop(id claimID) {
 	r.active = slices.DeleteFunc(r.active, func(x run) bool { return x.id == id })
 }
 
--- a/internal/core/dispatch/suspect/suspect.go
+++ b/internal/core/dispatch/suspect/suspect.go
@@ -61,7 +61,7 @@
 	EndOK      End = iota + 1 // completed: the fingerprint is cleared
 	EndDied                   // the upstream died while it ran
 	EndNotSent                // surely not dispatched
-	EndCut                    // cancelled or failed: proves nothing, and the upstream may yet die of it
+	EndOther                  // cancelled or failed: proves nothing, and the upstream may yet die of it
 )
 
 // Strike says that a fingerprint was running on upstreams that died.
@@ -90,58 +90,6 @@
 	Publish   []Strike // to be spread to all hosts by fingerprint, the highest serial wins
 }
 
-// Message is what hosts tell each other; exactly one field is set.
-type Message struct {
-	Claim   *ClaimMessage   `cbor:"1,keyasint,omitempty"`
-	Verdict *VerdictMessage `cbor:"2,keyasint,omitempty"`
-	Release *ReleaseMessage `cbor:"3,keyasint,omitempty"`
-	Apart   *ApartMessage   `cbor:"4,keyasint,omitempty"`
-	Free    *FreeMessage    `cbor:"5,keyasint,omitempty"`
-}
-
-// ClaimMessage asks a fingerprint's home for leave to run.
-type ClaimMessage struct {
-	ID          core.RequestID  `cbor:"1,keyasint"`
-	Fingerprint uint64          `cbor:"2,keyasint"`
-	Upstream    core.UpstreamID `cbor:"3,keyasint"`
-	Running     bool            `cbor:"4,keyasint,omitempty"` // it runs already: a renewal, or the home is new
-	Age         time.Duration   `cbor:"5,keyasint,omitempty"` // since the claim was made
-	Second      bool            `cbor:"6,keyasint,omitempty"` // the first home did not answer
-}
-
-// VerdictMessage answers a claim.
-type VerdictMessage struct {
-	ID      core.RequestID    `cbor:"1,keyasint"`
-	Allowed bool              `cbor:"2,keyasint"`
-	Suspect bool              `cbor:"3,keyasint,omitempty"`
-	Struck  int               `cbor:"4,keyasint,omitempty"`
-	Use     []core.UpstreamID `cbor:"5,keyasint,omitempty"`
-	Waiting bool              `cbor:"6,keyasint,omitempty"` // a suspect in the queue of its upstream; the answer follows
-	Revoked bool              `cbor:"7,keyasint,omitempty"` // takes back what was allowed
-}
-
-// ReleaseMessage ends a claim.
-type ReleaseMessage struct {
-	ID          core.RequestID  `cbor:"1,keyasint"` // "": a death seen without a claim
-	Fingerprint uint64          `cbor:"2,keyasint"`
-	Upstream    core.UpstreamID `cbor:"3,keyasint"`
-	End         End             `cbor:"4,keyasint"`
-	Age         time.Duration   `cbor:"5,keyasint,omitempty"` // since the claim was made
-}
-
-// ApartMessage asks the host that keeps suspects apart on an upstream.
-type ApartMessage struct {
-	ID       core.RequestID  `cbor:"1,keyasint"`
-	Entry    core.HostID     `cbor:"2,keyasint"` // who gets the verdict
-	Upstream core.UpstreamID `cbor:"3,keyasint"`
-}
-
-// FreeMessage ends an ApartMessage's hold, or its wait.
-type FreeMessage struct {
-	ID       core.RequestID  `cbor:"1,keyasint"`
-	Upstream core.UpstreamID `cbor:"2,keyasint"`
-}
-
 // Kinds of name whose rendezvous host is a home.
 const (
 	homeOfFingerprint uint8 = 101
@@ -150,14 +98,15 @@
 
 // claim is this host's own request, from Claim to Release.
 type claim struct {
+	id      claimID
 	req     Request
 	since   core.Instant
 	asked   []core.HostID // homes that may know of it
 	tries   int
 	due     core.Instant // of the next try, or of the next renewal
 	decided bool
-	apart   bool         // runs as a suspect, or waits to
-	cut     core.Instant // when it was cut; 0: it was not
+	apart   bool // runs as a suspect, or waits to
+	cut     bool // over for the request; kept until due
 }
 
 // Machine decides for one host, as an entry host and as a home.
@@ -166,8 +115,10 @@
 	rng     *core.Rand
 	hosts   []core.HostID                // the membership in force
 	silent  map[core.HostID]core.Instant // homes that did not answer, until when they are passed over
-	claims  map[core.RequestID]*claim
-	order   []core.RequestID // of claims, oldest first; may name ended ones
+	serial  uint64
+	claims  map[claimID]*claim
+	present map[core.RequestID]*claim // the claim of each request that is not over
+	order   []claimID                 // of claims, oldest first; may name ended ones
 	cases   map[uint64]*record
 	aged    []uint64 // of cases, in order of expiry checks
 	learned map[uint64]learnedStrike
@@ -183,7 +134,8 @@
 		self:    self,
 		rng:     rng,
 		silent:  map[core.HostID]core.Instant{},
-		claims:  map[core.RequestID]*claim{},
+		claims:  map[claimID]*claim{},
+		present: map[core.RequestID]*claim{},
 		cases:   map[uint64]*record{},
 		learned: map[uint64]learnedStrike{},
 		lanes:   map[core.UpstreamID]*lane{},
@@ -218,9 +170,14 @@
 		m.decide(Decision{ID: r.ID, Refusal: convicted(), Reason: "convicted"})
 		return m.out
 	}
-	c := &claim{req: r, since: now}
-	m.claims[r.ID] = c
-	m.order = append(m.order, r.ID)
+	if old := m.present[r.ID]; old != nil {
+		m.cut(now, old)
+	}
+	m.serial++
+	c := &claim{id: claimID(string(r.ID) + "/" + strconv.FormatUint(m.serial, 36)), req: r, since: now}
+	m.claims[c.id] = c
+	m.present[r.ID] = c
+	m.order = append(m.order, c.id)
 	m.ask(now, c)
 	return m.out
 }
@@ -228,28 +185,31 @@
 // Release ends a claim, decided or not.
 func (m *Machine) Release(now core.Instant, own core.Ownership, id core.RequestID, end End) Result {
 	m.begin(own)
-	c := m.claims[id]
-	if c == nil {
-		return m.out
+	c := m.present[id]
+	switch {
+	case c == nil:
+	case end == EndOther && c.decided:
+		m.cut(now, c)
+	default:
+		m.end(now, c, end)
 	}
-	if end == EndCut && c.decided {
-		if c.cut == 0 {
-			c.cut = now
-			c.due = now.Add(lingerTerm)
-		}
-		return m.out
-	}
-	m.end(now, c, end)
 	return m.out
 }
 
+// cut keeps a claim for as long as its upstream may yet die of it.
+func (m *Machine) cut(now core.Instant, c *claim) {
+	delete(m.present, c.req.ID)
+	c.cut = true
+	c.due = now.Add(lingerTerm)
+}
+
 // Died reports an upstream's death with the fingerprints that were running on
 // it, as far as this host knows beyond its own claims. Of its own, those that
 // were cut shortly before are reported here, the others by their Release.
 func (m *Machine) Died(now core.Instant, own core.Ownership, u core.UpstreamID, fingerprints []uint64) Result {
 	m.begin(own)
 	for _, id := range m.order {
-		if c := m.claims[id]; c != nil && c.cut != 0 && c.req.Upstream == u {
+		if c := m.claims[id]; c != nil && c.cut && c.req.Upstream == u {
 			m.end(now, c, EndDied)
 		}
 	}
@@ -272,13 +232,13 @@
 // home of them, and forgets what is too old.
 func (m *Machine) Tick(now core.Instant, own core.Ownership) Result {
 	moved := m.begin(own)
-	m.order = slices.DeleteFunc(m.order, func(id core.RequestID) bool { return m.claims[id] == nil })
+	m.order = slices.DeleteFunc(m.order, func(id claimID) bool { return m.claims[id] == nil })
 	for _, id := range slices.Clone(m.order) {
 		c := m.claims[id]
 		switch {
-		case c.cut != 0 && !now.Before(c.due):
-			m.end(now, c, EndCut)
-		case c.cut != 0:
+		case c.cut && !now.Before(c.due):
+			m.end(now, c, EndOther)
+		case c.cut:
 		case c.decided && (moved || !now.Before(c.due)):
 			m.renew(now, c)
 		case !c.decided && !now.Before(c.due):
--- a/internal/core/dispatch/suspect/suspect_test.go
+++ b/internal/core/dispatch/suspect/suspect_test.go
@@ -236,20 +236,38 @@
 	f := newFleet(3)
 	f.claim("h0", 31, upstream(0))
 	f.settle()
-	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[0].req.ID, EndCut))
+	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[0].req.ID, EndOther))
 	f.tick(time.Second)
 	f.take("h0", f.machines["h0"].Died(f.now, f.own("h0"), upstream(0), nil))
 	f.settle()
 	is.Equal(f.machines[f.home(31)].cases[31].strikes, 1)
 	f.claim("h0", 32, upstream(1))
 	f.settle()
-	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[1].req.ID, EndCut))
+	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[1].req.ID, EndOther))
 	f.tick(lingerTerm)
 	f.settle()
 	is.Equal(f.machines["h0"].Running(), 0)
 	is.Equal(len(f.machines[f.home(32)].cases[32].active), 0)
 }
 
+func TestRequestThatMovesToAnotherUpstream(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	m := f.machines["h0"]
+	r := Request{ID: "r", Fingerprint: 41, Upstream: upstream(0)}
+	f.take("h0", m.Claim(f.now, f.own("h0"), r))
+	f.settle()
+	f.take("h0", m.Release(f.now, f.own("h0"), "r", EndOther)) // failed, and tried elsewhere
+	r.Upstream = upstream(1)
+	f.take("h0", m.Claim(f.now, f.own("h0"), r))
+	f.settle()
+	is.Equal(len(f.running), 2)
+	is.Equal(len(f.machines[f.home(41)].cases[41].upstreams()), 2) // the first may yet die of it
+	f.tick(lingerTerm)
+	f.settle()
+	is.Equal(f.machines[f.home(41)].cases[41].upstreams(), []core.UpstreamID{upstream(1)})
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
