--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -114,8 +114,8 @@
 	is.True(Conflict.Has(err))
 	var conflict *ConflictError
 	is.True(errors.As(err, &conflict))
-	is.Equal(conflict.By, "ben")
-	is.Equal(conflict.Changes[0].ID, "theirs")
+	is.Equal(conflict.Records[0].By, "ben")
+	is.Equal(conflict.Records[0].Changes[0].ID, "theirs")
 	is.True(strings.Contains(err.Error(), "+ workspaces/theirs"))
 	now, err := s.Load(ctx)
 	is.NoErr(err)
@@ -123,6 +123,9 @@
 	history, err := s.History(ctx, 0, 99)
 	is.NoErr(err)
 	is.Equal(len(history), 1)
+	is.NoErr(s.MadeFrom(ctx, now, 1))
+	is.True(Conflict.Has(s.MadeFrom(ctx, now, 0))) // an old file does not take back theirs
+	is.True(Invalid.Has(s.MadeFrom(ctx, now, 2)))
 }
 
 func TestLostAnswersAreResolved(t *testing.T) {
--- a/internal/admin/apply.go
+++ b/internal/admin/apply.go
@@ -120,11 +120,33 @@
 			return nil
 		}
 	}
-	return Conflict.Wrap(&ConflictError{
-		Loaded:  p.Base.Head.Version,
-		Present: now.Head.Version,
-		By:      now.Head.By,
-		At:      now.Head.At,
-		Changes: config.Diff(p.Base.Document, now.Document),
-	})
+	return s.conflict(ctx, p.Base, now)
+}
+
+// conflict tells who changed what between two versions.
+func (s *Service) conflict(ctx context.Context, base, now *Current) error {
+	records, err := s.History(ctx, base.Head.Version+1, now.Head.Version)
+	if err != nil || len(records) == 0 {
+		records = []Record{{
+			Version: now.Head.Version,
+			By:      now.Head.By,
+			At:      now.Head.At,
+			Changes: config.Diff(base.Document, now.Document),
+		}}
+	}
+	return Conflict.Wrap(&ConflictError{Loaded: base.Head.Version, Present: now.Head.Version, Records: records})
+}
+
+// MadeFrom fails with a conflict unless a change that was made from a version
+// still is made from the accepted one. Without it an old file would take back
+// what others changed since.
+func (s *Service) MadeFrom(ctx context.Context, now *Current, version uint64) error {
+	if now.Head.Version == version {
+		return nil
+	}
+	if version > now.Head.Version {
+		return Invalid.New("version %d does not exist; the accepted one is %d", version, now.Head.Version)
+	}
+	base := &Current{Head: config.Head{Version: version}, Document: now.Document}
+	return s.conflict(ctx, base, now)
 }
--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/zeebo/errs"
-
-	"gentiancroft/internal/core/config"
 )
 
 // Classes of errors. The command line maps Invalid to its exit code for bad
@@ -23,27 +21,28 @@
 
 // ConflictError says who changed what since the document was loaded.
 type ConflictError struct {
-	Loaded  uint64 // the version that the change was made from
-	Present uint64 // the version in force now
-	By      string // the operator of the present version
-	At      time.Time
-	Changes []config.Change // from the loaded to the present document
+	Loaded  uint64   // the version that the change was made from
+	Present uint64   // the version in force now
+	Records []Record // of the accepted changes in between, newest first
 }
 
-// shownChanges bounds the changes in an error's text.
+// shownChanges bounds the changes of one record in an error's text.
 const shownChanges = 20
 
 // Error implements error.
 func (e *ConflictError) Error() string {
 	var b strings.Builder
-	b.WriteString("version " + strconv.FormatUint(e.Present, 10) + " by " + e.By + " at " + e.At.UTC().Format(time.RFC3339))
-	b.WriteString(" came after version " + strconv.FormatUint(e.Loaded, 10) + ", which this change was made from:")
-	for i, c := range e.Changes {
-		if i == shownChanges {
-			b.WriteString("\n  and " + strconv.Itoa(len(e.Changes)-i) + " more")
-			break
+	b.WriteString("the change was made from version " + strconv.FormatUint(e.Loaded, 10))
+	b.WriteString(", and version " + strconv.FormatUint(e.Present, 10) + " is in force:")
+	for _, r := range e.Records {
+		b.WriteString("\n  version " + strconv.FormatUint(r.Version, 10) + " by " + r.By + " at " + r.At.UTC().Format(time.RFC3339))
+		for i, c := range r.Changes {
+			if i == shownChanges {
+				b.WriteString("\n    and " + strconv.Itoa(len(r.Changes)-i+r.Omitted) + " more")
+				break
+			}
+			b.WriteString("\n    " + c.String())
 		}
-		b.WriteString("\n  " + c.String())
 	}
 	return b.String()
 }
--- a/internal/admin/keys.go
+++ b/internal/admin/keys.go
@@ -47,3 +47,9 @@
 	}
 	return found, nil
 }
+
+// Known reports whether an operator still is one.
+func (o *Operators) Known(name string) bool {
+	_, ok := o.hashes[name]
+	return ok
+}
--- a/internal/core/dispatch/suspect/suspect.go
+++ b/internal/core/dispatch/suspect/suspect.go
@@ -61,7 +61,7 @@
 	EndOK      End = iota + 1 // completed: the fingerprint is cleared
 	EndDied                   // the upstream died while it ran
 	EndNotSent                // surely not dispatched
-	EndOther                  // cancelled or failed: proves nothing, and the upstream may yet die of it
+	EndCut                    // cancelled or failed: proves nothing, and the upstream may yet die of it
 )
 
 // Strike says that a fingerprint was running on upstreams that died.
@@ -188,7 +188,7 @@
 	c := m.present[id]
 	switch {
 	case c == nil:
-	case end == EndOther && c.decided:
+	case end == EndCut && c.decided:
 		m.cut(now, c)
 	default:
 		m.end(now, c, end)
@@ -237,7 +237,7 @@
 		c := m.claims[id]
 		switch {
 		case c.cut && !now.Before(c.due):
-			m.end(now, c, EndOther)
+			m.end(now, c, EndCut)
 		case c.cut:
 		case c.decided && (moved || !now.Before(c.due)):
 			m.renew(now, c)
--- a/internal/core/dispatch/suspect/suspect_test.go
+++ b/internal/core/dispatch/suspect/suspect_test.go
@@ -236,14 +236,14 @@
 	f := newFleet(3)
 	f.claim("h0", 31, upstream(0))
 	f.settle()
-	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[0].req.ID, EndOther))
+	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[0].req.ID, EndCut))
 	f.tick(time.Second)
 	f.take("h0", f.machines["h0"].Died(f.now, f.own("h0"), upstream(0), nil))
 	f.settle()
 	is.Equal(f.machines[f.home(31)].cases[31].strikes, 1)
 	f.claim("h0", 32, upstream(1))
 	f.settle()
-	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[1].req.ID, EndOther))
+	f.take("h0", f.machines["h0"].Release(f.now, f.own("h0"), f.running[1].req.ID, EndCut))
 	f.tick(lingerTerm)
 	f.settle()
 	is.Equal(f.machines["h0"].Running(), 0)
@@ -257,7 +257,7 @@
 	r := Request{ID: "r", Fingerprint: 41, Upstream: upstream(0)}
 	f.take("h0", m.Claim(f.now, f.own("h0"), r))
 	f.settle()
-	f.take("h0", m.Release(f.now, f.own("h0"), "r", EndOther)) // failed, and tried elsewhere
+	f.take("h0", m.Release(f.now, f.own("h0"), "r", EndCut)) // failed, and tried elsewhere
 	r.Upstream = upstream(1)
 	f.take("h0", m.Claim(f.now, f.own("h0"), r))
 	f.settle()
