--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -46,7 +46,7 @@
 	defaultHoldEvery   = 3 * time.Second
 	defaultSilence     = 15 * time.Second
 	defaultLoadTimeout = 5 * time.Second
-	defaultHalfLife    = 2 * time.Minute
+	defaultHalfLife    = 10 * time.Minute
 	defaultQueueLimit  = 256
 )
 
