Placement: count a request that waited for a load once

Cause: a cold request was counted by the loader and again by the owner, so a one-time adapter outranked a warm one. Change: the ask says that the loader has counted it.

--- a/internal/core/placement/entry.go
+++ b/internal/core/placement/entry.go
@@ -150,7 +150,7 @@
 	m.send(owner, Message{Ask: &AskMessage{
 		Request: r.Request, Seq: r.seq, Upstream: r.upstream, Adapter: r.Adapter,
 		Workspace: r.Workspace, Weight: r.Weight, Class: r.Class, Cost: r.Cost,
-		Remaining: r.Deadline.Sub(m.now), Sent: m.now, Running: r.state == ticketed,
+		Remaining: r.Deadline.Sub(m.now), Sent: m.now, Running: r.state == ticketed, Counted: r.stalled,
 	}})
 }
 
--- a/internal/core/placement/messages.go
+++ b/internal/core/placement/messages.go
@@ -35,6 +35,7 @@
 	Remaining time.Duration    `cbor:"9,keyasint"`  // until the request's deadline
 	Sent      core.Instant     `cbor:"10,keyasint"` // asker's clock; comes back in the answer
 	Running   bool             `cbor:"11,keyasint,omitempty"`
+	Counted   bool             `cbor:"12,keyasint,omitempty"` // the loader has counted it for the popularity
 }
 
 // AnswerKind is an owner's answer to an ask.
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -173,7 +173,7 @@
 		m.answer(o, from, &a, AnswerLeaving)
 		return
 	}
-	if s := o.slots[a.Adapter]; s != nil {
+	if s := o.slots[a.Adapter]; s != nil && !a.Counted {
 		s.touch(m.now, m.settings.HalfLife)
 	}
 	if o.reported && !m.comes(o, a.Adapter) {
