Placement: an adapter gone quiet is worth no more than one use per idle time

Cause: after a shift a formerly busy adapter kept its slot for many half-lives. Change: its worth is bounded by the score of one use per time since its last. Ruled out: bounds of 1.5, 3 and 5 uses, all worse; with it, half-lives of 20, 30, 40 and 60 minutes, all worse.

--- a/internal/core/placement/slot.go
+++ b/internal/core/placement/slot.go
@@ -57,10 +57,17 @@
 // holds it too, relative to the only copy.
 const replicaDiscount = 0.3
 
+// idleBound is the score of an adapter that is used once per idle time. A
+// formerly busy adapter that has gone quiet is worth no more.
+func idleBound(idle, halfLife time.Duration) float64 {
+	return float64(halfLife) / math.Ln2 / float64(max(idle, 1))
+}
+
 // worth is what evicting an adapter would cost: its popularity, less where
 // another upstream holds it too.
 func (m *Machine) worth(o *owned, s *slot) float64 {
 	w := s.popularity(m.now, m.settings.HalfLife)
+	w = min(w, idleBound(m.now.Sub(s.touched), m.settings.HalfLife))
 	if len(m.view.holders[s.adapter]) > 1 {
 		w *= replicaDiscount
 	}
