Placement: popular adapters are loaded first while loads queue

Cause: while the store is the bottleneck, a popular adapter that is missing stalls more callers every second. Change: a need's pressure adds the adapter's popularity to who waits already. Ruled out: a quarter of the weight, and age as a small sum in place of a factor.

--- a/internal/core/placement/loader.go
+++ b/internal/core/placement/loader.go
@@ -284,16 +284,24 @@
 	return compareRefs(a.adapter, b.adapter)
 }
 
+// pressure grows with the callers that wait, with those to be expected, and
+// with the time waited, so that nothing is passed over for ever.
 func (m *Machine) pressure(n *need) float64 {
-	return float64(n.waiting()) * (1 + m.now.Sub(n.since).Seconds())
+	return (float64(n.waiting()) + m.remembered(n.adapter)) * (1 + m.now.Sub(n.since).Seconds())
+}
+
+// remembered is an adapter's popularity while it is not resident.
+func (m *Machine) remembered(a core.AdapterRef) float64 {
+	f, ok := m.loader.fame[a]
+	if !ok {
+		return 0
+	}
+	return decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
 }
 
 func (m *Machine) startNeed(n *need) {
 	l := m.loader
-	score := 0.0
-	if f, ok := l.fame[n.adapter]; ok {
-		score = decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
-	}
+	score := m.remembered(n.adapter)
 	most := unbounded
 	if n.spread {
 		most = score * replicaDiscount
