Loader: prefetch the most popular absent adapter while the budget is idle

Cause: after an engine came back empty, or while every slot was pinned, popular adapters stayed out until a caller stalled on each. Change: the loader remembers what adapters were worth when they went, from evictions and from residencies that shrank, and loads the best one when nothing is wanted, nothing in transit and the burst saved up.

--- a/internal/core/placement/jobs.go
+++ b/internal/core/placement/jobs.go
@@ -76,7 +76,7 @@
 		return
 	}
 	v.become(unloading, m.now)
-	j.evicted = Popular{Adapter: v.adapter, Score: v.popularity(m.now, m.settings.HalfLife)}
+	j.evicted = m.popular(v)
 	o.jobs[j.Adapter] = j
 	m.note("evict", v.adapter.String()+" from "+string(o.id))
 	m.issue(o, &order{upstream: o, adapter: v.adapter, job: j}, core.Grant{Fence: grant.Fence, Until: last})
--- a/internal/core/placement/loader.go
+++ b/internal/core/placement/loader.go
@@ -39,12 +39,6 @@
 	ends     core.Instant
 }
 
-// fame is the remembered popularity of an adapter that is not resident.
-type fame struct {
-	score float64
-	at    core.Instant
-}
-
 // loader spends the fleet's one budget of adapter loads.
 type loader struct {
 	tokens  float64 // loads that the store's rate allows now
@@ -59,6 +53,8 @@
 	needs      map[core.AdapterRef]*need
 	fame       map[core.AdapterRef]fame
 	lastID     uint64
+	prefetched core.Instant
+	pruned     core.Instant
 }
 
 // unbounded lets a load evict whatever is worth least.
@@ -127,7 +123,7 @@
 	if l == nil {
 		return
 	}
-	l.famed(w.Adapter, float64(w.Arrived), m.now, m.settings.HalfLife)
+	l.famed(w.Adapter, w.Pool, float64(w.Arrived), m.now, m.settings.HalfLife)
 	n := l.needs[w.Adapter]
 	if n == nil && w.Waiting == 0 {
 		return
@@ -174,13 +170,6 @@
 	}
 }
 
-func (l *loader) famed(a core.AdapterRef, add float64, now core.Instant, halfLife time.Duration) {
-	f := l.fame[a]
-	f.score = decay(f.score, now.Sub(f.at), halfLife) + add
-	f.at = now
-	l.fame[a] = f
-}
-
 func (l *loader) hostLost(h core.HostID) {
 	for _, a := range slices.SortedFunc(maps.Keys(l.needs), compareRefs) {
 		n := l.needs[a]
@@ -189,18 +178,6 @@
 	}
 }
 
-func (l *loader) learned(Residency) {}
-
-func (m *Machine) spread(s SpreadMessage) {
-	l := m.loader
-	if l == nil || l.needs[s.Adapter] != nil {
-		return
-	}
-	l.famed(s.Adapter, 0, m.now, m.settings.HalfLife)
-	l.needs[s.Adapter] = &need{adapter: s.Adapter, pool: s.Pool, hosts: map[core.HostID]int{}, since: m.now, class: core.Overnight, spread: true}
-	l.fame[s.Adapter] = fame{score: s.Score, at: m.now}
-}
-
 func (l *loader) accrue(now core.Instant, rate float64) {
 	l.tokens = min(l.tokens+rate*now.Sub(l.accrued).Seconds(), tokenBurst)
 	l.accrued = now
@@ -233,6 +210,7 @@
 		l.assumed = 0
 	}
 	m.pumpLoader()
+	m.prefetch()
 }
 
 func (m *Machine) everyoneHeard() bool {
@@ -290,21 +268,12 @@
 	return (float64(n.waiting()) + m.remembered(n.adapter)) * (1 + m.now.Sub(n.since).Seconds())
 }
 
-// remembered is an adapter's popularity while it is not resident.
-func (m *Machine) remembered(a core.AdapterRef) float64 {
-	f, ok := m.loader.fame[a]
-	if !ok {
-		return 0
-	}
-	return decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
-}
-
 func (m *Machine) startNeed(n *need) {
 	l := m.loader
 	score := m.remembered(n.adapter)
 	most := unbounded
 	if n.spread {
-		most = score * replicaDiscount
+		most = score / prefetchMargin
 	}
 	u, ok := m.loadTarget(n, most)
 	if !ok {
@@ -329,8 +298,8 @@
 	if l == nil {
 		return
 	}
-	if d.Evicted.Adapter != (core.AdapterRef{}) {
-		l.fame[d.Evicted.Adapter] = fame{score: d.Evicted.Score, at: m.now}
+	if x := m.view.seen[d.Upstream]; x != nil && d.Evicted.Adapter != (core.AdapterRef{}) {
+		l.remember(d.Evicted, x.config.Pool, m.now)
 	}
 	t := l.transits[d.ID]
 	if t == nil {
--- a/internal/core/placement/messages.go
+++ b/internal/core/placement/messages.go
@@ -139,6 +139,7 @@
 type Popular struct {
 	Adapter core.AdapterRef `cbor:"1,keyasint"`
 	Score   float64         `cbor:"2,keyasint"` // requests within one half-life
+	Idle    time.Duration   `cbor:"3,keyasint"` // since its last request
 }
 
 // LoadingMessage tells a new loader what the sender's upstreams are loading.
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -386,11 +386,6 @@
 		o.published, o.lastLoad = m.now, m.loadOf(o)
 		r := m.residency(o)
 		m.out.Publish = append(m.out.Publish, r)
-		for _, a := range m.view.learn(r) {
-			m.wake(a)
-		}
-		if m.loader != nil {
-			m.loader.learned(r)
-		}
+		m.learn(r)
 	}
 }
--- a/internal/core/placement/slot.go
+++ b/internal/core/placement/slot.go
@@ -53,6 +53,10 @@
 	return score * math.Exp2(-float64(passed)/float64(halfLife))
 }
 
+func (m *Machine) popular(s *slot) Popular {
+	return Popular{Adapter: s.adapter, Score: s.popularity(m.now, m.settings.HalfLife), Idle: m.now.Sub(s.touched)}
+}
+
 // replicaDiscount is what an adapter is worth on one upstream while another
 // holds it too, relative to the only copy.
 const replicaDiscount = 0.3
@@ -111,7 +115,7 @@
 	for _, s := range o.slots {
 		switch s.state {
 		case resident:
-			r.Adapters = append(r.Adapters, Popular{Adapter: s.adapter, Score: s.popularity(m.now, m.settings.HalfLife)})
+			r.Adapters = append(r.Adapters, m.popular(s))
 		case loading:
 			r.Loading = append(r.Loading, s.adapter)
 		}
--- a/internal/core/placement/view.go
+++ b/internal/core/placement/view.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// learn takes a newer residency and returns the adapters that it adds.
-func (v *view) learn(r Residency) (added []core.AdapterRef) {
+// learn takes a newer residency and returns what it adds and no longer holds.
+func (v *view) learn(r Residency) (added []core.AdapterRef, removed []Popular) {
 	x := v.seen[r.Upstream]
 	if x == nil || !r.Newer(x.Residency) {
-		return nil
+		return nil, nil
 	}
 	before := x.Adapters
 	v.unindex(x)
@@ -80,7 +80,12 @@
 			added = append(added, a.Adapter)
 		}
 	}
-	return added
+	for _, p := range before {
+		if !slices.Contains(v.holders[p.Adapter], x) {
+			removed = append(removed, p)
+		}
+	}
+	return added, removed
 }
 
 func (v *view) unindex(x *seen) {
--- a/internal/core/placement/wish.go
+++ b/internal/core/placement/wish.go
@@ -94,11 +94,23 @@
 	if m.owned.byID[r.Upstream] != nil {
 		return // this host knows better
 	}
-	for _, a := range m.view.learn(r) {
+	m.learn(r)
+}
+
+// learn puts a newer residency into the view and acts on what it changes.
+func (m *Machine) learn(r Residency) {
+	added, removed := m.view.learn(r)
+	for _, a := range added {
 		m.wake(a)
 	}
-	if m.loader != nil {
-		m.loader.learned(r)
+	x := m.view.seen[r.Upstream]
+	if m.loader == nil || x == nil {
+		return
+	}
+	for _, p := range removed {
+		if len(m.view.holders[p.Adapter]) == 0 {
+			m.loader.remember(p, x.config.Pool, m.now)
+		}
 	}
 }
 
