Placement: replicas, bounded ejection, hand-over that is not trusted for evictions

Cause: read against the lease machine, four gaps stood open: a hand-over can go round by way of a third host; a lapse without a new owner dropped the pins; a former owner's late order could hit a ticket of the new one; all holders of an adapter could be suspect while the pool is well. Change: adopted state gives tickets but no evictions before the guard; pins are kept while the shard stays here; reports count only one order's lingering after a take-over; ejection is bounded by pool, not by holders; an account that lists what the owner lacks has it stated again; a crowded upstream asks for a replica, with hysteresis.

--- a/internal/core/dispatch/health/health.go
+++ b/internal/core/dispatch/health/health.go
@@ -47,7 +47,7 @@
 }
 
 // Tracker is the health of one upstream. Whoever filters by it bounds how many
-// may be left out at once (pick.NotSuspect).
+// may be left out at once.
 type Tracker struct {
 	settings  Settings
 	failures  int // in a row
--- a/internal/core/dispatch/pick/filter_suspect.go
+++ b/internal/core/dispatch/pick/filter_suspect.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// NotSuspect drops upstreams that fail probes or requests, but only while at
-// least half of the candidates are left: a bad probe must not empty the set.
+// NotSuspect drops upstreams that are left out for their health. Whoever makes
+// the candidates bounds how much of a pool may be left out at once.
 type NotSuspect struct{}
 
 // Name implements Filter.
@@ -11,14 +11,5 @@
 
 // Keep implements Filter.
 func (NotSuspect) Keep(_ *Request, all []Candidate) []Candidate {
-	suspect := 0
-	for i := range all {
-		if all[i].Suspect {
-			suspect++
-		}
-	}
-	if suspect*2 > len(all) {
-		return all
-	}
 	return slices.DeleteFunc(all, func(c Candidate) bool { return c.Suspect })
 }
--- a/internal/core/placement/entry.go
+++ b/internal/core/placement/entry.go
@@ -167,6 +167,12 @@
 // ticket in it is given back at once.
 func (m *Machine) answered(from core.HostID, a AnswerMessage) {
 	r := m.entry.requests[a.Request]
+	if a.Kind == AnswerUnknown {
+		if r != nil && r.owner == from && r.state != wanting {
+			m.resend(r)
+		}
+		return
+	}
 	if r == nil || r.seq != a.Seq || r.state == wanting {
 		if a.Kind == AnswerTicket {
 			m.touch(from)
--- a/internal/core/placement/handover.go
+++ b/internal/core/placement/handover.go
@@ -15,7 +15,6 @@
 // Durations count back from the hand-over: the two clocks can't be compared.
 type handover struct {
 	Incarnation string         `cbor:"1,keyasint"`
-	Settled     bool           `cbor:"2,keyasint"`
 	Slots       []handoverSlot `cbor:"3,keyasint"`
 	Pins        []handoverPin  `cbor:"4,keyasint"`
 	Fence       core.Fence     `cbor:"5,keyasint"`
@@ -43,7 +42,7 @@
 	if s.Kind != core.ShardUpstream || o == nil {
 		return nil
 	}
-	h := handover{Incarnation: o.incarnation, Settled: o.settled, Fence: o.fence}
+	h := handover{Incarnation: o.incarnation, Fence: o.fence}
 	for _, a := range slices.SortedFunc(maps.Keys(o.slots), compareRefs) {
 		x := o.slots[a]
 		state := x.state
@@ -74,14 +73,22 @@
 
 func (m *Machine) adopt(s core.Shard, state []byte) {
 	m.scan()
-	o := m.owned.byID[core.UpstreamID(s.Name)]
 	var h handover
-	if o == nil || o.settled || cbor.Unmarshal(state, &h) != nil || h.Fence >= o.fence {
+	if s.Kind != core.ShardUpstream || cbor.Unmarshal(state, &h) != nil {
+		return
+	}
+	o := m.owned.byID[core.UpstreamID(s.Name)]
+	if o == nil {
+		m.owned.early = append(m.owned.early, earlyState{s, state, m.now})
 		return
 	}
+	if o.settled || o.reported || h.Fence >= o.fence {
+		return
+	}
+	// The state may have gone round by way of a third host, so it is trusted
+	// for tickets, whose worst case is an engine that lacks the adapter, but
+	// not for evictions: those wait as after any other take-over.
 	o.incarnation, o.reported = h.Incarnation, true
-	// The leaver acts no more, so its pins are all there are.
-	o.settled = h.Settled
 	for _, x := range h.Slots {
 		sl := &slot{adapter: x.Adapter, foreign: x.Foreign, score: x.Score, touched: m.now}
 		sl.become(x.State, m.now)
@@ -104,6 +111,30 @@
 	m.flush()
 }
 
+// earlyState came before the right to act on its shard.
+type earlyState struct {
+	shard core.Shard
+	state []byte
+	at    core.Instant
+}
+
+// earlyTerm is how long such state is kept.
+const earlyTerm = 5 * time.Second
+
+// adoptEarly takes up state that came before its shard.
+func (m *Machine) adoptEarly() {
+	early := m.owned.early
+	m.owned.early = nil
+	for _, e := range early {
+		switch {
+		case m.owned.byID[core.UpstreamID(e.shard.Name)] != nil:
+			m.adopt(e.shard, e.state)
+		case m.now.Sub(e.at) < earlyTerm:
+			m.owned.early = append(m.owned.early, e)
+		}
+	}
+}
+
 func (m *Machine) adoptPin(o *owned, p handoverPin) {
 	if known := o.pins[p.Request]; known != nil && known.seq >= p.Seq {
 		return
--- a/internal/core/placement/loader.go
+++ b/internal/core/placement/loader.go
@@ -43,7 +43,7 @@
 type loader struct {
 	tokens  float64 // loads that the store's rate allows now
 	accrued core.Instant
-	since   core.Instant
+	fence   core.Fence
 	// assumed is how many loads of a former loader may still be under way,
 	// until assumedEnd. Keeps: never more than InTransit at once.
 	assumed    int
@@ -69,17 +69,22 @@
 )
 
 func (m *Machine) scanLoader() {
+	owner, _ := m.own.Owner(LoaderShard)
 	serving := m.own.Serving(m.now, LoaderShard)
-	if !serving {
+	grant, acting := m.own.Acting(m.now, LoaderShard)
+	switch {
+	case owner != m.settings.Self && !serving:
 		m.loader = nil
 		return
+	case m.loader != nil && acting && m.loader.fence != grant.Fence:
+		m.loader = nil // another host may have loaded in between
 	}
-	if m.loader != nil {
+	if m.loader != nil || !serving {
 		return
 	}
 	m.loader = &loader{
+		fence:      grant.Fence,
 		accrued:    m.now,
-		since:      m.now,
 		assumed:    m.settings.InTransit,
 		assumedEnd: m.now.Add(m.settings.LoadTimeout + m.settings.OrderLinger),
 		heard:      map[core.HostID]bool{},
@@ -155,7 +160,7 @@
 // holderFor is an upstream that the asking host should have known of.
 func (m *Machine) holderFor(w WantMessage) (core.UpstreamID, bool) {
 	for _, x := range m.view.holders[w.Adapter] {
-		usable := x.config.Pool == w.Pool && !x.leaving() && !m.view.listed[x.Upstream]
+		usable := x.config.Pool == w.Pool && !m.view.ejected(x) && !x.leaving() && !m.view.listed[x.Upstream]
 		if usable && !slices.Contains(w.Avoid, x.Upstream) {
 			return x.Upstream, true
 		}
@@ -225,6 +230,9 @@
 // pumpLoader starts loads while the budget allows, the most pressing first.
 func (m *Machine) pumpLoader() {
 	l := m.loader
+	if !m.own.Serving(m.now, LoaderShard) {
+		return
+	}
 	l.accrue(m.now, m.settings.StoreRate)
 	if l.room(m.now, m.settings.InTransit) <= 0 || len(l.needs) == 0 {
 		return
--- a/internal/core/placement/messages.go
+++ b/internal/core/placement/messages.go
@@ -48,6 +48,7 @@
 	AnswerNotResident            // the upstream does not hold the adapter
 	AnswerLeaving                // the upstream takes no new work
 	AnswerOverloaded             // the queue is full; final
+	AnswerUnknown                // the owner has nothing of it; state it again
 )
 
 // AnswerMessage answers an ask. A ticket is valid for Valid from the instant
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -11,16 +11,6 @@
 	"gentiancroft/internal/core/dispatch/health"
 )
 
-// pin keeps an adapter on its upstream for one ticket.
-type pin struct {
-	from    core.HostID
-	seq     uint64
-	adapter core.AdapterRef
-	item    admission.Item
-	heard   core.Instant // last word of its holder
-	lost    bool         // the holder is gone or silent
-}
-
 // queued is an ask that waits for its ticket.
 type queued struct {
 	AskMessage
@@ -55,7 +45,8 @@
 	seq       uint64
 	published core.Instant
 	lastLoad  int
-	loader    core.HostID // that has heard what this upstream loads
+	loader    core.HostID  // that has heard what this upstream loads
+	crowded   core.Instant // since when it has been too busy; zero: it is not
 }
 
 // owners are the upstreams of this host, sorted by identity.
@@ -63,6 +54,7 @@
 	list   []*owned
 	byID   map[core.UpstreamID]*owned
 	orders map[uint64]*order
+	early  []earlyState
 }
 
 // Publication of load, which structural changes do not wait for.
@@ -71,7 +63,8 @@
 func (m *Machine) scanOwned() {
 	kept := m.owned.list[:0]
 	for _, o := range m.owned.list {
-		if m.view.seen[o.id] != nil && m.own.Serving(m.now, o.shard) {
+		owner, _ := m.own.Owner(o.shard)
+		if m.view.seen[o.id] != nil && (owner == m.settings.Self || m.own.Serving(m.now, o.shard)) {
 			kept = append(kept, o)
 			continue
 		}
@@ -87,6 +80,9 @@
 			m.takeUp(shard, u)
 		}
 	}
+	if len(m.owned.early) > 0 {
+		m.adoptEarly()
+	}
 }
 
 func (m *Machine) takeUp(shard core.Shard, u *config.Upstream) *owned {
@@ -100,7 +96,9 @@
 		queue:  admission.NewQueue(admission.QueueSettings{Bound: m.settings.QueueLimit}),
 		health: health.NewTracker(health.Settings{}),
 	}
-	m.refence(o)
+	if g, ok := m.own.Acting(m.now, shard); ok {
+		o.fence = g.Fence
+	}
 	m.owned.byID[u.ID] = o
 	m.owned.list = append(m.owned.list, o)
 	slices.SortFunc(m.owned.list, func(a, b *owned) int { return cmp.Compare(a.id, b.id) })
@@ -108,15 +106,20 @@
 	return o
 }
 
-// refence takes a rise of the fencing number as a new ownership: between two
-// terms another host may have handed out tickets.
+// refence takes a change of the fencing number as a new ownership: between two
+// terms another host may have handed out tickets and evicted. What is pinned
+// stays pinned; what is resident has to be reported anew.
 func (m *Machine) refence(o *owned) {
 	g, ok := m.own.Acting(m.now, o.shard)
 	if !ok || g.Fence == o.fence {
 		return
 	}
+	m.note("owner.refenced", string(o.id))
 	o.fence, o.seq = g.Fence, 0
-	o.since, o.settled = m.now, false
+	o.since, o.settled, o.reported = m.now, false, false
+	clear(o.slots)
+	clear(o.gone)
+	clear(o.jobs)
 	o.dirty = true
 }
 
@@ -243,10 +246,14 @@
 	return live + min(lost, unexplained)
 }
 
+// open reports whether tickets may be given at all: what an engine holds has
+// to be known first, a plain service holds nothing.
+func (o *owned) open() bool { return o.reported || o.config.Kind == config.UpstreamService }
+
 // pump hands out tickets while the batch has room. An ask whose asker has been
 // silent for a ticket's whole validity could not use one.
 func (m *Machine) pump(o *owned) {
-	if !o.reported || !m.own.Serving(m.now, o.shard) {
+	if !o.open() || !m.own.Serving(m.now, o.shard) {
 		return
 	}
 	ready := func(a core.AdapterRef) bool { return a == (core.AdapterRef{}) || o.slots[a].ready() }
@@ -266,96 +273,6 @@
 	}
 }
 
-func (m *Machine) pin(o *owned, from core.HostID, a *AskMessage, it admission.Item) {
-	o.pins[a.Request] = &pin{from: from, seq: a.Seq, adapter: a.Adapter, item: it, heard: m.now}
-	if s := o.slots[a.Adapter]; s != nil {
-		s.pins++
-	}
-}
-
-func (m *Machine) unpin(o *owned, id core.RequestID, e End) {
-	p := o.pins[id]
-	delete(o.pins, id)
-	if s := o.slots[p.adapter]; s != nil {
-		s.pins--
-	}
-	if e.Used > 0 || e.NotReached {
-		o.queue.Settle(p.item.Workspace, p.item.Charged, p.item.Cost, e.Used)
-	}
-}
-
-func (m *Machine) released(from core.HostID, r ReleaseMessage) {
-	o := m.owned.byID[r.Upstream]
-	if o == nil {
-		return
-	}
-	if q := o.asks[r.Request]; q != nil && q.Seq <= r.Seq {
-		delete(o.asks, r.Request)
-		o.queue.Remove(r.Request)
-	}
-	p := o.pins[r.Request]
-	if p == nil || p.seq > r.Seq || p.from != from {
-		return
-	}
-	m.unpin(o, r.Request, r.End)
-	if r.End.Missing {
-		m.doubt(o, p.adapter, "an engine did not hold it")
-	}
-	if !r.End.NotReached || r.End.Crashed {
-		o.health.Served(m.now, !r.End.Crashed)
-	}
-	m.pump(o)
-	m.flush()
-}
-
-// held compares an entry host's account with what this host has from it.
-func (m *Machine) held(from core.HostID, h HoldMessage) {
-	for _, o := range m.owned.list {
-		m.heldAt(o, from, h)
-	}
-}
-
-func (m *Machine) heldAt(o *owned, from core.HostID, h HoldMessage) {
-	var over []core.RequestID
-	for id, p := range o.pins {
-		if p.from != from || p.seq > h.Upto {
-			continue
-		}
-		if _, listed := slices.BinarySearch(h.Requests, id); listed {
-			p.heard, p.lost = m.now, false
-			continue
-		}
-		over = append(over, id)
-	}
-	for id, q := range o.asks {
-		if _, listed := slices.BinarySearch(h.Requests, id); q.from == from && q.Seq <= h.Upto && !listed {
-			delete(o.asks, id)
-			o.queue.Remove(id)
-		}
-	}
-	for _, id := range over {
-		m.unpin(o, id, End{})
-		m.note("pin.settled", "its release was lost")
-	}
-	if len(over) > 0 {
-		m.pump(o)
-	}
-}
-
-func (o *owned) hostLost(h core.HostID) {
-	for _, p := range o.pins {
-		if p.from == h {
-			p.lost = true
-		}
-	}
-	for id, q := range o.asks {
-		if q.from == h {
-			delete(o.asks, id)
-			o.queue.Remove(id)
-		}
-	}
-}
-
 func (m *Machine) tickOwned() {
 	for _, o := range m.owned.list {
 		m.refence(o)
@@ -368,6 +285,7 @@
 		m.tickJobs(o)
 		m.pump(o)
 		m.greetLoader(o)
+		m.relieve(o)
 		if load := m.loadOf(o); load != o.lastLoad && m.now.Sub(o.published) >= publishEvery {
 			o.dirty = true
 		}
--- a/internal/core/placement/report.go
+++ b/internal/core/placement/report.go
@@ -14,11 +14,15 @@
 	if o == nil || r.Sent.Before(o.since) {
 		return
 	}
+	if !o.reported && r.Sent.Before(o.since.Add(m.settings.OrderLinger)) {
+		return // an order of a former owner may still arrive
+	}
 	before := o.health.Suspect()
 	o.health.Polled(m.now, r.OK)
 	o.dirty = o.dirty || before != o.health.Suspect()
 	if !r.OK {
 		m.flush()
+		m.bounceEjected(o)
 		return
 	}
 	if x := m.view.seen[o.id]; x != nil && x.Leaving != r.Leaving {
@@ -150,6 +154,17 @@
 	}
 }
 
+// bounceEjected turns away what waits for an upstream that is left out.
+func (m *Machine) bounceEjected(o *owned) {
+	if x := m.view.seen[o.id]; x == nil || !m.view.ejected(x) {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.asks)) {
+		o.queue.Remove(id)
+		m.answerQueued(o, id, AnswerLeaving)
+	}
+}
+
 // bounceAbsent turns away what waits for adapters that are not here.
 func (m *Machine) bounceAbsent(o *owned) {
 	for _, id := range slices.Sorted(maps.Keys(o.asks)) {
--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -40,7 +40,7 @@
 	defaultStoreRate   = 3.0
 	defaultInTransit   = 8
 	defaultValidity    = 4 * time.Second
-	defaultOrderLinger = 2 * time.Second
+	defaultOrderLinger = time.Second
 	defaultReportLag   = 2 * time.Second
 	defaultRepeat      = time.Second
 	defaultHoldEvery   = 3 * time.Second
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -27,7 +27,7 @@
 	var best *seen
 	var least float64
 	for _, x := range m.view.pools[n.pool] {
-		if x.leaving() || x.Suspect || m.view.listed[x.Upstream] || slices.Contains(avoid, x.Upstream) {
+		if x.leaving() || m.view.ejected(x) || m.view.listed[x.Upstream] || slices.Contains(avoid, x.Upstream) {
 			continue
 		}
 		if m.view.holds(x.Upstream, n.adapter) {
--- a/internal/core/placement/view.go
+++ b/internal/core/placement/view.go
@@ -146,13 +146,28 @@
 			Load:     x.estimate(),
 			Batch:    x.config.Batch,
 			Warmth:   x.Warmth,
-			Suspect:  x.Suspect,
+			Suspect:  v.ejected(x),
 			Leaving:  x.leaving() || v.listed[x.Upstream],
 		})
 	}
 	return v.scratch
 }
 
+// ejected reports whether an upstream is left out for its health. Keeps: no
+// more than half of a pool is left out, however bad the probes are.
+func (v *view) ejected(x *seen) bool {
+	if !x.Suspect {
+		return false
+	}
+	pool, suspects := v.pools[x.config.Pool], 0
+	for _, y := range pool {
+		if y.Suspect {
+			suspects++
+		}
+	}
+	return suspects*2 <= len(pool)
+}
+
 func (v *view) holds(u core.UpstreamID, a core.AdapterRef) bool {
 	return slices.ContainsFunc(v.holders[a], func(x *seen) bool { return x.Upstream == u })
 }
