--- a/internal/core/placement/view.go
+++ b/internal/core/placement/view.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// learn takes a newer residency and returns the adapters that it adds.
-func (v *view) learn(r Residency) (added []core.AdapterRef) {
+// learn takes a newer residency and returns what it adds and no longer holds.
+func (v *view) learn(r Residency) (added []core.AdapterRef, removed []Popular) {
 	x := v.seen[r.Upstream]
 	if x == nil || !r.Newer(x.Residency) {
-		return nil
+		return nil, nil
 	}
 	before := x.Adapters
 	v.unindex(x)
@@ -80,7 +80,12 @@
 			added = append(added, a.Adapter)
 		}
 	}
-	return added
+	for _, p := range before {
+		if !slices.Contains(v.holders[p.Adapter], x) {
+			removed = append(removed, p)
+		}
+	}
+	return added, removed
 }
 
 func (v *view) unindex(x *seen) {
@@ -141,13 +146,28 @@
 			Load:     x.estimate(),
 			Batch:    x.config.Batch,
 			Warmth:   x.Warmth,
-			Suspect:  x.Suspect,
+			Suspect:  v.ejected(x),
 			Leaving:  x.leaving() || v.listed[x.Upstream],
 		})
 	}
 	return v.scratch
 }
 
+// ejected reports whether an upstream is left out for its health. Keeps: no
+// more than half of a pool is left out, however bad the probes are.
+func (v *view) ejected(x *seen) bool {
+	if !x.Suspect {
+		return false
+	}
+	pool, suspects := v.pools[x.config.Pool], 0
+	for _, y := range pool {
+		if y.Suspect {
+			suspects++
+		}
+	}
+	return suspects*2 <= len(pool)
+}
+
 func (v *view) holds(u core.UpstreamID, a core.AdapterRef) bool {
 	return slices.ContainsFunc(v.holders[a], func(x *seen) bool { return x.Upstream == u })
 }
