--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -57,9 +57,11 @@
 		"cut": {engine: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, cut: &cut, code: core.CodeKeyWithdrawn, kind: node.EndCancelled},
 	} {
 		t.Run(name, func(t *testing.T) {
+			begun := make(chan struct{})
 			b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.ReadAll(r.Body)
 				event(w, `{"choices":[{"text":"a"}]}`)
+				<-begun // a failure before the caller saw anything would be tried elsewhere
 				test.engine(w, r)
 			})
 			c := b.dial()
@@ -67,6 +69,7 @@
 			c.send(post("/v1/completions", streamBody))
 			r := c.response()
 			c.readEvent(r)
+			close(begun)
 			if test.cut != nil {
 				(<-b.exchange).cutWith(test.cut)
 			}
