--- a/internal/entry/hangup_test.go
+++ b/internal/entry/hangup_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/node"
 )
@@ -66,12 +68,13 @@
 
 func TestHangUpDuringARecordedAttemptLetsItFinish(t *testing.T) {
 	running, finish := make(chan struct{}), make(chan struct{})
+	registry := metrics.NewRegistry()
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.ReadAll(r.Body)
 		close(running)
 		<-finish
 		_, _ = w.Write([]byte("booked"))
-	})
+	}, WithRegistry(registry))
 	b.node.script = func(x *fakeExchange, a node.Arrive) {
 		d := b.dispatch(a.ID, 1)
 		d.Adapter, d.Record = core.AdapterRef{}, true
@@ -82,6 +85,9 @@
 	arrived := b.next().(node.Arrive)
 	<-running
 	b.is.NoErr(c.Close())
+	for metrics.GetOrRegisterCounter("entry.hung_up", registry).Count() == 0 {
+		time.Sleep(time.Millisecond) // the attempt ends after the hang-up was seen
+	}
 	close(finish)
 	e := b.next().(node.Ended)
 	b.is.Equal(e.Kind, node.EndOK)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -80,14 +80,17 @@
 	t.gone = true
 	keeping := t.keeping
 	t.mu.Unlock()
-	if first && !keeping {
+	if !first {
+		return
+	}
+	t.server.metrics.gone.Inc(1)
+	if !keeping {
 		t.tellGone()
 	}
 }
 
 func (t *task) tellGone() {
 	t.cancel()
-	t.server.metrics.gone.Inc(1)
 	t.server.node.Tell(node.Gone{ID: t.request.arrive.ID})
 	close(t.told)
 }
