Stand-ins that show the effects: batch, slots, weight store, faults, traces

Cause: the stand-in engine held any number of adapters, ran any number of requests at once, and could do nothing wrong. Change: a batch with places by priority and a slow-down, adapter slots, a shared weight store with transit and rate, a prefix cache with late events, lagging reports, fencing, a poisoned request that crashes it, faults by code or under /admin/; a plain service that counts effects by key. Ruled out: simulated time here, since these run behind real sockets.

--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// bench is an engine behind HTTP.
+type bench struct {
+	*Engine
+	is  *is.I
+	url string
+}
+
+func newBench(t *testing.T, s EngineSettings) *bench {
+	e := NewEngine(s)
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	return &bench{Engine: e, is: is.New(t), url: server.URL}
+}
+
+func (b *bench) post(path, body string, headers ...string) (int, string) {
+	r, err := http.NewRequest("POST", b.url+path, strings.NewReader(body))
+	b.is.NoErr(err)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+func (b *bench) loadAdapter(name string, headers ...string) int {
+	status, _ := b.post("/v1/load_lora_adapter", `{"lora_name":"`+name+`"}`, headers...)
+	return status
+}
+
+const ask = `{"model":"a@1","prompt":"p","max_tokens":2,"stream":true}`
+
+func TestSlotsAndFencing(t *testing.T) {
+	b := newBench(t, EngineSettings{Slots: 1, CheckFence: true})
+	b.is.Equal(b.loadAdapter("a@1", "X-Fence: 5"), 200)
+	b.is.Equal(b.loadAdapter("b@1", "X-Fence: 5"), 409) // no slot
+	b.is.Equal(b.loadAdapter("a@1", "X-Fence: 4"), 409) // an old owner
+	status, _ := b.post("/v1/unload_lora_adapter", `{"lora_name":"a@1"}`, "X-Fence: 6")
+	b.is.Equal(status, 200)
+	b.is.Equal(b.Violations(), 0)
+	status, _ = b.post("/v1/completions", ask)
+	b.is.Equal(status, 404)
+}
+
+func TestAnswersNameTheirAdapterAndAreTraced(t *testing.T) {
+	b := newBench(t, EngineSettings{})
+	b.is.Equal(b.loadAdapter("a@1"), 200)
+	status, text := b.post("/v1/completions", ask, "X-Request-Id: r1", "X-Adapter: a@1")
+	b.is.Equal(status, 200)
+	b.is.Equal(strings.Count(text, "a@1:"), 2)
+	b.is.True(strings.HasSuffix(text, "data: [DONE]\n\n"))
+	status, _ = b.post("/v1/completions", ask, "X-Adapter: a@2")
+	b.is.Equal(status, 400) // model and X-Adapter must agree
+	traces := b.Traces()
+	b.is.Equal(len(traces), 1)
+	b.is.Equal([]any{traces[0].Request, traces[0].Outcome, traces[0].Tokens}, []any{"r1", "done", 2})
+}
+
+func TestPoisonCrashesTheEngineWhichComesBackEmpty(t *testing.T) {
+	b := newBench(t, EngineSettings{Name: "e", Poison: "poison"})
+	b.is.Equal(b.loadAdapter("a@1"), 200)
+	before := b.present().Incarnation
+	status, _ := b.post("/v1/completions", `{"model":"a@1","prompt":"poison","max_tokens":1}`)
+	b.is.Equal(status, 0) // the connection was dropped
+	b.is.Equal(len(b.Adapters()), 0)
+	b.is.True(b.present().Incarnation != before)
+}
+
+func TestBatchTakesTheMostUrgentFirst(t *testing.T) {
+	is := is.New(t)
+	b := &batch{size: 1}
+	is.True(b.enter(context.Background(), 0))
+	var order []int
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for waiting, priority := range []int{2, 0, 1, 0} {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			_ = b.enter(context.Background(), priority)
+			mu.Lock()
+			order = append(order, priority)
+			mu.Unlock()
+			b.leave()
+		}()
+		for _, n := b.counts(); n <= waiting; _, n = b.counts() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(!b.enter(cancelled, 0))
+	b.leave()
+	all.Wait()
+	is.Equal(order, []int{0, 0, 1, 2})
+}
+
+func TestWeightStoreSlowsBeyondItsTransitAndRefusesBeyondItsRate(t *testing.T) {
+	is := is.New(t)
+	w := NewWeightStore(WeightSettings{LoadTime: time.Second, Transit: 8, Rate: 1e-9, Burst: 16})
+	var times []time.Duration
+	for range 16 {
+		took, err := w.begin()
+		is.NoErr(err)
+		times = append(times, took)
+	}
+	is.Equal(times[7], time.Second)
+	is.Equal(times[15], 2*time.Second)
+	_, err := w.begin()
+	is.True(StoreError.Has(err))
+	is.Equal(w.Counts(), WeightCounts{Started: 16, Refused: 1, Most: 16})
+}
+
+func TestCacheEventsAreLateAndHaveGaps(t *testing.T) {
+	is := is.New(t)
+	p := newPrefixes(1, 0, 3)
+	is.True(!p.use("a", "x"))
+	is.True(p.use("a", "x"))
+	is.True(!p.use("a", "y")) // drops x: event 2, and stores y: event 3, which is lost
+	events := p.after(0)
+	is.Equal(len(events), 2)
+	is.Equal(events[1].Stored, false)
+	is.Equal(len(newPrefixes(1, time.Hour, 0).after(0)), 0)
+	late := newPrefixes(1, time.Hour, 0)
+	late.use("a", "x")
+	is.Equal(len(late.after(0)), 0)
+}
+
+func TestServiceCountsEffectsByKey(t *testing.T) {
+	is := is.New(t)
+	s := NewService(ServiceSettings{Name: "dispatch"})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	call := func(f Faults) {
+		s.Set(f)
+		r, err := http.NewRequest("POST", server.URL+"/bookings", strings.NewReader(`{"job":1}`))
+		is.NoErr(err)
+		r.Header.Set("Idempotency-Key", "k")
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+	call(Faults{})
+	call(Faults{Drop: true}) // took effect, though the answer was lost
+	call(Faults{Refuse: true})
+	is.Equal(s.Effects(), map[string]int{"k": 2})
+}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -133,6 +133,21 @@
 	is.Equal(orders.Load(), int32(1)) // the grant ended while the connection was made
 }
 
+func TestCallsStopAtTheEndOfTheirTicket(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer s.Close()
+	client := NewClient(nil, func() core.Instant { return 10 })
+	defer client.Close()
+	a, err := client.Do(context.Background(), Call{Address: address(s), Method: "GET", Path: "/", Until: 11})
+	is.NoErr(err)
+	a.Close()
+	_, err = client.Do(context.Background(), Call{Address: address(s), Method: "GET", Path: "/", Until: 10})
+	is.True(NotReached.Has(err))
+	is.Equal(calls.Load(), int32(1))
+}
+
 func TestPollReadsALoadReport(t *testing.T) {
 	is := is.New(t)
 	body := `{"incarnation":"i1","running":3,"adapters":[{"name":"quotes@2","running":3}],"loading":["q@1"],"leaving":true}`
