Settings of a host: strict YAML, every error with file, line and field

Cause: serve had no settings; a typing error would have been ignored. Change: Decode with unknown and repeated keys refused, units as types, rules by validator, consistency of timings, key material opened with the field named; docs/settings.md made from the code and checked; three sample hosts. Ruled out: validator's tcp_addr, which asks a name server while parsing.

--- /dev/null
+++ b/internal/settings/page.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Page is docs/settings.md: every field of a host's settings, from the code.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# Settings of a host\n\n")
+	b.WriteString("`gentiancroft serve --settings FILE` reads one YAML file. An unknown or repeated key, a wrong\n")
+	b.WriteString("unit or missing key material is an error that names file, line and field (exit code 2).\n")
+	b.WriteString("Durations are written as `250ms`, `10s`, `1h`; sizes as `512B`, `16KiB`, `1MiB`. Relative paths\n")
+	b.WriteString("start at the settings file. Samples: `examples/`. This page is checked against the code.\n\n")
+	b.WriteString("| field | needed | default | meaning |\n|---|---|---|---|\n")
+	describe(&b, "", reflect.TypeFor[Host]())
+	return b.String()
+}
+
+func describe(b *strings.Builder, prefix string, t reflect.Type) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := f.Tag.Get("yaml")
+		if name == "" {
+			continue
+		}
+		needed := ""
+		if strings.Contains(f.Tag.Get("validate"), "required") {
+			needed = "yes"
+		}
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", prefix+name, needed, f.Tag.Get("default"), f.Tag.Get("doc"))
+		switch f.Type.Kind() {
+		case reflect.Struct:
+			describe(b, prefix+name+".", f.Type)
+		case reflect.Slice:
+			describe(b, prefix+name+"[].", f.Type.Elem())
+		}
+	}
+}
