Load tool, stand-ins as a process, and a sample fleet

Cause: nothing could offer load, and stand-ins only ran inside the demo. Change: gentiancroft load (Poisson, Zipf, hang-ups, several keys; latencies from when a request was due; follows /v1/entries; loopback only); gentiancroft standin with faults under /admin/; examples of both. Ruled out: a closed loop, in which a slow system slows its own load and hides its queue.

--- /dev/null
+++ b/cmd/gentiancroft/edge_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/spf13/cobra"
+
+	"gentiancroft/internal/load"
+	"gentiancroft/internal/settings"
+)
+
+func TestCommandsShowAnExampleAndTypeTheirErrors(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		command *cobra.Command
+		args    []string
+		class   func(error) bool
+	}{
+		{standinCommand(), []string{"--settings", "missing.yaml"}, settings.Invalid.Has},
+		{loadCommand(), []string{"--target", "10.0.0.1:1", "--key", "k", "--adapter", "a"}, load.Invalid.Has},
+		{loadCommand(), []string{"--output", "xml"}, load.Invalid.Has},
+	} {
+		is.True(test.command.Example != "")
+		test.command.SilenceErrors, test.command.SilenceUsage = true, true
+		test.command.SetArgs(test.args)
+		is.True(test.class(test.command.Execute()))
+	}
+}
--- /dev/null
+++ b/cmd/gentiancroft/load.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gentiancroft/internal/load"
+)
+
+func loadCommand() *cobra.Command {
+	o := load.Options{Follow: true}
+	var adapters int
+	var prefix, output string
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Offer an open-loop load to hosts on this machine",
+		Long: "Offer an open-loop load to hosts on this machine: Poisson arrivals, adapters by Zipf's law,\n" +
+			"and a share of callers that hang up. Latencies count from when a request was due.",
+		Example: "  gentiancroft load --target 127.0.0.2:8080 --key k1 --key k2 --rate 50 --duration 30s --cancel 0.6",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if output != "text" && output != "json" {
+				return load.Invalid.New("output: %q is neither text nor json", output)
+			}
+			for i := range adapters {
+				o.Adapters = append(o.Adapters, fmt.Sprintf("%s%d", prefix, i))
+			}
+			r, err := load.Run(c.Context(), o)
+			if err != nil {
+				return err
+			}
+			if output == "json" {
+				return r.WriteJSON(c.OutOrStdout())
+			}
+			return r.WriteText(c.OutOrStdout())
+		},
+	}
+	f := c.Flags()
+	f.StringSliceVar(&o.Targets, "target", nil, "ip:port of a host on this machine; may be repeated")
+	f.StringSliceVar(&o.Keys, "key", nil, "a caller's key; may be repeated")
+	f.StringVar(&o.Path, "path", "/v1/completions", "path of completions")
+	f.Float64Var(&o.Rate, "rate", 10, "requests a second")
+	f.IntVar(&o.Requests, "requests", 100_000, "most requests")
+	f.DurationVar(&o.Duration, "duration", 10*time.Second, "longest time in which requests start")
+	f.DurationVar(&o.Timeout, "timeout", time.Minute, "longest time of one request")
+	f.IntVar(&adapters, "adapters", 0, "so many adapters, named by --adapter-prefix and a number from 0")
+	f.StringVar(&prefix, "adapter-prefix", "adapter-", "start of the adapters' names")
+	f.StringSliceVar(&o.Adapters, "adapter", nil, "an adapter by name, the most popular first; may be repeated")
+	f.Float64Var(&o.Skew, "skew", 1.1, "exponent of Zipf's law, above 1")
+	f.IntVar(&o.MaxTokens, "max-tokens", 64, "tokens asked for")
+	f.IntVar(&o.Prompt, "prompt", 512, "bytes of the prompt")
+	f.Float64Var(&o.Cancel, "cancel", 0, "share of callers that hang up")
+	f.DurationVar(&o.CancelAfter, "cancel-after", time.Second, "mean time until a hang-up")
+	f.BoolVar(&o.Follow, "follow", true, "ask GET /v1/entries and use its answer as long as told")
+	f.Uint64Var(&o.Seed, "seed", defaultSeed, "seed of arrivals, adapters and hang-ups")
+	f.StringVar(&output, "output", "text", "text or json")
+	return c
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,144 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range of the histograms.
+const (
+	leastMicros = 1
+	mostMicros  = int64(20 * time.Minute / time.Microsecond)
+	digits      = 3
+)
+
+// quantiles that a result shows.
+var quantiles = []float64{50, 95, 99, 99.9}
+
+// Result is what a run gave.
+type Result struct {
+	mu       sync.Mutex
+	count    int
+	outcomes map[string]int
+	first    *hdrhistogram.Histogram // of whole answers
+	total    *hdrhistogram.Histogram // of whole answers
+	gaps     *hdrhistogram.Histogram
+	took     time.Duration
+}
+
+func newResult() *Result {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, mostMicros, digits) }
+	return &Result{outcomes: map[string]int{}, first: histogram(), total: histogram(), gaps: histogram()}
+}
+
+func (r *Result) offered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count++
+}
+
+func (r *Result) add(s sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[s.outcome]++
+	for _, g := range s.gaps {
+		_ = r.gaps.RecordValue(g.Microseconds())
+	}
+	if s.outcome != outcomeOK {
+		return
+	}
+	_ = r.first.RecordValue(s.first.Microseconds())
+	_ = r.total.RecordValue(s.total.Microseconds())
+}
+
+func (r *Result) finish(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.took = took
+}
+
+// Count is how many requests were offered.
+func (r *Result) Count() int { return r.count }
+
+// Outcome is how many requests ended so.
+func (r *Result) Outcome(name string) int { return r.outcomes[name] }
+
+// Latency is a distribution in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p99_9_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Summary is the form in which a result is written as JSON.
+type Summary struct {
+	Requests int            `json:"requests"`
+	Seconds  float64        `json:"seconds"`
+	Rate     float64        `json:"requests_per_second"`
+	Outcomes map[string]int `json:"outcomes"`
+	First    Latency        `json:"first_token"`
+	Total    Latency        `json:"total"`
+	Between  Latency        `json:"between_tokens"`
+}
+
+// Summary sums a result up.
+func (r *Result) Summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Summary{
+		Requests: r.count,
+		Seconds:  r.took.Seconds(),
+		Rate:     float64(r.count) / max(r.took.Seconds(), time.Microsecond.Seconds()),
+		Outcomes: r.outcomes,
+		First:    latency(r.first),
+		Total:    latency(r.total),
+		Between:  latency(r.gaps),
+	}
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	const perMilli = 1000
+	v := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / perMilli }
+	return Latency{
+		Count: h.TotalCount(),
+		P50:   v(quantiles[0]), P95: v(quantiles[1]), P99: v(quantiles[2]), P999: v(quantiles[3]),
+		Max: float64(h.Max()) / perMilli,
+	}
+}
+
+// WriteJSON writes a result as one JSON object.
+func (r *Result) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r.Summary()) }
+
+// WriteText writes a result as a table.
+func (r *Result) WriteText(w io.Writer) error {
+	s := r.Summary()
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%d requests in %.1f s, %.1f a second\n\n", s.Requests, s.Seconds, s.Rate)
+	fmt.Fprintln(t, "ms\tcount\tp50\tp95\tp99\tp99.9\tmax")
+	for _, row := range []struct {
+		name string
+		l    Latency
+	}{{"first token", s.First}, {"total", s.Total}, {"between tokens", s.Between}} {
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n", row.name, row.l.Count, row.l.P50, row.l.P95, row.l.P99, row.l.P999, row.l.Max)
+	}
+	fmt.Fprintln(t, "\noutcome\tcount")
+	names := make([]string, 0, len(s.Outcomes))
+	for name := range s.Outcomes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(t, "%s\t%d\n", name, s.Outcomes[name])
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,234 @@
+// Package fleet runs the stand-ins as a process of their own: the platform,
+// the weight store, engines and plain services, each on its own address.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"gentiancroft/internal/settings"
+	"gentiancroft/internal/standin"
+	"gentiancroft/internal/standin/platform"
+)
+
+// Error is the class of failures to run stand-ins.
+var Error = errs.Class("stand-ins")
+
+// Settings of a process of stand-ins.
+type Settings struct {
+	Platform *Platform `yaml:"platform"`
+	Weights  Weights   `yaml:"weights"`
+	Engines  []Engine  `yaml:"engines" validate:"dive"`
+	Services []Service `yaml:"services" validate:"dive"`
+}
+
+// Platform is the object API and the lagging host list.
+type Platform struct {
+	Listen string            `yaml:"listen" validate:"required,ip_port"`
+	Lag    settings.Duration `yaml:"lag" validate:"duration"` // of the host list
+	Hosts  []string          `yaml:"hosts"`                   // on the list from the start
+}
+
+// Weights is the weight store that the engines share.
+type Weights struct {
+	LoadTime settings.Duration `yaml:"load_time" validate:"duration"`
+	Transit  int               `yaml:"transit" validate:"min=0"`
+	Rate     float64           `yaml:"rate" validate:"min=0"` // loads a second; 0: any
+	Burst    int               `yaml:"burst" validate:"min=0"`
+}
+
+// Engine is a model engine.
+type Engine struct {
+	Name       string            `yaml:"name" validate:"required"`
+	Listen     string            `yaml:"listen" validate:"required,ip_port"`
+	FirstToken settings.Duration `yaml:"first_token" validate:"duration"`
+	TokenTime  settings.Duration `yaml:"token_time" validate:"duration"`
+	Slowdown   float64           `yaml:"slowdown" validate:"min=0"`
+	Slots      int               `yaml:"slots" validate:"min=0"`
+	Batch      int               `yaml:"batch" validate:"min=0"`
+	Prefixes   int               `yaml:"prefixes" validate:"min=0"`
+	ReportLag  settings.Duration `yaml:"report_lag" validate:"duration"`
+	EventDelay settings.Duration `yaml:"event_delay" validate:"duration"`
+	EventGap   int               `yaml:"event_gap" validate:"min=0"`
+	Restart    settings.Duration `yaml:"restart" validate:"duration"`
+	CheckFence bool              `yaml:"checks_fencing"`
+	Poison     string            `yaml:"poison"`
+}
+
+// Service is a plain service.
+type Service struct {
+	Name   string            `yaml:"name" validate:"required"`
+	Listen string            `yaml:"listen" validate:"required,ip_port"`
+	Delay  settings.Duration `yaml:"delay" validate:"duration"`
+}
+
+// Parse reads settings of stand-ins strictly.
+func Parse(file string, b []byte) (*Settings, error) {
+	return settings.Decode[Settings](file, b)
+}
+
+// endpoint is one stand-in at its address.
+type endpoint struct {
+	name    string
+	address string
+	handler http.Handler
+}
+
+// Run serves every stand-in until ctx ends.
+func Run(ctx context.Context, s *Settings) error {
+	endpoints := s.endpoints()
+	listeners := make([]net.Listener, 0, len(endpoints))
+	for _, e := range endpoints {
+		l, err := net.Listen("tcp", e.address)
+		if err != nil {
+			closeAll(listeners)
+			return Error.New("%s: %w", e.name, err)
+		}
+		listeners = append(listeners, l)
+	}
+	ended := make(chan error, len(endpoints))
+	servers := make([]*http.Server, len(endpoints))
+	for i, e := range endpoints {
+		servers[i] = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
+		go func() { ended <- servers[i].Serve(listeners[i]) }()
+	}
+	var first error
+	select {
+	case <-ctx.Done():
+	case first = <-ended:
+	}
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	if first != nil && !errors.Is(first, http.ErrServerClosed) {
+		return Error.Wrap(first)
+	}
+	return nil
+}
+
+const headerTimeout = 10 * time.Second
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
+
+func (s *Settings) endpoints() []endpoint {
+	var all []endpoint
+	var names []string
+	store := standin.NewWeightStore(standin.WeightSettings{
+		LoadTime: s.Weights.LoadTime.Value(),
+		Transit:  s.Weights.Transit,
+		Rate:     s.Weights.Rate,
+		Burst:    s.Weights.Burst,
+	})
+	for _, e := range s.Engines {
+		all = append(all, endpoint{e.Name, e.Listen, standin.NewEngine(e.shape(store)).Handler()})
+		names = append(names, e.Name)
+	}
+	for _, v := range s.Services {
+		service := standin.NewService(standin.ServiceSettings{Name: v.Name, Delay: v.Delay.Value()})
+		all = append(all, endpoint{v.Name, v.Listen, service.Handler()})
+		names = append(names, v.Name)
+	}
+	if s.Platform != nil {
+		all = append(all, endpoint{"platform", s.Platform.Listen, s.Platform.handler(store, names)})
+	}
+	return all
+}
+
+func (e Engine) shape(store *standin.WeightStore) standin.EngineSettings {
+	return standin.EngineSettings{
+		Name:       e.Name,
+		FirstToken: e.FirstToken.Value(),
+		TokenTime:  e.TokenTime.Value(),
+		Slowdown:   e.Slowdown,
+		Slots:      e.Slots,
+		Batch:      e.Batch,
+		Prefixes:   e.Prefixes,
+		ReportLag:  e.ReportLag.Value(),
+		EventDelay: e.EventDelay.Value(),
+		EventGap:   e.EventGap,
+		Restart:    e.Restart.Value(),
+		CheckFence: e.CheckFence,
+		Poison:     e.Poison,
+		Weights:    store,
+	}
+}
+
+// handler serves the platform and, under /admin/, its faults and its list.
+func (p *Platform) handler(weights *standin.WeightStore, upstreams []string) http.Handler {
+	store := platform.NewStore()
+	server := platform.NewServer(store)
+	for _, name := range append(upstreams, p.Hosts...) {
+		server.List(name, false)
+	}
+	server.SetLag(p.Lag.Value())
+	mux := http.NewServeMux()
+	mux.Handle("/", server.Handler())
+	mux.HandleFunc("POST /admin/store", func(w http.ResponseWriter, r *http.Request) { setStore(w, r, store) })
+	mux.HandleFunc("POST /admin/list", func(w http.ResponseWriter, r *http.Request) { setList(w, r, server) })
+	mux.HandleFunc("GET /admin/weights", func(w http.ResponseWriter, _ *http.Request) { show(w, weights.Counts()) })
+	mux.HandleFunc("GET /admin/calls", func(w http.ResponseWriter, _ *http.Request) { show(w, store.Calls()) })
+	return mux
+}
+
+// storeFaults are what the object API does wrong until told otherwise.
+type storeFaults struct {
+	Down        bool              `json:"down"`
+	Delay       settings.Duration `json:"delay"`
+	DropAnswers int               `json:"drop_answers"`
+	StaleReads  bool              `json:"stale_reads"`
+}
+
+func setStore(w http.ResponseWriter, r *http.Request, store *platform.Store) {
+	var f storeFaults
+	if !read(w, r, &f) {
+		return
+	}
+	store.SetDown(f.Down)
+	store.SetDelay(f.Delay.Value())
+	store.DropAnswers(f.DropAnswers)
+	store.StaleReads(f.StaleReads)
+}
+
+// listEntry changes the host list.
+type listEntry struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving"`
+	Removed bool   `json:"removed"`
+}
+
+func setList(w http.ResponseWriter, r *http.Request, server *platform.Server) {
+	var e listEntry
+	if !read(w, r, &e) {
+		return
+	}
+	if e.Removed {
+		server.Unlist(e.Name)
+		return
+	}
+	server.List(e.Name, e.Leaving)
+}
+
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func show(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
