Measure: what one entry host adds, hang-up to cancel, saturation

Cause: the cost of a host was not known. Change: internal/measure/overhead runs a whole host (node, links, platform client) before stand-in engines over loopback, in real time. Ruled out: comparing separate runs; direct and through alternate instead.

--- /dev/null
+++ b/internal/measure/overhead/overhead_test.go
@@ -0,0 +1,23 @@
+package overhead
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiancroft/internal/measure"
+)
+
+func TestReportIsWhole(t *testing.T) {
+	is := is.New(t)
+	r, err := run(1, sizes{pairs: 10, hangUps: 10, saturate: 200 * time.Millisecond})
+	is.NoErr(err)
+	is.Equal(len(r.Tables), 3)
+	for _, table := range r.Tables {
+		for _, row := range table.Rows {
+			is.Equal(len(row.Values), len(table.Columns))
+		}
+	}
+	is.NoErr(measure.WriteText(t.Output(), r)) // figures are shown, not judged
+}
