--- a/spec/once/once.pml
+++ b/spec/once/once.pml
@@ -14,6 +14,7 @@
  * an attempt that was refused as "not run" was not and never is dispatched.
  *
  * An attempt that takes no further step is a crash, not a deadlock.
+ * States stored: 3,093,172.
  * PAN: -E */
 
 #define ATTEMPTS 3
