--- a/internal/core/dispatch/suspect/home.go
+++ b/internal/core/dispatch/suspect/home.go
@@ -29,6 +29,7 @@
 	entry    core.HostID
 	upstream core.UpstreamID
 	seen     core.Instant // claimed or renewed
+	apart    bool         // its leave comes from the upstream's keeper
 }
 
 // handle takes a message as a home or as an entry host.
@@ -69,7 +70,7 @@
 	if i := slices.IndexFunc(r.active, func(x run) bool { return x.id == c.ID }); i >= 0 {
 		// Invariant: a doubled claim never takes away what was allowed.
 		r.active[i].seen = now
-		if !c.Running && r.strikes == 0 {
+		if !c.Running && r.strikes == 0 && !r.active[i].apart {
 			m.tell(now, from, Message{Verdict: &VerdictMessage{ID: c.ID, Allowed: true}})
 		}
 		return
@@ -87,8 +88,9 @@
 		m.tell(now, from, Message{Verdict: &v})
 		return
 	}
+	x.apart = r.suspected(now, c.Upstream)
 	r.active = append(r.active, x)
-	if r.strikes > 0 {
+	if x.apart {
 		m.keepApart(now, x)
 		return
 	}
@@ -116,6 +118,17 @@
 	return slices.Contains(in, c.Upstream) || len(in) < budget
 }
 
+// suspected tells whether a run must be kept apart: that of a suspect, and the
+// first one on a second upstream, which may be a repeat that has come before the
+// news of the first upstream's death.
+func (r *record) suspected(now core.Instant, u core.UpstreamID) bool {
+	if r.strikes > 0 {
+		return true
+	}
+	in := r.upstreams()
+	return !now.Before(r.cleared) && len(in) > 0 && !slices.Contains(in, u)
+}
+
 // upstreams are the distinct upstreams that a fingerprint runs on.
 func (r *record) upstreams() []core.UpstreamID {
 	var in []core.UpstreamID
