Suspects: look a home up once a claim

Cause: at 350 hosts a claim and its release looked the home up three times. Change: the home is looked up again only when the membership or the hosts that answer have changed since.

--- a/internal/core/dispatch/suspect/entry.go
+++ b/internal/core/dispatch/suspect/entry.go
@@ -19,14 +19,19 @@
 	}
 	if n := len(c.asked); n > 0 {
 		m.silent[c.asked[n-1]] = now.Add(silentTerm)
+		m.epoch++
 	}
 	home, ok := m.home(now, c.req.Fingerprint)
 	if !ok || c.tries == homes {
 		m.alone(now, c)
 		return
 	}
-	first, _ := core.Rendezvous(m.hosts, homeOfFingerprint, strconv.FormatUint(c.req.Fingerprint, 16))
+	first := home
+	if len(m.silent) > 0 {
+		first, _ = core.Rendezvous(m.hosts, homeOfFingerprint, strconv.FormatUint(c.req.Fingerprint, 16))
+	}
 	c.tries++
+	c.epoch = m.epoch
 	c.asked = append(c.asked, home)
 	c.due = now.Add(claimWait)
 	m.tell(now, home, Message{Claim: &ClaimMessage{
@@ -40,8 +45,10 @@
 // end tells everybody who may know of a claim that it is over.
 func (m *Machine) end(now core.Instant, c *claim, end End) {
 	m.forget(c)
-	if home, ok := m.home(now, c.req.Fingerprint); ok && !slices.Contains(c.asked, home) {
-		c.asked = append(c.asked, home)
+	if c.epoch != m.epoch {
+		if home, ok := m.home(now, c.req.Fingerprint); ok && !slices.Contains(c.asked, home) {
+			c.asked = append(c.asked, home)
+		}
 	}
 	r := ReleaseMessage{ID: c.id, Fingerprint: c.req.Fingerprint, Upstream: c.req.Upstream, End: end, Age: now.Sub(c.since)}
 	for _, home := range c.asked {
@@ -88,6 +95,7 @@
 	if !slices.Contains(c.asked, home) {
 		c.asked = append(c.asked, home)
 	}
+	c.epoch = m.epoch
 	m.tell(now, home, Message{Claim: &ClaimMessage{
 		ID:          c.id,
 		Fingerprint: c.req.Fingerprint,
@@ -106,7 +114,10 @@
 // verdict takes a home's answer at the entry host. One for a claim that is
 // over needs nothing: its release follows it to the home.
 func (m *Machine) verdict(now core.Instant, from core.HostID, v VerdictMessage) {
-	delete(m.silent, from)
+	if _, silent := m.silent[from]; silent {
+		m.epoch++
+		delete(m.silent, from)
+	}
 	c := m.claims[v.ID]
 	switch {
 	case c == nil || c.cut:
--- a/internal/core/dispatch/suspect/suspect.go
+++ b/internal/core/dispatch/suspect/suspect.go
@@ -102,6 +102,7 @@
 	req     Request
 	since   core.Instant
 	asked   []core.HostID // homes that may know of it
+	epoch   uint64        // in which the last of them was the home
 	tries   int
 	due     core.Instant // of the next try, or of the next renewal
 	decided bool
@@ -114,6 +115,7 @@
 	self    core.HostID
 	rng     *core.Rand
 	hosts   []core.HostID                // the membership in force
+	epoch   uint64                       // rises when homes may have moved
 	silent  map[core.HostID]core.Instant // homes that did not answer, until when they are passed over
 	serial  uint64
 	claims  map[claimID]*claim
@@ -156,6 +158,7 @@
 	if same {
 		return false
 	}
+	m.epoch++
 	m.hosts = make([]core.HostID, 0, len(members))
 	for _, x := range members {
 		m.hosts = append(m.hosts, x.Host)
@@ -248,6 +251,7 @@
 	m.expire(now)
 	for h, until := range m.silent {
 		if !now.Before(until) {
+			m.epoch++
 			delete(m.silent, h)
 		}
 	}
