A new loader asks every member what it loads

Cause: a loader without a hand-over assumed 8 loads under way until 6 s had passed, since a member without an upstream never told it otherwise (seen in the demo: first cold answer after 6.4 s). Ruled out: the engines' reports, the feed. Change: the loader asks the members it has not heard, again until answered.

--- a/internal/core/node/read.go
+++ b/internal/core/node/read.go
@@ -20,6 +20,8 @@
 		return false, "no configuration"
 	case !n.lease.Joined():
 		return false, "not a member yet"
+	case n.members.joined == 0 || n.members.settled < n.members.joined:
+		return false, "ownership not settled yet"
 	case n.feed.CutOff(n.now):
 		return false, "cut off"
 	}
--- a/internal/core/node/spread.go
+++ b/internal/core/node/spread.go
@@ -32,6 +32,7 @@
 // members is what the node last passed on of the membership.
 type members struct {
 	view      uint64
+	joined    uint64 // the first view that this host was a member of
 	settled   uint64
 	hosts     []core.HostID
 	suspected []core.HostID
@@ -113,6 +114,9 @@
 func (n *Node) passMembership() {
 	if v := n.lease.View(); v != n.members.view {
 		n.members.view = v
+		if n.members.joined == 0 && n.lease.Joined() {
+			n.members.joined = v
+		}
 		n.feed.SetMembers(n.now, v, n.lease.Members())
 		n.hostsLost()
 		n.setRaw(feed.Key{Topic: feed.TopicMembers, Name: keyHead}, feed.Stamp{Fence: core.Fence(v)}, n.lease.Head())
--- a/internal/core/placement/loader.go
+++ b/internal/core/placement/loader.go
@@ -48,6 +48,7 @@
 	// until assumedEnd. Keeps: never more than InTransit at once.
 	assumed    int
 	assumedEnd core.Instant
+	asked      core.Instant         // when members were last asked what they load
 	heard      map[core.HostID]bool // members that told what they load
 	transits   map[uint64]*transit
 	needs      map[core.AdapterRef]*need
@@ -111,9 +112,37 @@
 	m.send(loader, Message{Loading: &msg})
 }
 
+// answerLoader tells a loader that asks what this host's upstreams load.
+func (m *Machine) answerLoader(loader core.HostID) {
+	msg := LoadingMessage{Adapters: []core.AdapterRef{}}
+	for _, x := range m.owned.list {
+		msg.Adapters = append(msg.Adapters, slices.SortedFunc(maps.Keys(x.jobs), compareRefs)...)
+	}
+	m.send(loader, Message{Loading: &msg})
+}
+
+// askLoading asks the members that have not said yet what they load, until all
+// have or the assumed loads have ended.
+func (m *Machine) askLoading() {
+	l := m.loader
+	if l.assumed == 0 || m.now.Before(l.asked.Add(m.settings.Repeat)) {
+		return
+	}
+	l.asked = m.now
+	for _, h := range m.own.Members() {
+		if !l.heard[h.Host] {
+			m.send(h.Host, Message{Loading: &LoadingMessage{Ask: true}})
+		}
+	}
+}
+
 func (m *Machine) loadingElsewhere(from core.HostID, msg LoadingMessage) {
+	if msg.Ask {
+		m.answerLoader(from)
+		return
+	}
 	l := m.loader
-	if l == nil {
+	if l == nil || l.heard[from] {
 		return
 	}
 	l.heard[from] = true
@@ -214,6 +243,7 @@
 	if l.assumed > 0 && m.everyoneHeard() {
 		l.assumed = 0
 	}
+	m.askLoading()
 	m.pumpLoader()
 	m.prefetch()
 }
--- a/internal/core/placement/messages.go
+++ b/internal/core/placement/messages.go
@@ -146,6 +146,7 @@
 // LoadingMessage tells a new loader what the sender's upstreams are loading.
 type LoadingMessage struct {
 	Adapters []core.AdapterRef `cbor:"1,keyasint"`
+	Ask      bool              `cbor:"2,keyasint,omitempty"` // a new loader wants to know
 }
 
 // SpreadMessage asks the loader for one more replica of a busy adapter.
