A host's messages to itself arrive, and a request waits for its own host's book

Change: such a request is queued at the own book as others' are; the node hands a host its own messages. Ruled out: the ready check (ownership was settled).

--- a/internal/core/limit/loan.go
+++ b/internal/core/limit/loan.go
@@ -70,12 +70,18 @@
 		return h.lender
 	}
 	owner, ok := own.Owner(shardOf(ws))
-	if !ok || owner == m.settings.Self {
+	if !ok || (owner == m.settings.Self && !m.opening(ws)) {
 		return ""
 	}
 	return owner
 }
 
+// opening reports whether this host's book of a workspace is about to open.
+func (m *Machine) opening(ws core.WorkspaceID) bool {
+	b := m.books[ws]
+	return b != nil && b.phase != phaseOpen
+}
+
 // best is the holder that should have the most above n, and books the loan.
 func (b *book) best(now core.Instant, n nano, asker core.HostID) core.HostID {
 	var best *entry
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -67,6 +67,7 @@
 	rng       *core.Rand
 	now       core.Instant
 	out       []Effect
+	loop      []PeerMessage // from this host to itself
 	lease     *lease.Machine
 	feed      *feed.Machine
 	limit     *limit.Machine
@@ -140,7 +141,9 @@
 	case Query:
 		e.Do(n, n.now)
 	}
+	n.loopBack()
 	n.spread()
+	n.loopBack()
 	return n.out
 }
 
--- a/internal/core/node/peer.go
+++ b/internal/core/node/peer.go
@@ -38,6 +38,10 @@
 // send emits a message to a host of the membership in force. One to a host
 // that is not a member is dropped, as the network may drop it.
 func (n *Node) send(to core.HostID, m PeerMessage) {
+	if to == n.settings.Self.Host {
+		n.loop = append(n.loop, m)
+		return
+	}
 	for _, member := range n.lease.Members() {
 		if member.Host == to {
 			n.emit(ToPeer{To: to, Address: member.Link, Message: m})
@@ -46,3 +50,12 @@
 	}
 	n.note("peer_message", "receiver_unknown", "")
 }
+
+// loopBack hands this host its messages to itself.
+func (n *Node) loopBack() {
+	for len(n.loop) > 0 {
+		m := n.loop[0]
+		n.loop = n.loop[1:]
+		n.fromPeer(FromPeer{From: n.settings.Self.Host, Message: m})
+	}
+}
