Upstream client: responses from a pool

Cause: parsing an answer's header made about 25 small allocations a call, since each call had a fresh response. Change: acquire the response, release it in Close; close an unfinished call's connection before its body stream, so that closing never waits for the upstream. Ruled out: sharing a response per connection, which outlives calls.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -83,13 +83,16 @@
 	}
 	a.closed = true
 	untouched := a.stop()
-	whole := a.whole()
+	whole := untouched && a.whole()
+	if !whole {
+		_ = a.conn.Close() // first, so that nothing below waits for the upstream
+	}
 	_ = a.response.CloseBodyStream()
-	if untouched && whole {
+	fasthttp.ReleaseResponse(a.response)
+	a.response, a.Body = nil, eof{} // the response is another call's from here on
+	if whole {
 		a.client.pool.put(a.conn)
-		return
 	}
-	_ = a.conn.Close()
 }
 
 // whole reports whether the answer was read to its end and nothing follows it.
@@ -240,8 +243,10 @@
 	if err := conn.writer.Flush(); err != nil {
 		return nil, err
 	}
-	response := &fasthttp.Response{StreamBody: true}
+	response := fasthttp.AcquireResponse()
+	response.StreamBody = true
 	if err := response.ReadLimitBody(conn.reader, MaxAnswer); err != nil {
+		fasthttp.ReleaseResponse(response)
 		return nil, err
 	}
 	var body io.Reader = response.BodyStream()
