--- a/internal/core/placement/loader.go
+++ b/internal/core/placement/loader.go
@@ -39,17 +39,11 @@
 	ends     core.Instant
 }
 
-// fame is the remembered popularity of an adapter that is not resident.
-type fame struct {
-	score float64
-	at    core.Instant
-}
-
 // loader spends the fleet's one budget of adapter loads.
 type loader struct {
 	tokens  float64 // loads that the store's rate allows now
 	accrued core.Instant
-	since   core.Instant
+	fence   core.Fence
 	// assumed is how many loads of a former loader may still be under way,
 	// until assumedEnd. Keeps: never more than InTransit at once.
 	assumed    int
@@ -59,6 +53,8 @@
 	needs      map[core.AdapterRef]*need
 	fame       map[core.AdapterRef]fame
 	lastID     uint64
+	prefetched core.Instant
+	pruned     core.Instant
 }
 
 // unbounded lets a load evict whatever is worth least.
@@ -73,17 +69,22 @@
 )
 
 func (m *Machine) scanLoader() {
+	owner, _ := m.own.Owner(LoaderShard)
 	serving := m.own.Serving(m.now, LoaderShard)
-	if !serving {
+	grant, acting := m.own.Acting(m.now, LoaderShard)
+	switch {
+	case owner != m.settings.Self && !serving:
 		m.loader = nil
 		return
+	case m.loader != nil && acting && m.loader.fence != grant.Fence:
+		m.loader = nil // another host may have loaded in between
 	}
-	if m.loader != nil {
+	if m.loader != nil || !serving {
 		return
 	}
 	m.loader = &loader{
+		fence:      grant.Fence,
 		accrued:    m.now,
-		since:      m.now,
 		assumed:    m.settings.InTransit,
 		assumedEnd: m.now.Add(m.settings.LoadTimeout + m.settings.OrderLinger),
 		heard:      map[core.HostID]bool{},
@@ -127,7 +128,7 @@
 	if l == nil {
 		return
 	}
-	l.famed(w.Adapter, float64(w.Arrived), m.now, m.settings.HalfLife)
+	l.famed(w.Adapter, w.Pool, float64(w.Arrived), m.now, m.settings.HalfLife)
 	n := l.needs[w.Adapter]
 	if n == nil && w.Waiting == 0 {
 		return
@@ -159,7 +160,7 @@
 // holderFor is an upstream that the asking host should have known of.
 func (m *Machine) holderFor(w WantMessage) (core.UpstreamID, bool) {
 	for _, x := range m.view.holders[w.Adapter] {
-		usable := x.config.Pool == w.Pool && !x.leaving() && !m.view.listed[x.Upstream]
+		usable := x.config.Pool == w.Pool && !m.view.ejected(x) && !x.leaving() && !m.view.listed[x.Upstream]
 		if usable && !slices.Contains(w.Avoid, x.Upstream) {
 			return x.Upstream, true
 		}
@@ -174,13 +175,6 @@
 	}
 }
 
-func (l *loader) famed(a core.AdapterRef, add float64, now core.Instant, halfLife time.Duration) {
-	f := l.fame[a]
-	f.score = decay(f.score, now.Sub(f.at), halfLife) + add
-	f.at = now
-	l.fame[a] = f
-}
-
 func (l *loader) hostLost(h core.HostID) {
 	for _, a := range slices.SortedFunc(maps.Keys(l.needs), compareRefs) {
 		n := l.needs[a]
@@ -189,18 +183,6 @@
 	}
 }
 
-func (l *loader) learned(Residency) {}
-
-func (m *Machine) spread(s SpreadMessage) {
-	l := m.loader
-	if l == nil || l.needs[s.Adapter] != nil {
-		return
-	}
-	l.famed(s.Adapter, 0, m.now, m.settings.HalfLife)
-	l.needs[s.Adapter] = &need{adapter: s.Adapter, pool: s.Pool, hosts: map[core.HostID]int{}, since: m.now, class: core.Overnight, spread: true}
-	l.fame[s.Adapter] = fame{score: s.Score, at: m.now}
-}
-
 func (l *loader) accrue(now core.Instant, rate float64) {
 	l.tokens = min(l.tokens+rate*now.Sub(l.accrued).Seconds(), tokenBurst)
 	l.accrued = now
@@ -233,6 +215,7 @@
 		l.assumed = 0
 	}
 	m.pumpLoader()
+	m.prefetch()
 }
 
 func (m *Machine) everyoneHeard() bool {
@@ -247,6 +230,9 @@
 // pumpLoader starts loads while the budget allows, the most pressing first.
 func (m *Machine) pumpLoader() {
 	l := m.loader
+	if !m.own.Serving(m.now, LoaderShard) {
+		return
+	}
 	l.accrue(m.now, m.settings.StoreRate)
 	if l.room(m.now, m.settings.InTransit) <= 0 || len(l.needs) == 0 {
 		return
@@ -284,19 +270,18 @@
 	return compareRefs(a.adapter, b.adapter)
 }
 
+// pressure grows with the callers that wait, with those to be expected, and
+// with the time waited, so that nothing is passed over for ever.
 func (m *Machine) pressure(n *need) float64 {
-	return float64(n.waiting()) * (1 + m.now.Sub(n.since).Seconds())
+	return (float64(n.waiting()) + m.remembered(n.adapter)) * (1 + m.now.Sub(n.since).Seconds())
 }
 
 func (m *Machine) startNeed(n *need) {
 	l := m.loader
-	score := 0.0
-	if f, ok := l.fame[n.adapter]; ok {
-		score = decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
-	}
+	score := m.remembered(n.adapter)
 	most := unbounded
 	if n.spread {
-		most = score * replicaDiscount
+		most = score / prefetchMargin
 	}
 	u, ok := m.loadTarget(n, most)
 	if !ok {
@@ -321,8 +306,8 @@
 	if l == nil {
 		return
 	}
-	if d.Evicted.Adapter != (core.AdapterRef{}) {
-		l.fame[d.Evicted.Adapter] = fame{score: d.Evicted.Score, at: m.now}
+	if x := m.view.seen[d.Upstream]; x != nil && d.Evicted.Adapter != (core.AdapterRef{}) {
+		l.remember(d.Evicted, x.config.Pool, m.now)
 	}
 	t := l.transits[d.ID]
 	if t == nil {
--- a/internal/core/placement/messages.go
+++ b/internal/core/placement/messages.go
@@ -35,6 +35,7 @@
 	Remaining time.Duration    `cbor:"9,keyasint"`  // until the request's deadline
 	Sent      core.Instant     `cbor:"10,keyasint"` // asker's clock; comes back in the answer
 	Running   bool             `cbor:"11,keyasint,omitempty"`
+	Counted   bool             `cbor:"12,keyasint,omitempty"` // the loader has counted it for the popularity
 }
 
 // AnswerKind is an owner's answer to an ask.
@@ -47,6 +48,7 @@
 	AnswerNotResident            // the upstream does not hold the adapter
 	AnswerLeaving                // the upstream takes no new work
 	AnswerOverloaded             // the queue is full; final
+	AnswerUnknown                // the owner has nothing of it; state it again
 )
 
 // AnswerMessage answers an ask. A ticket is valid for Valid from the instant
@@ -138,6 +140,7 @@
 type Popular struct {
 	Adapter core.AdapterRef `cbor:"1,keyasint"`
 	Score   float64         `cbor:"2,keyasint"` // requests within one half-life
+	Idle    time.Duration   `cbor:"3,keyasint"` // since its last request
 }
 
 // LoadingMessage tells a new loader what the sender's upstreams are loading.
--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -40,13 +40,13 @@
 	defaultStoreRate   = 3.0
 	defaultInTransit   = 8
 	defaultValidity    = 4 * time.Second
-	defaultOrderLinger = 2 * time.Second
+	defaultOrderLinger = time.Second
 	defaultReportLag   = 2 * time.Second
 	defaultRepeat      = time.Second
 	defaultHoldEvery   = 3 * time.Second
 	defaultSilence     = 15 * time.Second
 	defaultLoadTimeout = 5 * time.Second
-	defaultHalfLife    = 2 * time.Minute
+	defaultHalfLife    = 10 * time.Minute
 	defaultQueueLimit  = 256
 )
 
--- a/internal/core/placement/slot.go
+++ b/internal/core/placement/slot.go
@@ -53,14 +53,25 @@
 	return score * math.Exp2(-float64(passed)/float64(halfLife))
 }
 
+func (m *Machine) popular(s *slot) Popular {
+	return Popular{Adapter: s.adapter, Score: s.popularity(m.now, m.settings.HalfLife), Idle: m.now.Sub(s.touched)}
+}
+
 // replicaDiscount is what an adapter is worth on one upstream while another
 // holds it too, relative to the only copy.
 const replicaDiscount = 0.3
 
+// idleBound is the score of an adapter that is used once per idle time. A
+// formerly busy adapter that has gone quiet is worth no more.
+func idleBound(idle, halfLife time.Duration) float64 {
+	return float64(halfLife) / math.Ln2 / float64(max(idle, 1))
+}
+
 // worth is what evicting an adapter would cost: its popularity, less where
 // another upstream holds it too.
 func (m *Machine) worth(o *owned, s *slot) float64 {
 	w := s.popularity(m.now, m.settings.HalfLife)
+	w = min(w, idleBound(m.now.Sub(s.touched), m.settings.HalfLife))
 	if len(m.view.holders[s.adapter]) > 1 {
 		w *= replicaDiscount
 	}
@@ -104,7 +115,7 @@
 	for _, s := range o.slots {
 		switch s.state {
 		case resident:
-			r.Adapters = append(r.Adapters, Popular{Adapter: s.adapter, Score: s.popularity(m.now, m.settings.HalfLife)})
+			r.Adapters = append(r.Adapters, m.popular(s))
 		case loading:
 			r.Loading = append(r.Loading, s.adapter)
 		}
