Measure: memory, goroutines and time of host links

Cause: the size of 350 hosts asks what a link costs. Ruled out: counting one end only, since a host has as many inbound as outbound.

--- a/internal/measure/overhead/overhead.go
+++ b/internal/measure/overhead/overhead.go
@@ -34,9 +34,11 @@
 	pairs    int           // of a direct request and one through the host
 	hangUps  int           // callers that hang up in each phase
 	saturate time.Duration // of each closed loop
+	peers    int           // that one host is linked with
+	payloads int           // between two hosts
 }
 
-var full = sizes{pairs: 300, hangUps: 300, saturate: 4 * time.Second}
+var full = sizes{pairs: 300, hangUps: 300, saturate: 4 * time.Second, peers: linkPeers, payloads: linkBatch}
 
 const (
 	warmUps   = 20
@@ -53,7 +55,7 @@
 		return report, err
 	}
 	defer f.stop()
-	for _, part := range []func(*fleet, sizes) ([]measure.Table, []measure.Target, error){streamed, hangUps, saturation} {
+	for _, part := range []func(*fleet, sizes) ([]measure.Table, []measure.Target, error){streamed, hangUps, saturation, links} {
 		tables, targets, err := part(f, s)
 		if err != nil {
 			return report, err
--- a/internal/measure/overhead/overhead_test.go
+++ b/internal/measure/overhead/overhead_test.go
@@ -11,9 +11,9 @@
 
 func TestReportIsWhole(t *testing.T) {
 	is := is.New(t)
-	r, err := run(1, sizes{pairs: 10, hangUps: 10, saturate: 200 * time.Millisecond})
+	r, err := run(1, sizes{pairs: 10, hangUps: 10, saturate: 200 * time.Millisecond, peers: 2, payloads: 100})
 	is.NoErr(err)
-	is.Equal(len(r.Tables), 3)
+	is.Equal(len(r.Tables), 4)
 	for _, table := range r.Tables {
 		for _, row := range table.Rows {
 			is.Equal(len(row.Values), len(table.Columns))
