Links: rings that grow with need

Cause: each peer's ring of 1,024 places took 48 KB whether used or not. Change: a ring starts with 8 places, doubles up to its bound, and gives the room back once it is empty. Ruled out: a smaller bound, which would drop bursts that links can carry.

--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -142,6 +142,26 @@
 	is.Equal(r.dropBefore(old.Add(time.Minute)), 1)
 }
 
+func TestRingGrowsInOrderAndShrinksWhenEmpty(t *testing.T) {
+	is := is.New(t)
+	r := newRing(100, 1<<20)
+	next := byte(0)
+	for i := range byte(100) {
+		is.Equal(r.push(queued{payload: []byte{i}}), 0)
+		if i%3 == 0 {
+			q, _ := r.pop()
+			is.Equal(q.payload[0], next)
+			next++
+		}
+	}
+	for q, ok := r.pop(); ok; q, ok = r.pop() {
+		is.Equal(q.payload[0], next)
+		next++
+	}
+	is.Equal(next, byte(100))
+	is.True(len(r.items) <= ringStart)
+}
+
 func FuzzReadFrame(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte{0, 0, 0, 2, 'o', 'k', 0, 0})
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -15,26 +15,32 @@
 // hosts tell each other is superseded by what they tell next.
 type ring struct {
 	mu    sync.Mutex
-	items []queued // a circle of fixed capacity
+	items []queued // a circle that grows up to capacity
 	head  int
 	size  int
 	bytes int
+	most  int // payloads
 	limit int // bytes
 	wake  chan struct{}
 }
 
+// ringStart is how many places a ring has at first and after a burst: most
+// links never need more, and a host may have hundreds.
+const ringStart = 8
+
 func newRing(capacity, limit int) *ring {
-	return &ring{items: make([]queued, capacity), limit: limit, wake: make(chan struct{}, 1)}
+	return &ring{most: capacity, limit: limit, wake: make(chan struct{}, 1)}
 }
 
 // push adds a payload and returns how many older ones it displaced.
 func (r *ring) push(q queued) int {
 	r.mu.Lock()
 	dropped := 0
-	for r.size == len(r.items) || (r.size > 0 && r.bytes+len(q.payload) > r.limit) {
+	for r.size == r.most || (r.size > 0 && r.bytes+len(q.payload) > r.limit) {
 		r.take()
 		dropped++
 	}
+	r.grow()
 	r.items[(r.head+r.size)%len(r.items)] = q
 	r.size++
 	r.bytes += len(q.payload)
@@ -46,6 +52,18 @@
 	return dropped
 }
 
+// grow makes a place where there is none.
+func (r *ring) grow() {
+	if r.size < len(r.items) {
+		return
+	}
+	items := make([]queued, min(max(2*len(r.items), ringStart), r.most))
+	for i := range r.size {
+		items[i] = r.items[(r.head+i)%len(r.items)]
+	}
+	r.items, r.head = items, 0
+}
+
 // pop removes the oldest payload.
 func (r *ring) pop() (queued, bool) {
 	r.mu.Lock()
@@ -70,6 +88,9 @@
 	r.head = (r.head + 1) % len(r.items)
 	r.size--
 	r.bytes -= len(q.payload)
+	if r.size == 0 && len(r.items) > ringStart {
+		r.items, r.head = nil, 0 // the burst is over
+	}
 	return q
 }
 
