Links: one connection for both directions of a pair

Cause: hosts that talk both ways held two connections. Change: a host sends on a connection that the peer opened, once the peer's name is bound to its certificate (NamedHost, now the default); it dials otherwise. An idle link ends its stream and leaves the connection to its idle time-out. Ruled out: reuse without the name check, by which any host could attract what is meant for another.

--- a/internal/measure/overhead/links.go
+++ b/internal/measure/overhead/links.go
@@ -25,6 +25,7 @@
 // linkHost is one host's links and a signal for each payload that came.
 type linkHost struct {
 	*peer.Links
+	id   core.HostID
 	came chan struct{}
 }
 
@@ -63,10 +64,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	ends := float64(2 * 2 * s.peers) // two directions, both ends in this process
+	ends := float64(2 * s.peers) // both ends of a pair are in this process
 	table := measure.Table{
-		Title:   fmt.Sprintf("host links: %d peers, two directions each, payloads of %d bytes", s.peers, linkPayload),
-		Columns: []string{"per end"},
+		Title:   fmt.Sprintf("host links: %d peers, both directions, payloads of %d bytes", s.peers, linkPayload),
+		Columns: []string{"per end of a pair"},
 		Rows: []measure.Row{
 			{Label: "memory KB", Values: []float64{float64(after-before) / ends / 1024}},
 			{Label: "goroutines", Values: []float64{float64(more-goroutines) / ends}},
@@ -81,9 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &linkHost{came: make(chan struct{}, linkBatch)}
+	h := &linkHost{id: core.HostID(name), came: make(chan struct{}, linkBatch)}
 	h.Links, err = peer.New(peer.Settings{
-		Self: core.HostID(name), Listen: "127.0.0.1:0", Material: material, Registry: metrics.NewRegistry(),
+		Self: h.id, Listen: "127.0.0.1:0", Material: material, Registry: metrics.NewRegistry(),
 	}, func(core.HostID, []byte) {
 		h.came <- struct{}{}
 	})
@@ -93,9 +94,10 @@
 // exchange sends one payload each way, so that both links stand.
 func exchange(a, b *linkHost) error {
 	payload := make([]byte, linkPayload)
-	a.Send(core.HostID(b.Address()), b.Address(), payload)
-	b.Send(core.HostID(a.Address()), a.Address(), payload)
-	if !arrives(a) || !arrives(b) {
+	a.Send(b.id, b.Address(), payload)
+	came := arrives(b)
+	b.Send(a.id, a.Address(), payload)
+	if !came || !arrives(a) {
 		return Error.New("a payload between two hosts did not arrive")
 	}
 	return nil
@@ -114,7 +116,7 @@
 
 func throughput(a, b *linkHost, payloads int) (time.Duration, error) {
 	payload := make([]byte, linkPayload)
-	to := core.HostID(b.Address())
+	to := b.id
 	started := time.Now()
 	for sent, come := 0, 0; come < payloads; come++ {
 		for sent < payloads && sent-come < linkWindow {
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -16,16 +16,20 @@
 	closeRefused quic.ApplicationErrorCode = 2
 )
 
-// receive reads one peer's connection to its end. The TLS handshake is over:
-// the peer holds a certificate of the authority.
-func (l *Links) receive(conn *quic.Conn) {
+// inboundLink serves a connection that a peer opened, to its end. The TLS
+// handshake is over: the peer holds a certificate of the authority.
+func (l *Links) inboundLink(conn *quic.Conn) {
 	l.counters.inboundUp.Inc(1)
-	defer func() {
-		l.counters.inboundUp.Dec(1)
-		l.mu.Lock()
-		l.inbound--
-		l.mu.Unlock()
-	}()
+	l.receive(conn)
+	l.counters.inboundUp.Dec(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inbound--
+}
+
+// receive reads what a peer sends on a connection that either side opened.
+func (l *Links) receive(conn *quic.Conn) {
+	defer l.forget(conn)
 	for {
 		stream, err := conn.AcceptUniStream(l.ctx)
 		if err != nil {
@@ -45,6 +49,7 @@
 		_ = conn.CloseWithError(closeRefused, "bad hello")
 		return
 	}
+	l.learn(from, conn)
 	for {
 		payload, err := readFrame(stream, MaxFrame)
 		if errors.Is(err, io.EOF) && !FrameError.Has(err) {
@@ -75,8 +80,38 @@
 	if len(chain) == 0 {
 		return "", FrameError.New("the peer showed no certificate")
 	}
-	if l.settings.Admit != nil && !l.settings.Admit(chain[0].Subject.CommonName, from) {
+	if !l.settings.Admit(chain[0].Subject.CommonName, from) {
 		return "", FrameError.New("the certificate does not allow this host name")
 	}
 	return from, nil
 }
+
+// learn keeps a connection as the way to a peer that has proved its name.
+func (l *Links) learn(from core.HostID, conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if conn.Context().Err() == nil {
+		l.opened[from] = conn
+	}
+}
+
+func (l *Links) forget(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for from, c := range l.opened {
+		if c == conn {
+			delete(l.opened, from)
+		}
+	}
+}
+
+// way is a standing connection to a peer, nil where there is none.
+func (l *Links) way(to core.HostID) *quic.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn := l.opened[to]
+	if conn == nil || conn.Context().Err() != nil {
+		return nil
+	}
+	return conn
+}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -2,13 +2,15 @@
 //
 // A message is an opaque payload. It may be lost (a full ring, a broken link,
 // a peer that is gone) and messages may overtake each other; what must arrive
-// is sent again by the decision that needs it. Each host dials the peers that
-// it sends to, so a pair of hosts that talk both ways has two connections.
+// is sent again by the decision that needs it. A host that has something to
+// send uses a connection that the peer opened, or else dials; so a pair of
+// hosts that talk both ways needs one connection, rarely two for a while.
 package peer
 
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,10 +54,16 @@
 	Registry metrics.Registry // nil: a registry of its own
 
 	// Admit decides whether the holder of a certificate with this common name
-	// may speak as a host. Nil admits every holder of a certificate.
+	// may speak as a host, and so be sent what is meant for it. Nil is NamedHost.
 	Admit func(commonName string, host core.HostID) bool
 }
 
+// NamedHost admits a host whose identity is the certificate's common name, or
+// that name followed by a slash and a number of this start.
+func NamedHost(commonName string, host core.HostID) bool {
+	return string(host) == commonName || strings.HasPrefix(string(host), commonName+"/")
+}
+
 // Handler takes a payload from a peer. It is called from several goroutines;
 // while it runs, that peer's link is read no further.
 type Handler func(from core.HostID, payload []byte)
@@ -72,6 +80,7 @@
 	closed  bool
 	inbound int
 	peers   map[core.HostID]*outbound
+	opened  map[core.HostID]*quic.Conn // by peers, to be used both ways
 	tasks   sync.WaitGroup
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -91,6 +100,9 @@
 	if err != nil {
 		return nil, LinkError.Wrap(err)
 	}
+	if s.Admit == nil {
+		s.Admit = NamedHost
+	}
 	if s.Registry == nil {
 		s.Registry = metrics.NewRegistry()
 	}
@@ -102,6 +114,7 @@
 		socket:    socket,
 		transport: &quic.Transport{Conn: socket},
 		peers:     map[core.HostID]*outbound{},
+		opened:    map[core.HostID]*quic.Conn{},
 		ctx:       ctx,
 		cancel:    cancel,
 		rng:       core.NewRand(s.Seed),
@@ -132,7 +145,7 @@
 			_ = conn.CloseWithError(closeBusy, "too many links")
 			continue
 		}
-		l.start(func() { l.receive(conn) })
+		l.start(func() { l.inboundLink(conn) })
 	}
 }
 
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -65,7 +65,8 @@
 	is.True(a.Send("b", b.Address(), nil)) // an empty payload is a payload
 	is.Equal(<-b.got, message{"a", ""})
 	is.True(!a.Send("b", b.Address(), make([]byte, MaxFrame+1)))
-	is.Equal(a.count("dials_connected"), int64(1)) // one link serves all payloads of a direction
+	is.Equal(a.count("dials_connected"), int64(1)) // one connection serves all payloads
+	is.Equal(b.count("dials_connected"), int64(0)) // and both directions
 }
 
 func TestPeerWithoutTheRightCertificateGetsNothing(t *testing.T) {
@@ -94,7 +95,6 @@
 	authority, err := NewAuthority("test", testTerm)
 	is.NoErr(err)
 	host := startHost(t, authority, "a", "127.0.0.1:0")
-	host.settings.Admit = func(name string, id core.HostID) bool { return name == string(id) }
 	liar := startHost(t, authority, "liar", "127.0.0.1:0")
 	liar.settings.Self = "b"
 	is.True(liar.Send("a", host.Address(), []byte("I am b")))
@@ -102,6 +102,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(len(host.got), 0)
+	is.True(NamedHost("a", "a/1f") && NamedHost("a", "a") && !NamedHost("a", "ab/1f") && !NamedHost("a", "b"))
 }
 
 func TestLinkIsDialledAgainAfterThePeerRestarts(t *testing.T) {
--- a/internal/peer/outbound.go
+++ b/internal/peer/outbound.go
@@ -24,7 +24,7 @@
 
 	conn   *quic.Conn
 	stream *quic.SendStream
-	dialed string
+	dialed string // the address, "" where the peer opened the connection
 }
 
 func newOutbound(l *Links, to core.HostID, seed uint64) *outbound {
@@ -45,7 +45,7 @@
 
 // run sends what the ring holds until the links close or the link is idle.
 func (p *outbound) run() {
-	defer p.hangUp()
+	defer p.release()
 	idle := time.NewTimer(idleAfter)
 	defer idle.Stop()
 	for {
@@ -133,14 +133,20 @@
 	if p.conn == nil {
 		return false
 	}
-	if p.conn.Context().Err() != nil || p.dialed != p.currentAddress() {
+	moved := p.dialed != "" && p.dialed != p.currentAddress()
+	if moved || p.conn.Context().Err() != nil {
 		p.hangUp()
 		return false
 	}
 	return true
 }
 
+// dial takes a connection that the peer opened, or opens one, and starts this
+// host's stream on it.
 func (p *outbound) dial() error {
+	if conn := p.links.way(p.to); conn != nil {
+		return p.use(conn, "")
+	}
 	address := p.currentAddress()
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -152,13 +158,20 @@
 	if err != nil {
 		return LinkError.Wrap(err)
 	}
+	p.links.counters.connected.Inc(1)
+	p.links.start(func() { p.links.receive(conn) }) // the peer may answer on it
+	return p.use(conn, address)
+}
+
+func (p *outbound) use(conn *quic.Conn, address string) error {
 	p.conn, p.dialed = conn, address
 	p.links.counters.outboundNow.Inc(1)
-	if p.stream, err = p.open(); err != nil {
+	stream, err := p.open()
+	if err != nil {
 		p.hangUp()
 		return err
 	}
-	p.links.counters.connected.Inc(1)
+	p.stream = stream
 	return nil
 }
 
@@ -177,6 +190,7 @@
 	return stream, nil
 }
 
+// hangUp closes the connection, which no longer serves.
 func (p *outbound) hangUp() {
 	if p.conn == nil {
 		return
@@ -186,6 +200,17 @@
 	p.links.counters.outboundNow.Dec(1)
 }
 
+// release ends this host's stream. The connection stays as long as the peer
+// uses it, and ends by itself once both sides have been silent.
+func (p *outbound) release() {
+	if p.conn == nil {
+		return
+	}
+	_ = p.stream.Close()
+	p.conn, p.stream = nil, nil
+	p.links.counters.outboundNow.Dec(1)
+}
+
 // pause waits about d and reports whether the links are still open.
 func (p *outbound) pause(d time.Duration) bool {
 	t := time.NewTimer(time.Duration(p.rng.Jitter(int64(d))))
