--- a/cmd/gentiancroft/main.go
+++ b/cmd/gentiancroft/main.go
@@ -10,6 +10,10 @@
 
 	"github.com/spf13/cobra"
 	"github.com/zeebo/errs"
+
+	"gentiancroft/internal/admin"
+	"gentiancroft/internal/peer"
+	"gentiancroft/internal/settings"
 )
 
 // Exit codes.
@@ -53,6 +57,12 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage.Wrap(err) })
 	root.AddCommand(
 		demoCommand(),
+		serveCommand(),
+		standinCommand(),
+		loadCommand(),
+		configCommand(),
+		auditCommand(),
+		certCommand(),
 		measureCommand(),
 		reportCommand(),
 		versionCommand(),
@@ -63,7 +73,7 @@
 // isUsage reports whether an error is the user's: flags, arguments, settings or
 // a document.
 func isUsage(err error) bool {
-	if usage.Has(err) {
+	if usage.Has(err) || settings.Invalid.Has(err) || admin.Invalid.Has(err) || peer.MaterialError.Has(err) {
 		return true
 	}
 	for _, prefix := range []string{"unknown command", "accepts ", "requires at least", "required flag"} {
--- a/cmd/gentiancroft/measure.go
+++ b/cmd/gentiancroft/measure.go
@@ -8,13 +8,20 @@
 	"github.com/spf13/cobra"
 
 	"gentiancroft/internal/measure"
+	"gentiancroft/internal/measure/adapters"
+	"gentiancroft/internal/measure/limits"
+	"gentiancroft/internal/measure/overhead"
 	"gentiancroft/internal/report"
 )
 
 const defaultSeed = 1
 
 // measures are all measurements that `measure` and `report` run.
-var measures = []measure.Measure{}
+var measures = []measure.Measure{
+	limits.Measure,
+	adapters.Measure,
+	overhead.Measure,
+}
 
 func measureCommand() *cobra.Command {
 	var seed uint64
--- /dev/null
+++ b/internal/wiring/from.go
@@ -0,0 +1,83 @@
+package wiring
+
+import (
+	"github.com/fasthttp/router"
+
+	"gentiancroft/internal/admin"
+	"gentiancroft/internal/console"
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/feed"
+	"gentiancroft/internal/core/lease"
+	"gentiancroft/internal/core/node"
+	"gentiancroft/internal/entry"
+	"gentiancroft/internal/platform"
+	"gentiancroft/internal/settings"
+)
+
+// From turns a process's settings into a host's.
+func From(h *settings.Host) (Settings, error) {
+	secret, err := h.KeySecret()
+	if err != nil {
+		return Settings{}, err
+	}
+	material, err := h.Material()
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Settings{
+		Name:      h.Host.Name,
+		Domain:    core.Domain(h.Host.Domain),
+		Region:    core.Region(h.Host.Region),
+		Callers:   h.Listen.Callers,
+		Links:     h.Listen.Links,
+		Platform:  h.Platform,
+		KeySecret: secret,
+		Material:  material,
+		Limits:    limitsOf(h.Limits),
+		Node:      nodeOf(h),
+	}
+	s.Routes = append(s.Routes, consoleRoutes(s, h.OperatorHashes()))
+	return s, nil
+}
+
+func limitsOf(l settings.Limits) entry.Limits {
+	d := entry.DefaultLimits
+	limits := entry.Limits{
+		Body:        l.Body.Or(d.Body),
+		Header:      l.Header.Or(d.Header),
+		Connections: l.Connections,
+		Read:        l.Read.Or(d.Read),
+		Idle:        l.Idle.Or(d.Idle),
+		Stall:       l.Stall.Or(d.Stall),
+	}
+	if limits.Connections == 0 {
+		limits.Connections = d.Connections
+	}
+	return limits
+}
+
+func nodeOf(h *settings.Host) node.Settings {
+	return node.Settings{
+		Lease:     lease.Settings{Term: h.Timings.LeaseTerm.Value(), Renew: h.Timings.LeaseRenew.Value()},
+		Feed:      feed.Settings{Ping: h.Timings.FeedPing.Value(), Read: h.Timings.FeedRead.Value(), Bound: h.Timings.FeedBound.Value()},
+		PollEvery: h.Timings.Poll.Value(),
+		ListEvery: h.Timings.List.Value(),
+		KeepTime:  h.Shutdown.Keep.Value(),
+		Drain:     h.Shutdown.Drain.Value(),
+		Capacity:  h.Limits.InFlight,
+	}
+}
+
+// consoleRoutes adds the operators' console to a host.
+func consoleRoutes(s Settings, operators map[string]string) func(*router.Router) {
+	byName := make(map[string]string, len(operators))
+	for hash, name := range operators {
+		byName[name] = hash
+	}
+	c := console.New(console.Options{
+		Service:   admin.New(platform.New(platform.Options{Address: s.Platform})),
+		Operators: admin.NewOperators(s.KeySecret, byName),
+		Secret:    s.KeySecret,
+	})
+	return func(r *router.Router) { console.Register(r, c) }
+}
