The tour: ten steps over a whole deployment in one process

Cause: the demo showed two answers. Change: both sample deployments with all their upstreams, three hosts over QUIC and HTTP, ten steps that compare what was expected with what was seen; decisions are counted by few names, details go to the log.

--- a/cmd/gentiancroft/demo.go
+++ b/cmd/gentiancroft/demo.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/spf13/cobra"
 
 	"gentiancroft/internal/demo"
@@ -8,16 +10,26 @@
 
 func demoCommand() *cobra.Command {
 	var options demo.Options
+	var logs bool
 	c := &cobra.Command{
-		Use:     "demo",
-		Short:   "Run a whole deployment in one process and show what it does",
-		Example: "  gentiancroft demo --deployment embalse --output json",
+		Use:   "demo",
+		Short: "Run a whole deployment in one process and show what it does",
+		Long: `Run stand-ins for the platform, engines and services, and three hosts over real links, all on
+loopback, and walk through what the product promises. Ends with 0 only if every step held.`,
+		Example: "  gentiancroft demo\n  gentiancroft demo --deployment embalse --output json\n  gentiancroft demo --keep",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if logs {
+				logJSON("info")
+			} else {
+				log.SetHandler(discard.Default)
+			}
 			return demo.Run(c.Context(), c.OutOrStdout(), options)
 		},
 	}
 	c.Flags().StringVar(&options.Deployment, "deployment", "parapet", "sample deployment: parapet or embalse")
 	c.Flags().StringVar(&options.Output, "output", "text", "text or json")
+	c.Flags().BoolVar(&options.Keep, "keep", false, "leave the deployment running and print curl lines")
+	c.Flags().BoolVar(&logs, "logs", false, "write the hosts' log lines to standard error")
 	return c
 }
--- a/cmd/gentiancroft/main.go
+++ b/cmd/gentiancroft/main.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"gentiancroft/internal/admin"
+	"gentiancroft/internal/demo"
 	"gentiancroft/internal/peer"
 	"gentiancroft/internal/settings"
 )
@@ -73,7 +74,7 @@
 // isUsage reports whether an error is the user's: flags, arguments, settings or
 // a document.
 func isUsage(err error) bool {
-	if usage.Has(err) || settings.Invalid.Has(err) || admin.Invalid.Has(err) || peer.MaterialError.Has(err) {
+	if usage.Has(err) || demo.Usage.Has(err) || settings.Invalid.Has(err) || admin.Invalid.Has(err) || peer.MaterialError.Has(err) {
 		return true
 	}
 	for _, prefix := range []string{"unknown command", "accepts ", "requires at least", "required flag"} {
--- a/internal/core/node/calls.go
+++ b/internal/core/node/calls.go
@@ -106,7 +106,7 @@
 		n.publishResidency(p)
 	}
 	for _, note := range r.Notes {
-		n.note(note.Name, note.Reason, "")
+		n.emit(Note{Name: note.Name, Detail: note.Reason})
 	}
 	for _, d := range r.Decisions {
 		n.placed(d)
--- a/internal/core/node/effects.go
+++ b/internal/core/node/effects.go
@@ -60,8 +60,9 @@
 
 // Note is a decision with its reason, for the log and the metrics.
 type Note struct {
-	Name   string // the metric
-	Reason string
+	Name   string // of the decision, one of few
+	Reason string // one of few, "" where only the detail tells
+	Detail string // for the log alone
 	ID     core.RequestID
 }
 
--- a/internal/core/node/launch.go
+++ b/internal/core/node/launch.go
@@ -69,13 +69,12 @@
 	if r == nil {
 		return
 	}
-	if d.Reason != "" {
-		n.note("claim", d.Reason, d.ID)
-	}
 	if d.Allowed {
+		n.emit(Note{Name: "claim", Reason: "allowed", Detail: d.Reason, ID: d.ID})
 		n.dispatch(r)
 		return
 	}
+	n.emit(Note{Name: "claim", Reason: "not_allowed", Detail: d.Reason, ID: d.ID})
 	r.claim = false
 	if len(d.Use) > 0 && len(r.tried) < maxMoves {
 		n.move(r, d.Use)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,28 +7,23 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"strings"
-	"time"
 
 	"github.com/zeebo/errs"
-
-	"gentiancroft/internal/core"
-	"gentiancroft/internal/core/config"
-	"gentiancroft/internal/peer"
-	"gentiancroft/internal/standin"
-	standplatform "gentiancroft/internal/standin/platform"
-	"gentiancroft/internal/wiring"
 )
 
-// Failed is the class of a demo whose steps did not all hold.
-var Failed = errs.Class("demo")
+// Classes of failure.
+var (
+	// Failed is the class of a demo whose steps did not all hold.
+	Failed = errs.Class("demo")
+	// Usage is the class of options that can't be used.
+	Usage = errs.Class("demo options")
+)
 
 // Options of a demo run.
 type Options struct {
-	Deployment string
-	Output     string
+	Deployment string // parapet or embalse
+	Output     string // text or json
+	Keep       bool   // leave it running after the tour
 }
 
 // Step is one step of the tour.
@@ -44,165 +39,66 @@
 	OK    bool   `json:"ok"`
 }
 
-const (
-	hosts     = 3
-	engines   = 3
-	demoKey   = "demo-key"
-	readyWait = 20 * time.Second
-)
-
-var secret = []byte("demo-secret")
-
-// Run starts the deployment, walks the tour and prints it.
+// Run starts the deployment, walks the tour and prints it. It fails unless
+// every step held.
 func Run(ctx context.Context, w io.Writer, o Options) error {
+	if o.Output != "text" && o.Output != "json" {
+		return Usage.New("output is text or json, not %q", o.Output)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	addresses, err := start(ctx)
+	d, err := start(ctx, o.Deployment)
 	if err != nil {
-		return Failed.Wrap(err)
-	}
-	result := Result{OK: true}
-	for i, name := range []string{"streamed answer on a cold adapter", "streamed answer on a warm adapter"} {
-		detail, ok := complete(addresses[i])
-		result.Steps = append(result.Steps, Step{Name: name, OK: ok, Detail: detail})
-		result.OK = result.OK && ok
-	}
-	if err := write(w, o, result); err != nil {
-		return Failed.Wrap(err)
-	}
-	if !result.OK {
-		return Failed.New("a step did not hold")
+		return err
 	}
-	return nil
-}
-
-func write(w io.Writer, o Options, r Result) error {
+	defer d.stop()
+	say := w
 	if o.Output == "json" {
-		return json.NewEncoder(w).Encode(r)
-	}
-	for _, s := range r.Steps {
-		fmt.Fprintf(w, "%-40s ok=%v  %s\n", s.Name, s.OK, s.Detail)
-	}
-	return nil
-}
-
-func serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+		say = io.Discard
 	}
-	go func() { _ = http.Serve(l, h) }()
-	return l.Addr().String(), nil
-}
-
-func start(ctx context.Context) ([]string, error) {
-	store := standplatform.NewStore()
-	platformAddress, err := serve(standplatform.NewServer(store).Handler())
-	if err != nil {
-		return nil, err
-	}
-	document := &config.Document{
-		BaseModels: []config.BaseModel{{ID: "base"}},
-		Workspaces: []config.Workspace{{ID: "care-homes", Rate: 1000, Burst: 10000, Weight: 1}},
-		Keys:       []config.Key{{ID: "k1", Workspace: "care-homes", Hash: config.HashKey(secret, demoKey)}},
-		Adapters:   []config.Adapter{{ID: "quotes", Base: "base", Versions: []int{1, 2}, Default: 2}},
-		Routes:     []config.Route{{Path: "/v1/completions", Kind: config.RouteCompletions, Pool: "drafter", Idempotent: true, Class: "interactive"}},
+	fmt.Fprintf(say, "%s: %d hosts, %d engines, %d services, %d adapters\n\n", o.Deployment, len(d.hosts), len(d.engines), len(d.services), len(d.document.Adapters))
+	if o.Keep {
+		return d.keep(ctx, say)
 	}
-	for i := range engines {
-		engine := standin.NewEngine(standin.EngineSettings{Name: fmt.Sprint("drafter-", i), LoadTime: 250 * time.Millisecond, FirstToken: 20 * time.Millisecond, TokenTime: 5 * time.Millisecond})
-		address, err := serve(engine.Handler())
-		if err != nil {
-			return nil, err
+	result := d.walk(ctx, say)
+	if o.Output == "json" {
+		if err := json.NewEncoder(w).Encode(result); err != nil {
+			return Failed.Wrap(err)
 		}
-		document.Upstreams = append(document.Upstreams, config.Upstream{ID: core.UpstreamID(fmt.Sprint("drafter-", i)), Kind: config.UpstreamEngine, Pool: "drafter", Address: address, Domain: "sofia-a", Base: "base", Slots: 8, Batch: 8})
-	}
-	if err := publish(store, document); err != nil {
-		return nil, err
 	}
-	return startHosts(ctx, platformAddress)
-}
-
-func publish(store *standplatform.Store, d *config.Document) error {
-	head, chunks, err := config.Encode(config.Canonical(d))
-	if err != nil {
-		return err
-	}
-	for hash, chunk := range chunks {
-		store.Do(core.ObjectCall{Op: core.ObjectCreate, Key: config.ChunkPrefix + hash, Value: chunk})
-	}
-	head.Version = 1
-	value, err := config.EncodeHead(head)
-	if err != nil {
-		return err
+	if !result.OK {
+		return Failed.New("not every step held")
 	}
-	store.Do(core.ObjectCall{Op: core.ObjectCreate, Key: config.HeadKey, Value: value})
 	return nil
 }
 
-func startHosts(ctx context.Context, platformAddress string) ([]string, error) {
-	authority, err := peer.NewAuthority("demo", time.Hour)
-	if err != nil {
-		return nil, err
-	}
-	var addresses []string
-	for i := range hosts {
-		name := fmt.Sprint("entry-", i)
-		material, err := authority.Material(name, time.Hour)
+// walk takes every step of the tour.
+func (d *deployment) walk(ctx context.Context, w io.Writer) Result {
+	result := Result{OK: true}
+	for i, s := range tour {
+		fmt.Fprintf(w, "%d. %s\n   expected: %s\n", i+1, s.name, s.expect)
+		seen, ok, err := s.run(ctx, d)
 		if err != nil {
-			return nil, err
+			seen, ok = err.Error(), false
 		}
-		h, err := wiring.New(wiring.Settings{
-			Name: name, Domain: core.Domain("sofia-" + string(rune('a'+i))), Region: "sofia",
-			Callers: "127.0.0.1:0", Links: "127.0.0.1:0", Platform: platformAddress, KeySecret: secret, Material: material,
-		})
-		if err != nil {
-			return nil, err
+		verdict := "held"
+		if !ok {
+			verdict = "DID NOT HOLD"
 		}
-		go func() { _ = h.Run(ctx) }()
-		addresses = append(addresses, h.Address)
+		fmt.Fprintf(w, "   seen:     %s\n   %s\n\n", seen, verdict)
+		result.Steps = append(result.Steps, Step{Name: s.name, OK: ok, Detail: seen})
+		result.OK = result.OK && ok
 	}
-	return addresses, waitReady(addresses)
+	return result
 }
 
-func waitReady(addresses []string) error {
-	end := time.Now().Add(readyWait)
-	for _, a := range addresses {
-		for !isReady(a) {
-			if time.Now().After(end) {
-				return Failed.New("host at %s is not ready", a)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
+// keep leaves the deployment running and tells how to use it.
+func (d *deployment) keep(ctx context.Context, w io.Writer) error {
+	address := d.hosts[0].Address
+	fmt.Fprintf(w, "curl -s -H 'Authorization: Bearer %s' http://%s/v1/entries\n", keyOf(d.workspace), address)
+	fmt.Fprintf(w, "curl -sN -H 'Authorization: Bearer %s' http://%s/v1/completions -d '%s'\n", keyOf(d.workspace), address, completion(d.adapters[0], 16))
+	fmt.Fprintf(w, "curl -s -H 'Authorization: Bearer %s' -H 'Idempotency-Key: crew-1' http://%s%s -d '{\"job\":1}'\n", keyOf(d.workspace), address, d.booking)
+	fmt.Fprintf(w, "curl -s http://%s/metrics\n\ninterrupt to stop\n", address)
+	<-ctx.Done()
 	return nil
 }
-
-func isReady(address string) bool {
-	r, err := http.Get("http://" + address + "/readyz")
-	if err != nil {
-		return false
-	}
-	defer func() { _ = r.Body.Close() }()
-	return r.StatusCode == http.StatusOK
-}
-
-func complete(address string) (string, bool) {
-	body := `{"model":"quotes","prompt":"a grab rail for a bathroom","max_tokens":8,"stream":true}`
-	request, err := http.NewRequest("POST", "http://"+address+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return err.Error(), false
-	}
-	request.Header.Set("Authorization", "Bearer "+demoKey)
-	started := time.Now()
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err.Error(), false
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err.Error(), false
-	}
-	whole := strings.Count(string(answer), "quotes@2:") == 8 && strings.HasSuffix(string(answer), "[DONE]\n\n")
-	return fmt.Sprintf("status %d, adapter %s, whole %v, %v", response.StatusCode, response.Header.Get("X-Adapter"), whole, time.Since(started).Round(time.Millisecond)), whole
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -242,10 +243,14 @@
 	})
 }
 
-// note counts a decision by its reason and logs it.
+// note counts a decision by its name and reason and logs it with its detail.
 func (h *Host) note(n node.Note) {
-	h.count(decisionPrefix + n.Name + "." + n.Reason)
-	log.WithFields(log.Fields{"decision": n.Name, "reason": n.Reason, "request": string(n.ID)}).Debug("decided")
+	name := decisionPrefix + strings.ReplaceAll(n.Name, " ", "_")
+	if n.Reason != "" {
+		name += "." + n.Reason
+	}
+	h.count(name)
+	log.WithFields(log.Fields{"decision": n.Name, "reason": n.Reason, "detail": n.Detail, "request": string(n.ID)}).Debug("decided")
 }
 
 func workerName(pool string, i int) string { return fmt.Sprintf("%s %d", pool, i) }
