Model of shares and take-over; a late Ask books nothing

Cause: the model of granting, restating and take-over found that an Ask that comes after its sender's share has ended was booked although the slice had been given on: the owner could then cut it a share that the pool never paid.

--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -184,7 +184,7 @@
 		m.settleList(own, b, r)
 	}
 	if b.withheld && (len(b.unheard) == 0 || !now.Before(b.withheldTo)) {
-		b.withheld = false
+		b.withheld, b.unheard = false, nil
 		b.reslice(now)
 	}
 	if b.withheld {
@@ -242,8 +242,8 @@
 		m.recall(b, []core.HostID{from}, r) // it has to promise first
 		return
 	}
-	b.heard(from)
-	e := m.book2entry(now, b, from, a)
+	restated := b.heard(from)
+	e := m.book2entry(now, b, from, a, restated)
 	if e == nil {
 		m.list(own, b, from, r)
 		m.shareNothing(b, from, a, r)
@@ -256,14 +256,18 @@
 	m.share(now, own, b, e, a.Sent, r)
 }
 
-// heard notes that a host restated what it holds.
-func (b *book) heard(host core.HostID) {
+// heard notes that a host restated what it holds, and reports whether that was
+// waited for.
+func (b *book) heard(host core.HostID) bool {
+	n := len(b.unheard)
 	b.unheard = slices.DeleteFunc(b.unheard, func(h core.HostID) bool { return h == host })
+	return len(b.unheard) < n
 }
 
 // book2entry books an Ask. Nil where the host is not listed yet, so may not be
-// granted anything.
-func (m *Machine) book2entry(now core.Instant, b *book, from core.HostID, a Ask) *entry {
+// granted anything. What a host states counts only where it was waited for: the
+// share of a host without an entry has ended otherwise, and the Ask is late.
+func (m *Machine) book2entry(now core.Instant, b *book, from core.HostID, a Ask, restated bool) *entry {
 	e := b.entry(from)
 	if e == nil {
 		if _, ok := slices.BinarySearch(b.listed, from); !ok {
@@ -272,13 +276,15 @@
 		e = b.addEntry(from)
 		e.seq = a.Applied
 		b.seq = max(b.seq, a.Applied)
-		e.rate, e.burst = microRate(max(a.Rate, 0)), nano(max(a.Burst, 0))
+		if restated && b.withheld {
+			e.rate, e.burst = microRate(max(a.Rate, 0)), nano(max(a.Burst, 0))
+		}
 		e.toRate, e.toBurst = e.rate, e.burst
 		e.until = now.Add(longer(m.settings.Term, m.settings.DriftPPM))
 		b.reslice(now)
 	}
 	b.confirm(now, e, a)
-	e.level, e.stated = nano(a.Level), now
+	e.level, e.stated = min(nano(a.Level), e.burst), now
 	e.demand, e.largest = a.Demand, a.Largest
 	return e
 }
--- a/internal/measure/limits/adversary_test.go
+++ b/internal/measure/limits/adversary_test.go
@@ -18,6 +18,7 @@
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "60")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "1s")
 	os.Exit(m.Run())
 }
 
@@ -30,6 +31,7 @@
 	bounds  map[core.WorkspaceID][]Bound
 	charges map[core.WorkspaceID][]Charge
 	next    int
+	quiet   core.Instant // callers are idle until then, so that bursts fill
 }
 
 // Times short enough for a run to see terms, horizons and takeovers end.
@@ -50,6 +52,12 @@
 
 // greed asks at every slot for what it may get.
 func (a *adversary) greed() {
+	if a.loop.Now < a.quiet {
+		return
+	}
+	if a.loop.Rand.IntN(40) == 0 {
+		a.quiet = a.loop.Now.Add(time.Duration(a.loop.Rand.Int64N(int64(20 * time.Second))))
+	}
 	for _, n := range a.fleet.slots {
 		l := a.limits[a.loop.Rand.IntN(len(a.limits))]
 		tokens := 1 + core.Tokens(a.loop.Rand.Int64N(int64(l.Burst)/4))
