--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -18,9 +18,10 @@
 // workspaces that wait or were served lately, never the idle ones.
 type level struct {
 	now     virtual
+	credit  virtual // how far a flow that used less than its share may lie behind
 	active  []*flow // with waiting items, sorted by tag, then workspace
 	flows   map[core.WorkspaceID]*flow
-	settled []*flow // idle with a tag ahead of now, sorted likewise
+	settled []*flow // idle with a tag ahead of the floor, sorted likewise
 	order   *list.List
 	where   map[*entry]*list.Element
 }
@@ -72,12 +73,12 @@
 	f := l.flows[e.Workspace]
 	switch {
 	case f == nil:
-		f = &flow{workspace: e.Workspace, tag: l.now}
+		f = &flow{workspace: e.Workspace, tag: l.floor()}
 		l.flows[e.Workspace] = f
 		l.active = insertSorted(l.active, f)
 	case f.count == 0:
 		l.settled = removeSorted(l.settled, f)
-		f.tag = max(f.tag, l.now)
+		f.tag = max(f.tag, l.floor())
 		l.active = insertSorted(l.active, f)
 	}
 	f.weight = e.Weight
@@ -128,23 +129,32 @@
 	l.forget()
 }
 
+// floor is the earliest tag a flow may have: who used less than its share may
+// catch up by the credit, no more.
+func (l *level) floor() virtual { return l.now - l.credit }
+
 // forget drops the idle flows that virtual time has caught up with.
 func (l *level) forget() {
 	if len(l.active) == 0 && len(l.settled) > 0 {
 		l.now = max(l.now, l.settled[len(l.settled)-1].tag)
 	}
 	n := 0
-	for n < len(l.settled) && l.settled[n].tag <= l.now {
+	for n < len(l.settled) && l.settled[n].tag <= l.floor() {
 		delete(l.flows, l.settled[n].workspace)
 		n++
 	}
 	l.settled = slices.Delete(l.settled, 0, n)
 }
 
-// next is the first item by virtual time whose adapter is ready.
-func (l *level) next(ready func(core.AdapterRef) bool) (*entry, bool) {
+// next is the first item by virtual time whose adapter is ready, with within
+// only of flows that stay behind virtual time with it.
+func (l *level) next(within bool, ready func(core.AdapterRef) bool) (*entry, bool) {
 	for _, f := range l.active {
-		if e := f.first(ready); e != nil {
+		if within && f.tag >= l.now {
+			break
+		}
+		e := f.first(ready)
+		if e != nil && (!within || f.tag+span(e.Cost, e.Weight) <= l.now) {
 			return e, true
 		}
 	}
@@ -166,18 +176,18 @@
 		if diff <= 0 {
 			return // it owes nothing any more
 		}
-		f = &flow{workspace: ws, tag: l.now, weight: 1}
+		f = &flow{workspace: ws, tag: l.floor(), weight: 1}
 		l.flows[ws] = f
 		l.settled = insertSorted(l.settled, f)
 	}
 	if f.count > 0 {
 		l.active = removeSorted(l.active, f)
-		f.tag = max(f.tag+span(diff, f.weight), l.now)
+		f.tag = max(f.tag+span(diff, f.weight), l.floor())
 		l.active = insertSorted(l.active, f)
 		return
 	}
 	l.settled = removeSorted(l.settled, f)
-	f.tag = max(f.tag+span(diff, f.weight), l.now)
+	f.tag = max(f.tag+span(diff, f.weight), l.floor())
 	l.settled = insertSorted(l.settled, f)
 	l.forget()
 }
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -27,6 +27,7 @@
 type QueueSettings struct {
 	Bound    int           // items that may wait
 	AgeAfter time.Duration // wait after which an item competes one class higher
+	Credit   time.Duration // of its share, by which a workspace that used less may catch up
 	RetryMin time.Duration // least retry_after
 	RetryMax time.Duration // greatest retry_after
 }
@@ -35,6 +36,7 @@
 const (
 	DefaultBound    = 512
 	DefaultAgeAfter = 30 * time.Second
+	DefaultCredit   = 10 * time.Second
 	DefaultRetryMin = 200 * time.Millisecond
 	DefaultRetryMax = 30 * time.Second
 )
@@ -52,6 +54,9 @@
 	if s.AgeAfter <= 0 {
 		s.AgeAfter = DefaultAgeAfter
 	}
+	if s.Credit <= 0 {
+		s.Credit = DefaultCredit
+	}
 	if s.RetryMin <= 0 {
 		s.RetryMin = DefaultRetryMin
 	}
@@ -167,19 +172,37 @@
 // PopUpTo is Pop among items that compete at class least or a more urgent one,
 // so that a caller can keep its last free places for urgent work.
 func (q *Queue) PopUpTo(now core.Instant, least core.Class, ready func(core.AdapterRef) bool) (Item, bool) {
+	return q.pop(now, least, false, ready)
+}
+
+// PopWithin is PopUpTo among workspaces that used less than their share
+// lately, so that a caller can keep its last free places for them: they then
+// don't wait for the requests of those who take more.
+func (q *Queue) PopWithin(now core.Instant, least core.Class, ready func(core.AdapterRef) bool) (Item, bool) {
+	return q.pop(now, least, true, ready)
+}
+
+func (q *Queue) pop(now core.Instant, least core.Class, within bool, ready func(core.AdapterRef) bool) (Item, bool) {
 	q.age(now)
 	for c := core.Interactive; c <= min(least, core.Overnight); c++ {
-		e, ok := q.levels[c].next(ready)
+		e, ok := q.levels[c].next(within, ready)
 		if !ok {
 			continue
 		}
 		q.levels[c].charge(e.flow, e.Cost, e.Weight)
 		q.drain.popped(now, e.Cost)
+		q.levels[c].credit = q.credit()
 		return q.take(e), true
 	}
 	return Item{}, false
 }
 
+// credit is the virtual time that passes while Credit does, at the present drain.
+func (q *Queue) credit() virtual {
+	perSecond := span(min(q.drain.rate, maxCost), int(max(1, min(q.weights, maxWeight))))
+	return perSecond * virtual(q.settings.Credit/time.Second)
+}
+
 // age lets items that have waited long compete one class higher than their
 // own. Overnight work so never competes with an interactive caller.
 func (q *Queue) age(now core.Instant) {
