Placement: four faults that an adversarial network showed, mended

Cause: a property test over three machines and engines that ignore fencing found evictions under running requests and one livelock.

--- a/internal/core/placement/entry.go
+++ b/internal/core/placement/entry.go
@@ -33,8 +33,9 @@
 	seq      uint64
 	upstream core.UpstreamID
 	owner    core.HostID
-	sent     core.Instant // of the last ask
-	until    core.Instant // of the ticket
+	former   []core.HostID // owners before, by this host's view, which may lag
+	sent     core.Instant  // of the last ask
+	until    core.Instant  // of the ticket
 	fence    core.Fence
 	stalled  bool
 	running  bool
@@ -60,6 +61,7 @@
 	seq      uint64
 	loaderAt core.HostID
 	swept    core.Instant
+	waking   bool // placing requests whose adapter has just been located
 }
 
 // holding is this host's account with one owner.
@@ -116,7 +118,7 @@
 	case d.OK:
 		m.note("pick."+d.Reason, string(d.Upstream))
 		m.askOwner(r, d.Upstream)
-	case r.Adapter == (core.AdapterRef{}) || len(m.view.pools[r.Pool]) == 0:
+	case r.Adapter == (core.AdapterRef{}) || !m.view.usable(r.Pool, r.Avoid):
 		m.refuse(r, core.Refuse(core.CodeNoUpstream, retryNoUpstream, "no upstream of pool "+r.Pool+" takes work: "+d.Reason))
 	default:
 		m.note("pick.cold", d.Reason)
@@ -128,7 +130,7 @@
 func (m *Machine) askOwner(r *request, u core.UpstreamID) {
 	r.state = asking
 	r.upstream = u
-	r.owner = ""
+	r.owner, r.former = "", nil
 	r.seq = m.nextSeq()
 	m.view.seen[u].mine++
 	m.resend(r)
@@ -142,6 +144,9 @@
 		return
 	}
 	if r.owner != owner {
+		if r.owner != "" {
+			r.former = append(r.former, r.owner)
+		}
 		r.owner = owner
 		r.known = false
 		r.seq = m.nextSeq()
@@ -164,7 +169,7 @@
 }
 
 // answered handles an owner's answer. One that fits no open ask is late: a
-// ticket in it is given back at once.
+// ticket in it is given back at once, unless the request may be running on it.
 func (m *Machine) answered(from core.HostID, a AnswerMessage) {
 	r := m.entry.requests[a.Request]
 	if a.Kind == AnswerUnknown {
@@ -174,7 +179,7 @@
 		return
 	}
 	if r == nil || r.seq != a.Seq || r.state == wanting {
-		if a.Kind == AnswerTicket {
+		if a.Kind == AnswerTicket && (r == nil || r.state == wanting || r.upstream != a.Upstream) {
 			m.touch(from)
 			m.send(from, Message{Release: &ReleaseMessage{Request: a.Request, Seq: a.Seq, Upstream: a.Upstream, End: End{NotReached: true}}})
 		}
@@ -344,9 +349,15 @@
 	if len(due) == 0 {
 		return
 	}
-	for id, r := range m.entry.requests {
-		if list, ok := due[r.owner]; ok && r.state != wanting {
-			due[r.owner] = append(list, id)
+	for _, r := range m.entry.requests {
+		if r.state == wanting {
+			continue
+		}
+		r.list(due, r.owner)
+		for i, h := range r.former {
+			if h != r.owner && !slices.Contains(r.former[:i], h) {
+				r.list(due, h)
+			}
 		}
 	}
 	for _, h := range slices.Sorted(maps.Keys(due)) {
@@ -354,6 +365,14 @@
 	}
 }
 
+// list adds r to an owner's account. Keeps: an owner that this host wrongly took
+// for a former one goes on pinning what runs on its ticket.
+func (r *request) list(due map[core.HostID][]core.RequestID, h core.HostID) {
+	if ids, ok := due[h]; ok {
+		due[h] = append(ids, r.Request)
+	}
+}
+
 func (m *Machine) sendHold(h core.HostID, ids []core.RequestID) {
 	slices.Sort(ids)
 	p := m.entry.peers[h]
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -18,29 +18,37 @@
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "30")
+	_ = flag.Set("rapid.shrinktime", "1s")
 	os.Exit(m.Run())
 }
 
-// fleet is a few placement machines, fake engines that ignore fencing numbers,
-// and a network in between, on one virtual clock.
+// fleet is a few placement machines with clocks of their own, fake engines that
+// ignore fencing numbers, leases, and a network in between.
 type fleet struct {
 	now     core.Instant
 	hosts   []core.HostID
 	nodes   map[core.HostID]*node
 	owner   map[core.Shard]core.HostID
 	fence   map[core.Shard]core.Fence
+	outage  bool // of the store: leases are not renewed, nothing moves
 	engines map[core.UpstreamID]*engine
 	network []packet
 	pending []pendingOrder
-	holdsUp func(core.AdapterOrder) time.Duration // before an order reaches its engine
-	lose    func(from, to core.HostID, m Message) bool
-	faults  []string
+	orderIn func(core.AdapterOrder) time.Duration   // until an order reaches its engine
+	packIn  func(Message) []time.Duration           // until each copy of a message arrives
+	answer  func(core.AdapterOrder) (answered bool) // whether an order's end is known
+	faults  []string                                // broken invariants, by the engines' own trace
 	out     map[core.RequestID]Decision
 }
 
 type node struct {
 	*Machine
-	alive, frozen bool
+	ahead  core.Instant // of its clock
+	until  core.Instant // end of its lease, fleet time
+	alive  bool
+	paused bool
+	sees   map[core.Shard]core.HostID // owners, as it has heard
 }
 
 type packet struct {
@@ -63,24 +71,32 @@
 	fail        int // loads to fail
 }
 
-// ownership is one host's view of the fleet's lease state.
+// ownership is one host's view of the leases.
 type ownership struct {
 	f    *fleet
 	self core.HostID
 }
 
 func (o ownership) Self() core.HostID { return o.self }
+
 func (o ownership) Owner(s core.Shard) (core.HostID, bool) {
-	h, ok := o.f.owner[s]
+	h, ok := o.f.nodes[o.self].sees[s]
 	return h, ok
 }
-func (o ownership) Acting(now core.Instant, s core.Shard) (core.Grant, bool) {
-	if o.f.owner[s] != o.self || o.f.nodes[o.self].frozen {
+
+func (o ownership) Acting(_ core.Instant, s core.Shard) (core.Grant, bool) {
+	n := o.f.nodes[o.self]
+	if o.f.owner[s] != o.self || n.sees[s] != o.self || o.f.now >= n.until {
 		return core.Grant{}, false
 	}
-	return core.Grant{Fence: o.f.fence[s], Until: now.Add(10 * time.Second)}, true
+	return core.Grant{Fence: o.f.fence[s], Until: n.until + n.ahead}, true
+}
+
+func (o ownership) Serving(now core.Instant, s core.Shard) bool {
+	_, acting := o.Acting(now, s)
+	return acting || (o.f.outage && o.f.owner[s] == o.self && o.f.nodes[o.self].sees[s] == o.self)
 }
-func (o ownership) Serving(_ core.Instant, s core.Shard) bool { return o.f.owner[s] == o.self }
+
 func (o ownership) Members() []core.Member {
 	var out []core.Member
 	for _, h := range o.f.hosts {
@@ -91,12 +107,18 @@
 	return out
 }
 
-const linkTime = 1500 * time.Microsecond
+const (
+	stepTime = 2 * time.Millisecond
+	leaseFor = 3 * time.Second
+)
 
 func newFleet(hosts, engines, slots, batch int) *fleet {
 	f := &fleet{
 		now: core.Instant(time.Hour), nodes: map[core.HostID]*node{}, owner: map[core.Shard]core.HostID{},
 		fence: map[core.Shard]core.Fence{}, engines: map[core.UpstreamID]*engine{}, out: map[core.RequestID]Decision{},
+		orderIn: func(core.AdapterOrder) time.Duration { return 300 * time.Millisecond },
+		packIn:  func(Message) []time.Duration { return []time.Duration{0} },
+		answer:  func(core.AdapterOrder) bool { return true },
 	}
 	d := &config.Document{}
 	for i := range engines {
@@ -109,14 +131,19 @@
 	for i := range hosts {
 		h := core.HostID(fmt.Sprintf("h%d", i))
 		f.hosts = append(f.hosts, h)
-		f.nodes[h] = &node{Machine: New(Settings{Self: h, StoreRate: 100}, core.NewRand(uint64(i))), alive: true}
+		f.nodes[h] = &node{
+			Machine: New(Settings{Self: h, StoreRate: 100}, core.NewRand(uint64(i))), alive: true,
+			ahead: core.Instant(time.Duration(i) * 1000 * time.Hour), sees: map[core.Shard]core.HostID{},
+		}
 	}
 	f.give(LoaderShard, f.hosts[0])
 	for i := range engines {
 		f.give(upstreamShard(i), f.hosts[i%hosts])
 	}
+	f.renew()
+	f.spread()
 	for _, h := range f.hosts {
-		f.do(h, f.nodes[h].Configure(f.now, ownership{f, h}, config.NewSnapshot(1, d)))
+		f.do(h, f.nodes[h].Configure(f.clock(h), f.own(h), config.NewSnapshot(1, d)))
 	}
 	return f
 }
@@ -125,32 +152,50 @@
 	return core.Shard{Kind: core.ShardUpstream, Name: fmt.Sprintf("u%d", i)}
 }
 
+// give moves a shard; its former owner must have stopped.
 func (f *fleet) give(s core.Shard, h core.HostID) {
 	f.owner[s] = h
 	f.fence[s]++
 }
 
+// spread lets every host hear who owns what.
+func (f *fleet) spread() {
+	for _, h := range f.hosts {
+		f.hears(h)
+	}
+}
+
+func (f *fleet) hears(h core.HostID) { f.nodes[h].sees = maps.Clone(f.owner) }
+
+func (f *fleet) renew() {
+	for _, h := range f.hosts {
+		if n := f.nodes[h]; n.up() && !f.outage {
+			n.until = f.now.Add(leaseFor)
+		}
+	}
+}
+
+func (n *node) up() bool { return n.alive && !n.paused }
+
 func (f *fleet) own(h core.HostID) core.Ownership { return ownership{f, h} }
+func (f *fleet) clock(h core.HostID) core.Instant { return f.now + f.nodes[h].ahead }
 
-// do carries out a result of host h.
+// do carries out a result of host h. An order is not sent once its grant ended.
 func (f *fleet) do(h core.HostID, r Result) {
 	for _, s := range r.Sends {
-		if f.lose != nil && f.lose(h, s.To, s.Message) {
-			continue
+		for _, in := range f.packIn(s.Message) {
+			f.network = append(f.network, packet{f.now.Add(stepTime + in), h, s.To, s.Message})
 		}
-		f.network = append(f.network, packet{f.now.Add(linkTime), h, s.To, s.Message})
 	}
 	for _, o := range r.Orders {
-		late := 300 * time.Millisecond
-		if f.holdsUp != nil {
-			late = f.holdsUp(o)
+		if f.clock(h) < o.Grant.Until {
+			f.pending = append(f.pending, pendingOrder{f.now.Add(f.orderIn(o)), h, o})
 		}
-		f.pending = append(f.pending, pendingOrder{f.now.Add(late), h, o})
 	}
 	for _, p := range r.Publish {
 		for _, to := range f.hosts {
-			if to != h && f.nodes[to].alive {
-				f.do(to, f.nodes[to].Learned(f.now, f.own(to), p))
+			if to != h && f.nodes[to].up() {
+				f.do(to, f.nodes[to].Learned(f.clock(to), f.own(to), p))
 			}
 		}
 	}
@@ -159,42 +204,53 @@
 	}
 }
 
-// step moves the clock by one link time and delivers what is due.
 func (f *fleet) step() {
-	f.now = f.now.Add(linkTime)
+	f.now = f.now.Add(stepTime)
 	due := f.network
 	f.network = nil
 	for _, p := range due {
-		if n := f.nodes[p.to]; n != nil && n.alive {
-			f.do(p.to, n.Peer(f.now, f.own(p.to), p.from, p.msg))
+		switch n := f.nodes[p.to]; {
+		case f.now < p.at || n.paused:
+			f.network = append(f.network, p)
+		case n.alive:
+			f.do(p.to, n.Peer(f.clock(p.to), f.own(p.to), p.from, p.msg))
 		}
 	}
 	orders := f.pending
 	f.pending = nil
 	for _, o := range orders {
-		if f.now.Before(o.at) {
+		if f.now < o.at {
 			f.pending = append(f.pending, o)
 			continue
 		}
 		ok := f.engines[o.Upstream].order(f, o)
-		if f.nodes[o.by].alive {
-			f.do(o.by, f.nodes[o.by].OrderDone(f.now, f.own(o.by), core.OrderDone{ID: o.ID, OK: ok, Sure: true}))
+		if n := f.nodes[o.by]; n.up() {
+			done := core.OrderDone{ID: o.ID, OK: ok, Sure: true}
+			if !f.answer(o.AdapterOrder) {
+				done.OK, done.Sure = false, false
+			}
+			f.do(o.by, n.OrderDone(f.clock(o.by), f.own(o.by), done))
 		}
 	}
 }
 
+func (f *fleet) each(every time.Duration) bool {
+	return f.now%core.Instant(every) < core.Instant(stepTime)
+}
+
 // run lets time pass, with ticks and a poll of every upstream each second.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now < end; {
 		f.step()
-		if f.now%core.Instant(60*time.Millisecond) < core.Instant(linkTime) {
+		f.renew()
+		if f.each(60 * time.Millisecond) {
 			for _, h := range f.hosts {
-				if f.nodes[h].alive {
-					f.do(h, f.nodes[h].Tick(f.now, f.own(h)))
+				if f.nodes[h].up() {
+					f.do(h, f.nodes[h].Tick(f.clock(h), f.own(h)))
 				}
 			}
 		}
-		if f.now%core.Instant(time.Second) < core.Instant(linkTime) {
+		if f.each(time.Second) {
 			f.poll()
 		}
 	}
@@ -202,15 +258,41 @@
 
 func (f *fleet) poll() {
 	for _, h := range f.hosts {
-		if !f.nodes[h].alive {
+		if !f.nodes[h].up() {
 			continue
 		}
 		for _, u := range f.nodes[h].Polls() {
-			f.do(h, f.nodes[h].Report(f.now, f.own(h), f.engines[u].report(u, f.now)))
+			f.do(h, f.nodes[h].Report(f.clock(h), f.own(h), f.engines[u].report(u, f.clock(h))))
 		}
 	}
 }
 
+// crash ends a host for good; its shards move once its lease has ended.
+func (f *fleet) crash(h core.HostID) { f.nodes[h].alive = false }
+
+// succeed moves the shards of hosts whose lease has ended to a live one.
+func (f *fleet) succeed() {
+	for _, s := range slices.SortedFunc(maps.Keys(f.owner), compareShards) {
+		if n := f.nodes[f.owner[s]]; !f.outage && f.now >= n.until {
+			for i := range f.hosts {
+				if h := f.hosts[(i+len(s.Name))%len(f.hosts)]; f.nodes[h].up() {
+					f.give(s, h)
+					break
+				}
+			}
+		}
+	}
+	for _, h := range f.hosts {
+		for _, lost := range f.hosts {
+			if f.nodes[h].up() && !f.nodes[lost].alive && f.now >= f.nodes[lost].until {
+				f.do(h, f.nodes[h].HostLost(f.clock(h), f.own(h), lost))
+			}
+		}
+	}
+}
+
+func compareShards(a, b core.Shard) int { return cmp.Compare(a.Name, b.Name) }
+
 func (e *engine) report(id core.UpstreamID, sent core.Instant) core.UpstreamReport {
 	r := core.UpstreamReport{Upstream: id, OK: true, Incarnation: fmt.Sprint(e.incarnation), Running: len(e.running), Sent: sent}
 	for _, a := range slices.SortedFunc(maps.Keys(e.adapters), compareRefs) {
@@ -246,34 +328,47 @@
 	return true
 }
 
+// restart empties an engine.
+func (e *engine) restart() {
+	e.incarnation++
+	clear(e.adapters)
+	clear(e.running)
+}
+
 func ref(i int) core.AdapterRef {
 	return core.AdapterRef{ID: core.AdapterID(fmt.Sprintf("a%d", i)), Version: 1}
 }
 
 func (f *fleet) ask(h core.HostID, id core.RequestID, a core.AdapterRef) {
-	f.do(h, f.nodes[h].Ask(f.now, f.own(h), Ask{
-		Request: id, Pool: "p", Adapter: a, Workspace: "w", Weight: 1, Cost: 100, Deadline: f.now.Add(20 * time.Second),
+	f.do(h, f.nodes[h].Ask(f.clock(h), f.own(h), Ask{
+		Request: id, Pool: "p", Adapter: a, Workspace: "w", Weight: 1, Cost: 100, Deadline: f.clock(h).Add(30 * time.Second),
 	}))
 }
 
-// start dispatches a request that has a ticket, if the ticket is still valid.
+// start dispatches a request that has a ticket, if the ticket is still valid
+// and the engine holds the adapter.
 func (f *fleet) start(h core.HostID, id core.RequestID) bool {
 	d := f.out[id]
-	if d.Ticket == nil || !f.nodes[h].Valid(f.now, id) {
-		return false
-	}
-	e := f.engines[d.Ticket.Upstream]
-	if !e.adapters[d.Ticket.Adapter] {
+	if d.Ticket == nil || !f.nodes[h].Valid(f.clock(h), id) {
 		return false
 	}
-	e.running[id] = d.Ticket.Adapter
 	f.nodes[h].Dispatched(id)
-	return true
+	return f.arrive(id, d.Ticket)
 }
 
-func (f *fleet) end(h core.HostID, id core.RequestID) {
-	for _, e := range f.engines {
-		delete(e.running, id)
+func (f *fleet) arrive(id core.RequestID, t *Ticket) bool {
+	e := f.engines[t.Upstream]
+	if e.adapters[t.Adapter] {
+		e.running[id] = t.Adapter
+	}
+	return e.adapters[t.Adapter]
+}
+
+func (f *fleet) end(h core.HostID, id core.RequestID, e End) {
+	for _, x := range f.engines {
+		delete(x.running, id)
+	}
+	if f.nodes[h].up() {
+		f.do(h, f.nodes[h].Release(f.clock(h), f.own(h), id, e))
 	}
-	f.do(h, f.nodes[h].Release(f.now, f.own(h), id, End{OK: true, Used: 50}))
 }
--- a/internal/core/placement/jobs.go
+++ b/internal/core/placement/jobs.go
@@ -85,7 +85,7 @@
 
 func (m *Machine) startLoad(o *owned, j *job) {
 	o.jobs[j.Adapter] = j
-	o.slots[j.Adapter] = &slot{adapter: j.Adapter, state: loading, since: m.now, score: j.Score, touched: m.now}
+	o.add(&slot{adapter: j.Adapter, state: loading, since: m.now, score: j.Score, touched: m.now})
 	delete(o.gone, j.Adapter)
 	until := m.now.Add(m.settings.LoadTimeout)
 	m.note("load", j.Adapter.String()+" to "+string(o.id))
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -46,6 +46,7 @@
 	published core.Instant
 	lastLoad  int
 	loader    core.HostID  // that has heard what this upstream loads
+	full      bool         // as published: no slot to be had
 	crowded   core.Instant // since when it has been too busy; zero: it is not
 }
 
@@ -286,6 +287,7 @@
 		m.pump(o)
 		m.greetLoader(o)
 		m.relieve(o)
+		m.nowRoom(o)
 		if load := m.loadOf(o); load != o.lastLoad && m.now.Sub(o.published) >= publishEvery {
 			o.dirty = true
 		}
@@ -303,6 +305,7 @@
 		o.seq++
 		o.published, o.lastLoad = m.now, m.loadOf(o)
 		r := m.residency(o)
+		o.full = r.Free <= 0 && len(r.Victims) == 0
 		m.out.Publish = append(m.out.Publish, r)
 		m.learn(r)
 	}
--- a/internal/core/placement/pins.go
+++ b/internal/core/placement/pins.go
@@ -17,6 +17,18 @@
 	lost    bool         // the holder is gone or silent
 }
 
+// add puts an adapter on the upstream. Tickets that outlived its former stay
+// there, as over an engine's restart, pin it from the start.
+func (o *owned) add(s *slot) {
+	s.pins = 0
+	for _, p := range o.pins {
+		if p.adapter == s.adapter {
+			s.pins++
+		}
+	}
+	o.slots[s.adapter] = s
+}
+
 func (m *Machine) pin(o *owned, from core.HostID, a *AskMessage, it admission.Item) {
 	o.pins[a.Request] = &pin{from: from, seq: a.Seq, adapter: a.Adapter, item: it, heard: m.now}
 	if s := o.slots[a.Adapter]; s != nil {
@@ -56,6 +68,7 @@
 		o.health.Served(m.now, !r.End.Crashed)
 	}
 	m.pump(o)
+	m.nowRoom(o)
 	m.flush()
 }
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -52,7 +52,7 @@
 	f.run(3 * time.Second)
 	_, decided := f.out["r1"]
 	is.True(!decided) // the only slot is pinned
-	f.end("h0", "r0")
+	f.end("h0", "r0", End{OK: true})
 	f.run(2 * time.Second)
 	is.True(f.start("h1", "r1"))
 	is.Equal(len(f.faults), 0)
--- a/internal/core/placement/report.go
+++ b/internal/core/placement/report.go
@@ -77,13 +77,8 @@
 	switch {
 	case s == nil:
 		s = &slot{adapter: a, touched: m.now, score: m.rememberedScore(o.id, a)}
-		for _, p := range o.pins {
-			if p.adapter == a {
-				s.pins++
-			}
-		}
 		s.become(resident, m.now)
-		o.slots[a] = s
+		o.add(s)
 		o.dirty = true
 	case s.state == doubtful && !r.Sent.Before(s.since.Add(m.settings.OrderLinger+m.settings.ReportLag)):
 		s.become(resident, m.now)
--- a/internal/core/placement/slot.go
+++ b/internal/core/placement/slot.go
@@ -103,6 +103,14 @@
 	return best
 }
 
+// nowRoom has a slot published as soon as there is one on a full upstream:
+// loads may be waiting for it.
+func (m *Machine) nowRoom(o *owned) {
+	if o.full && (len(o.slots) < o.config.Slots || m.victim(o, unbounded) != nil) {
+		o.dirty = true
+	}
+}
+
 // victimsPublished is how many of the least worth are told to the loader.
 const victimsPublished = 3
 
--- a/internal/core/placement/view.go
+++ b/internal/core/placement/view.go
@@ -153,6 +153,14 @@
 	return v.scratch
 }
 
+// usable reports whether a pool has an upstream that takes work and is not one
+// of those to avoid.
+func (v *view) usable(pool string, avoid []core.UpstreamID) bool {
+	return slices.ContainsFunc(v.pools[pool], func(x *seen) bool {
+		return !x.leaving() && !v.listed[x.Upstream] && !slices.Contains(avoid, x.Upstream)
+	})
+}
+
 // ejected reports whether an upstream is left out for its health. Keeps: no
 // more than half of a pool is left out, however bad the probes are.
 func (v *view) ejected(x *seen) bool {
--- a/internal/core/placement/wish.go
+++ b/internal/core/placement/wish.go
@@ -19,6 +19,10 @@
 		m.entry.wishes[r.Adapter] = w
 	}
 	w.waiting = append(w.waiting, r.Request)
+	if m.entry.waking {
+		w.sent = m.now // the sweep asks again: two views that differ must not race
+		return
+	}
 	w.arrived++
 	m.sendWant(w)
 }
@@ -42,11 +46,13 @@
 		return
 	}
 	msg := WantMessage{Adapter: w.adapter, Pool: w.pool, Waiting: len(w.waiting), Class: core.Overnight, Arrived: w.arrived}
-	for i, id := range w.waiting {
+	for _, id := range w.waiting {
 		r := m.entry.requests[id]
 		msg.Class = min(msg.Class, r.Class)
-		if i == 0 {
-			msg.Avoid = r.Avoid
+		for _, u := range r.Avoid {
+			if !slices.Contains(msg.Avoid, u) {
+				msg.Avoid = append(msg.Avoid, u)
+			}
 		}
 	}
 	w.arrived = 0
@@ -85,9 +91,11 @@
 		return
 	}
 	delete(m.entry.wishes, a)
+	m.entry.waking = true
 	for _, id := range w.waiting {
 		m.place(m.entry.requests[id])
 	}
+	m.entry.waking = false
 }
 
 func (m *Machine) learned(r Residency) {
