Placement: sharper failure scripts

Cause: with the validity recheck, the wait for an idle report or the notice of a restart taken out, no test failed.

--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -73,7 +73,7 @@
 	f.run(25 * time.Second)
 	is.True(f.ticketed("r2")) // its pin is cleared: the silent holder's ticket has ended
 	f.nodes["h1"].paused = false
-	is.True(!f.start("h1", "r1")) // checked immediately before the dispatch
+	is.True(!f.nodes["h1"].Valid(f.clock("h1"), "r1")) // checked immediately before the dispatch
 	f.do("h1", f.nodes["h1"].Renew(f.clock("h1"), f.own("h1"), "r1"))
 	f.run(time.Second)
 	is.Equal(len(f.faults), 0)
@@ -138,8 +138,10 @@
 	f := settled(2, 1, 1)
 	f.serve(is, "h1", "r1", ref(1))
 	f.crash("h1")
+	f.run(leaseFor)
+	f.succeed()
 	f.ask("h0", "r2", ref(2))
-	f.run(8 * time.Second)
+	f.run(12 * time.Second)
 	is.True(!f.ticketed("r2")) // the engine still runs r1
 	f.end("h1", "r1", End{})
 	is.True(f.soon("h0", "r2", Settings{}.StuckBound(time.Second)))
@@ -171,6 +173,7 @@
 	f := settled(2, 1, 2)
 	f.serve(is, "h1", "r1", ref(1))
 	f.engines["u0"].restart()
+	is.Equal(len(f.nodes["h1"].view.holders[ref(1)]), 1) // not known yet
 	f.ask("h1", "r2", ref(1))
 	f.run(10 * time.Millisecond)
 	is.True(!f.start("h1", "r2")) // the engine refuses what it does not hold
@@ -180,6 +183,15 @@
 	is.Equal(f.engines["u0"].loads, 2)
 }
 
+func TestRestartIsSeenInTheFirstReport(t *testing.T) {
+	is := is.New(t)
+	f := settled(2, 1, 2)
+	f.serve(is, "h1", "r1", ref(1)) // loaded within a report's lag
+	f.engines["u0"].restart()
+	f.poll()
+	is.Equal(len(f.nodes["h1"].view.holders[ref(1)]), 0)
+}
+
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
 	f := settled(2, 2, 2)
