Loader: every host tells a new loader what it loads

Cause: hosts without upstreams never reported, so a new loader always waited out the whole term; and the budget's script passed without the assumption. Change: each host greets a new loader once; the script loses the greetings and has the old loads' callers leave, so that only the assumption keeps the budget.

--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -264,13 +264,22 @@
 	}
 	f.run(time.Second)
 	is.Equal(f.transit(), defaultInTransit)
+	f.packIn = func(m Message) []time.Duration {
+		if m.Loading != nil {
+			return nil // nobody tells the new loader
+		}
+		return []time.Duration{0}
+	}
+	for i := range 8 { // nor do their callers, who have gone
+		f.do("h1", f.nodes["h1"].Withdraw(f.clock("h1"), f.own("h1"), core.RequestID(rune('a'+i))))
+	}
 	f.move(LoaderShard, "h2")
 	for range 20 {
 		f.run(100 * time.Millisecond)
 		is.True(f.transit() <= defaultInTransit)
 	}
 	f.run(40 * time.Second)
-	is.Equal(len(f.engines["u0"].adapters), 20)
+	is.Equal(len(f.engines["u0"].adapters), 20) // the eight of the old loader among them
 }
 
 func (f *fleet) transit() int {
--- a/internal/core/placement/loader.go
+++ b/internal/core/placement/loader.go
@@ -97,15 +97,14 @@
 }
 
 // greetLoader tells a new loader what this host's upstreams load.
-func (m *Machine) greetLoader(o *owned) {
+func (m *Machine) greetLoader() {
 	loader, ok := m.own.Owner(LoaderShard)
-	if !ok || loader == o.loader {
+	if !ok || loader == m.greeted {
 		return
 	}
-	o.loader = loader
+	m.greeted = loader
 	msg := LoadingMessage{Adapters: []core.AdapterRef{}}
 	for _, x := range m.owned.list {
-		x.loader = loader
 		msg.Adapters = append(msg.Adapters, slices.SortedFunc(maps.Keys(x.jobs), compareRefs)...)
 	}
 	m.send(loader, Message{Loading: &msg})
--- a/internal/core/placement/machine.go
+++ b/internal/core/placement/machine.go
@@ -22,6 +22,8 @@
 	owned  owners
 	loader *loader // nil unless the loader shard is this host's
 	orders uint64  // last order number
+	// greeted is the loader that has been told what this host loads.
+	greeted core.HostID
 
 	now     core.Instant
 	own     core.Ownership
@@ -111,6 +113,7 @@
 			m.scan()
 		}
 		m.tickOwned()
+		m.greetLoader()
 		m.tickLoader()
 		m.tickEntry()
 	})
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -45,7 +45,6 @@
 	seq       uint64
 	published core.Instant
 	lastLoad  int
-	loader    core.HostID  // that has heard what this upstream loads
 	full      bool         // as published: no slot to be had
 	crowded   core.Instant // since when it has been too busy; zero: it is not
 }
@@ -285,7 +284,6 @@
 		}
 		m.tickJobs(o)
 		m.pump(o)
-		m.greetLoader(o)
 		m.relieve(o)
 		m.nowRoom(o)
 		if load := m.loadOf(o); load != o.lastLoad && m.now.Sub(o.published) >= publishEvery {
