--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -270,8 +271,11 @@
 		}
 		return []time.Duration{0}
 	}
-	for i := range 8 { // nor do their callers, who have gone
-		f.do("h1", f.nodes["h1"].Withdraw(f.clock("h1"), f.own("h1"), core.RequestID(rune('a'+i))))
+	loads := f.pending
+	for i := range 20 { // nor do their callers, who have gone
+		if slices.ContainsFunc(loads, func(o pendingOrder) bool { return o.Adapter == ref(i) }) {
+			f.do("h1", f.nodes["h1"].Withdraw(f.clock("h1"), f.own("h1"), core.RequestID(rune('a'+i))))
+		}
 	}
 	f.move(LoaderShard, "h2")
 	for range 20 {
