Limits outlive a lost owner and a store outage where there is little demand

Cause: with demand far below the rate nearly all of a limit lay in the owner's pool, and hosts that joined after a book was opened were never listed. The node also closed the books itself when the lease lapsed in an outage.

--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -181,6 +181,7 @@
 func (m *Machine) look(now core.Instant, own core.Ownership, b *book, r *Result) {
 	if m.spendable(now, own, b) {
 		m.reclaim(now, b)
+		m.listHomes(own, b, r)
 		m.settleList(own, b, r)
 	}
 	if b.withheld && (len(b.unheard) == 0 || !now.Before(b.withheldTo)) {
--- a/internal/core/limit/list.go
+++ b/internal/core/limit/list.go
@@ -230,6 +230,17 @@
 	}
 }
 
+// listHomes lists the homes that joined since the book was opened, so that each
+// holds a part before the owner or the store is lost.
+func (m *Machine) listHomes(own core.Ownership, b *book, r *Result) {
+	for _, h := range m.homes(own, b.workspace) {
+		_, listed := slices.BinarySearch(b.listed, h)
+		if h != m.settings.Self && !listed && !slices.Contains(b.wanted, h) {
+			m.list(own, b, h, r)
+		}
+	}
+}
+
 // listGrew asks the hosts that are newly listed, and lists those that came
 // meanwhile.
 func (m *Machine) listGrew(b *book, was []core.HostID, r *Result) {
--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -11,6 +11,7 @@
 // Constants of how a limit is cut.
 const (
 	requestsPerSlice = 3  // a slice's burst should hold this many of the largest requests
+	evenPart         = 16 // 1/evenPart of the rate weighs evenly, for hosts that may have to step in
 	poolPart         = 16 // the owner keeps at least 1/poolPart of all weight for loans
 	hysteresis       = 8  // a slice changes by more than 1/hysteresis or not at all
 	fillTime         = 20 * time.Second
@@ -34,11 +35,12 @@
 	for _, e := range b.entries {
 		largest = max(largest, e.largest)
 		total += int64(e.demand)
-		if e.demand > 0 || e.burst > 0 {
-			all = append(all, b.party(e.host, int64(e.demand), e.burst, e.estimate(now)))
-		}
 	}
-	self := b.party(m.settings.Self, own, b.pool.burst, b.pool.level)
+	base := int64(b.limit.Rate)/(evenPart*int64(len(b.entries)+1)) + 1
+	for _, e := range b.entries {
+		all = append(all, b.party(e.host, base, int64(e.demand), e.burst, e.estimate(now)))
+	}
+	self := b.party(m.settings.Self, base, own, b.pool.burst, b.pool.level)
 	self.weight = max(self.weight, total/poolPart+1)
 	all = append(all, self)
 	slices.SortFunc(all, func(x, y party) int {
@@ -54,9 +56,9 @@
 // party weighs a host by its demand and by what its slice has been short of: a
 // rate that would fill it in fillTime. A small workspace's slice stays where it
 // is until another host needs twice as much.
-func (b *book) party(host core.HostID, demand int64, burst, level nano) party {
+func (b *book) party(host core.HostID, base, demand int64, burst, level nano) party {
 	missing := int64(max(burst-max(level, 0), 0)) / nanosPerToken / int64(fillTime/time.Second)
-	p := party{host, demand + missing + 1, demand + 1}
+	p := party{host, base + demand + missing, demand + 1}
 	if burst > nanos(b.limit.Burst)/2 {
 		p.rank *= 2
 	}
--- a/internal/core/node/spread.go
+++ b/internal/core/node/spread.go
@@ -142,15 +142,15 @@
 	n.members.hosts = present
 }
 
-// passShards moves shards' state between owners.
+// passShards moves shards' state between owners. A right that was lost without
+// a successor in sight (a store outage) leaves the state where it is: the
+// machines ask for the right before each use.
 func (n *Node) passShards() {
 	for _, c := range n.lease.Changes() {
 		n.note("shard", changeReasons[c.Kind], "")
 		switch c.Kind {
 		case lease.Departing:
 			n.leaseOutput(n.lease.HandOver(n.now, c.Shard, n.departing(c.Shard)))
-		case lease.Lost:
-			n.departing(c.Shard)
 		case lease.State:
 			n.adopt(c)
 		}
--- a/internal/demo/tour.go
+++ b/internal/demo/tour.go
@@ -281,13 +281,16 @@
 	hidden := time.Since(began)
 	whole := 0
 	const asked = 5
+	var refused []string
 	for i := range asked {
 		r, err := d.stream(ctx, 0, d.adapters[i], 8, nil)
 		if err == nil && r.whole {
 			whole++
+			continue
 		}
+		refused = append(refused, fmt.Sprintf("%s after %.1f s (come back after %.1f s)", r.failure.Code, time.Since(began).Seconds(), r.failure.RetryAfter))
 	}
-	return fmt.Sprintf("named no more after %v; %d of %d streams whole since, cold ones among them", hidden.Round(time.Millisecond), whole, asked),
+	return fmt.Sprintf("named no more after %v; %d of %d streams whole since, cold ones among them; refused: %v", hidden.Round(time.Millisecond), whole, asked, refused),
 		whole == asked, nil
 }
 
