--- a/cmd/gentiancroft/edge_test.go
+++ b/cmd/gentiancroft/edge_test.go
@@ -27,3 +27,10 @@
 		is.True(test.class(test.command.Execute()))
 	}
 }
+
+func TestSampleDocumentIsValid(t *testing.T) {
+	is := is.New(t)
+	c := configCommand()
+	c.SetArgs([]string{"check", "../../examples/document.yaml"})
+	is.NoErr(c.Execute())
+}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -83,6 +83,7 @@
 	upstream string
 	logs     *memory.Handler
 	exchange chan *fakeExchange
+	stop     func() // ends the server once all requests are over
 }
 
 var quotes = core.AdapterRef{ID: "quotes", Version: 2}
@@ -108,7 +109,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = s.Serve(ctx, l); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
+	b.stop = func() { cancel(); <-done }
+	t.Cleanup(b.stop)
 	return b
 }
 
--- a/internal/entry/hangup_test.go
+++ b/internal/entry/hangup_test.go
@@ -64,6 +64,8 @@
 	b.is.Equal(e.Kind, node.EndCancelled)
 	b.is.Equal(e.Received, core.Tokens(1))
 	b.is.Equal(e.Used, arrived.Prompt+1) // what was not generated is not charged
+	b.stop()
+	b.is.Equal(b.logs.Entries[0].Fields["outcome"], core.CodeCancelled) // not the upstream's fault
 }
 
 func TestHangUpDuringARecordedAttemptLetsItFinish(t *testing.T) {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -120,6 +120,9 @@
 		}
 	}
 	s.outcome = refusal.Code
+	if s.task.isGone() {
+		s.outcome = core.CodeCancelled
+	}
 	s.end(kind, err)
 	s.last = true
 	s.buffer = append(s.buffer[:s.ready], lastEvent(refusal)...)
