Links: seconds left of the certificate, and a test of idle links

Cause: an ended certificate would only show as failed dials. Change: gauge link.certificate_seconds_left; the idle time is a field, so that a test sees a link end and come back. Ruled out: reading certificates again while running; hosts are replaced at any time.

--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -1,6 +1,11 @@
 package peer
 
-import metrics "github.com/rcrowley/go-metrics"
+import (
+	"crypto/x509"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
 
 // counters are the metrics of a host's links.
 type counters struct {
@@ -34,3 +39,13 @@
 		inboundUp:   counter("inbound_open"),
 	}
 }
+
+// watchCertificate shows how many seconds this host's certificate is still
+// valid, so that operators replace it in time.
+func watchCertificate(r metrics.Registry, leaf *x509.Certificate) {
+	if leaf == nil {
+		return
+	}
+	gauge := metrics.NewFunctionalGauge(func() int64 { return int64(time.Until(leaf.NotAfter).Seconds()) })
+	_ = r.Register("link.certificate_seconds_left", gauge)
+}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -72,6 +72,7 @@
 type Links struct {
 	settings  Settings
 	handler   Handler
+	idle      time.Duration // an unused link ends after it
 	counters  counters
 	socket    *net.UDPConn
 	transport *quic.Transport
@@ -106,10 +107,12 @@
 	if s.Registry == nil {
 		s.Registry = metrics.NewRegistry()
 	}
+	watchCertificate(s.Registry, s.Material.Certificate.Leaf)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Links{
 		settings:  s,
 		handler:   handler,
+		idle:      idleAfter,
 		counters:  newCounters(s.Registry),
 		socket:    socket,
 		transport: &quic.Transport{Conn: socket},
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -125,6 +125,23 @@
 	}
 }
 
+func TestIdleLinkEndsAndComesBack(t *testing.T) {
+	is := is.New(t)
+	authority, err := NewAuthority("test", testTerm)
+	is.NoErr(err)
+	a, b := startHost(t, authority, "a", "127.0.0.1:0"), startHost(t, authority, "b", "127.0.0.1:0")
+	a.idle = time.Millisecond
+	for _, payload := range []string{"one", "two"} {
+		is.True(a.Send("b", b.Address(), []byte(payload)))
+		is.Equal(<-b.got, message{"a", payload})
+		for a.count("outbound_open") > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	left := a.registry.Get("link.certificate_seconds_left").(metrics.Gauge).Value()
+	is.True(left > 0 && left <= int64(testTerm.Seconds()))
+}
+
 func TestFullRingDropsTheOldest(t *testing.T) {
 	is := is.New(t)
 	r := newRing(2, 10)
--- a/internal/peer/outbound.go
+++ b/internal/peer/outbound.go
@@ -46,7 +46,7 @@
 // run sends what the ring holds until the links close or the link is idle.
 func (p *outbound) run() {
 	defer p.release()
-	idle := time.NewTimer(idleAfter)
+	idle := time.NewTimer(p.links.idle)
 	defer idle.Stop()
 	for {
 		select {
@@ -59,7 +59,7 @@
 		case <-p.ring.wake:
 			p.drain()
 		}
-		idle.Reset(idleAfter)
+		idle.Reset(p.links.idle)
 	}
 }
 
