Links: a pair that dialled at once settles on one connection

Cause: in a fleet of three processes started together every pair held two connections (dials_connected 2 and inbound_open 2 on each host), for good. Change: the host with the higher identity gives its own connection up once it knows of the lower one's; dials_merged counts it. Ruled out: closing the other at once, which would lose what is under way on it.

--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -14,6 +14,7 @@
 	dropped, stale, lost   metrics.Counter // payloads: ring full, too old, link broke
 	oversized              metrics.Counter
 	connected, failed      metrics.Counter // dials
+	merged                 metrics.Counter // connections given up for the pair's other one
 	refused, broken        metrics.Counter // inbound links
 	outboundNow, inboundUp metrics.Counter // links open now
 }
@@ -33,6 +34,7 @@
 		oversized:   counter("refused_oversized"),
 		connected:   counter("dials_connected"),
 		failed:      counter("dials_failed"),
+		merged:      counter("dials_merged"),
 		refused:     counter("inbound_refused"),
 		broken:      counter("inbound_broken"),
 		outboundNow: counter("outbound_open"),
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -142,6 +142,27 @@
 	is.True(left > 0 && left <= int64(testTerm.Seconds()))
 }
 
+func TestPairThatDialledAtOnceSettlesOnOneConnection(t *testing.T) {
+	is := is.New(t)
+	authority, err := NewAuthority("test", testTerm)
+	is.NoErr(err)
+	a, b := startHost(t, authority, "a", "127.0.0.1:0"), startHost(t, authority, "b", "127.0.0.1:0")
+	is.True(a.Send("b", b.Address(), []byte("one")))
+	is.Equal(<-b.got, message{"a", "one"})
+	first := b.way("a")
+	b.forget(first) // as if b had dialled before it heard of a's connection
+	is.True(b.Send("a", a.Address(), []byte("two")))
+	is.Equal(<-a.got, message{"b", "two"})
+	is.Equal(b.count("dials_connected"), int64(1))
+	b.learn("a", first)
+	is.True(b.Send("a", a.Address(), []byte("three")))
+	is.True(a.Send("b", b.Address(), []byte("four")))
+	is.Equal(<-a.got, message{"b", "three"})
+	is.Equal(<-b.got, message{"a", "four"})
+	is.Equal(b.count("dials_merged"), int64(1)) // b took the connection of the lower identity
+	is.Equal(a.count("dials_merged"), int64(0)) // and a kept it
+}
+
 func TestFullRingDropsTheOldest(t *testing.T) {
 	is := is.New(t)
 	r := newRing(2, 10)
--- a/internal/peer/outbound.go
+++ b/internal/peer/outbound.go
@@ -138,9 +138,21 @@
 		p.hangUp()
 		return false
 	}
+	if p.surplus() {
+		p.links.counters.merged.Inc(1)
+		p.release()
+		return false
+	}
 	return true
 }
 
+// surplus reports that both hosts of a pair dialled at once. Both then settle
+// on the connection that the host with the lower identity opened; the other
+// one ends once it has been idle.
+func (p *outbound) surplus() bool {
+	return p.dialed != "" && p.to < p.links.settings.Self && p.links.way(p.to) != nil
+}
+
 // dial takes a connection that the peer opened, or opens one, and starts this
 // host's stream on it.
 func (p *outbound) dial() error {
