--- a/internal/measure/limits/adversary_test.go
+++ b/internal/measure/limits/adversary_test.go
@@ -97,6 +97,17 @@
 	}
 }
 
+// ask reserves and keeps all of it.
+func (a *adversary) ask(n *Node, ws core.WorkspaceID, tokens core.Tokens) {
+	id := core.RequestID(fmt.Sprint(a.next))
+	n.waiting[id] = func(granted bool) {
+		if granted {
+			a.charges[ws] = append(a.charges[ws], Charge{ws, a.loop.Now, tokens})
+		}
+	}
+	a.fleet.run(n, func() limit.Result { return n.Machine.Reserve(n.now(a.fleet), n.Own, id, ws, tokens) })
+}
+
 // fault draws one fault. Everything heals by itself or by a later fault.
 func (a *adversary) fault() {
 	slot := rapid.IntRange(0, len(a.fleet.slots)-1).Draw(a.t, "slot")
