Limits: the even part of a limit is a setting, tested alone

Cause: tests of loans assume a holder that holds nothing. Change: EvenPart (default 16, below 0 none); they run without it, unchanged otherwise, and a test of its own checks that a host without demand holds half of a pair's burst and spends it with the owner lost.

--- a/internal/core/limit/machine.go
+++ b/internal/core/limit/machine.go
@@ -26,6 +26,7 @@
 	DriftPPM    int64         // a clock gains or loses at most this, parts per million
 	Homes       int           // most hosts that share one workspace
 	Pending     int           // most requests that wait for a loan
+	EvenPart    int           // 1/EvenPart of the rate weighs evenly over the homes; below 0: nothing does
 }
 
 // Defaults of Settings.
@@ -39,6 +40,7 @@
 	DefaultDriftPPM    = 200
 	DefaultHomes       = 16
 	DefaultPending     = 1024
+	DefaultEvenPart    = 16
 )
 
 func (s Settings) withDefaults() Settings {
@@ -59,6 +61,9 @@
 	if s.Homes <= 0 {
 		s.Homes = DefaultHomes
 	}
+	if s.EvenPart == 0 {
+		s.EvenPart = DefaultEvenPart
+	}
 	if s.Pending <= 0 {
 		s.Pending = DefaultPending
 	}
--- a/internal/core/limit/machine_test.go
+++ b/internal/core/limit/machine_test.go
@@ -42,11 +42,14 @@
 
 var members = []core.Member{{Host: "o"}, {Host: "h"}}
 
-// newPair opens a book without a predecessor: rate 100, burst 1000.
-func newPair(t *testing.T) *pair {
+// newPair opens a book without a predecessor: rate 100, burst 1000. A holder
+// without demand holds nothing.
+func newPair(t *testing.T) *pair { return newPairWith(t, -1) }
+
+func newPairWith(t *testing.T, even int) *pair {
 	p := &pair{is: is.New(t), now: 1}
 	limits := []Limit{{ws, 100, 1000}}
-	p.owner, p.other = New(Settings{Self: "o"}, core.NewRand(1)), New(Settings{Self: "h"}, core.NewRand(2))
+	p.owner, p.other = New(Settings{Self: "o", EvenPart: even}, core.NewRand(1)), New(Settings{Self: "h", EvenPart: even}, core.NewRand(2))
 	p.owner.Configure(p.now, 1, limits)
 	p.other.Configure(p.now, 1, limits)
 	p.oOwn = &ownership{self: "o", owner: "o", acting: true, grant: core.Grant{Fence: 1, Until: 1 << 60}, hosts: members}
@@ -121,6 +124,16 @@
 	p.is.Equal(p.pool(), nanos(500))
 }
 
+func TestHostWithoutDemandHoldsItsPart(t *testing.T) {
+	p := newPairWith(t, DefaultEvenPart)
+	p.carry()
+	p.is.Equal(p.other.holder(p.now, ws).slice.burst, nanos(500))
+	p.oOwn.acting = false // the owner is lost
+	p.borrow("r1", 500)
+	p.is.True(p.decided[0].Granted)
+	p.is.Equal(len(p.toOwner), 0) // without a message
+}
+
 func TestRefusalComesAtOnceAndSaysWhen(t *testing.T) {
 	p := newPair(t)
 	p.carry()
--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -11,7 +11,6 @@
 // Constants of how a limit is cut.
 const (
 	requestsPerSlice = 3  // a slice's burst should hold this many of the largest requests
-	evenPart         = 16 // 1/evenPart of the rate weighs evenly, for hosts that may have to step in
 	poolPart         = 16 // the owner keeps at least 1/poolPart of all weight for loans
 	hysteresis       = 8  // a slice changes by more than 1/hysteresis or not at all
 	fillTime         = 20 * time.Second
@@ -36,8 +35,11 @@
 		largest = max(largest, e.largest)
 		total += int64(e.demand)
 	}
-	base := int64(b.limit.Rate)/(evenPart*int64(len(b.entries)+1)) + 1
+	base := m.evenWeight(b)
 	for _, e := range b.entries {
+		if base == 0 && e.demand == 0 && e.burst == 0 {
+			continue
+		}
 		all = append(all, b.party(e.host, base, int64(e.demand), e.burst, e.estimate(now)))
 	}
 	self := b.party(m.settings.Self, base, own, b.pool.burst, b.pool.level)
@@ -53,12 +55,21 @@
 	return all[:min(max(n, 1), int64(len(all)))]
 }
 
+// evenWeight is what each host weighs without any demand, so that each holds a
+// part when it has to step in for another, or for the store.
+func (m *Machine) evenWeight(b *book) int64 {
+	if m.settings.EvenPart < 0 {
+		return 0
+	}
+	return int64(b.limit.Rate)/int64(m.settings.EvenPart*(len(b.entries)+1)) + 1
+}
+
 // party weighs a host by its demand and by what its slice has been short of: a
 // rate that would fill it in fillTime. A small workspace's slice stays where it
 // is until another host needs twice as much.
 func (b *book) party(host core.HostID, base, demand int64, burst, level nano) party {
 	missing := int64(max(burst-max(level, 0), 0)) / nanosPerToken / int64(fillTime/time.Second)
-	p := party{host, base + demand + missing, demand + 1}
+	p := party{host, max(base, 1) + demand + missing, demand + 1}
 	if burst > nanos(b.limit.Burst)/2 {
 		p.rank *= 2
 	}
