--- a/internal/wiring/host.go
+++ b/internal/wiring/host.go
@@ -36,7 +36,6 @@
 	listener net.Listener
 	platform *platform.Client
 	upstream *upstream.Client
-	stop     context.CancelFunc // of the callers' server alone
 }
 
 // start is the zero of a host's monotonic clock.
