--- a/internal/core/limit/list.go
+++ b/internal/core/limit/list.go
@@ -38,7 +38,7 @@
 	delete(m.adopted, ws)
 	b := &book{
 		workspace: ws, fence: g.Fence, phase: phaseReading, limit: m.limits[ws],
-		pool: bucket{last: now, ppm: m.settings.DriftPPM}, acted: g.Until, former: former,
+		pool: bucket{last: now, ppm: m.settings.DriftPPM, generation: m.generation()}, acted: g.Until, former: former,
 	}
 	m.books[ws] = b
 	m.stats.Takeovers++
@@ -47,6 +47,13 @@
 	return b
 }
 
+// generation numbers a new pool: what was taken from an older one can't be
+// settled into it.
+func (m *Machine) generation() uint32 {
+	m.pools++
+	return m.pools
+}
+
 func (m *Machine) call(b *book, c core.ObjectCall, wrote *list, r *Result) {
 	m.tag++
 	c.Tag, c.Key = m.tag, listPrefix+string(b.workspace)
@@ -230,6 +237,17 @@
 	}
 }
 
+// listHomes lists the homes that joined since the book was opened, so that each
+// holds a part before the owner or the store is lost.
+func (m *Machine) listHomes(own core.Ownership, b *book, r *Result) {
+	for _, h := range m.homes(own, b.workspace) {
+		_, listed := slices.BinarySearch(b.listed, h)
+		if h != m.settings.Self && !listed && !slices.Contains(b.wanted, h) {
+			m.list(own, b, h, r)
+		}
+	}
+}
+
 // listGrew asks the hosts that are newly listed, and lists those that came
 // meanwhile.
 func (m *Machine) listGrew(b *book, was []core.HostID, r *Result) {
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -65,7 +65,8 @@
 	is.True(a.Send("b", b.Address(), nil)) // an empty payload is a payload
 	is.Equal(<-b.got, message{"a", ""})
 	is.True(!a.Send("b", b.Address(), make([]byte, MaxFrame+1)))
-	is.Equal(a.count("dials_connected"), int64(1)) // one link serves all payloads of a direction
+	is.Equal(a.count("dials_connected"), int64(1)) // one connection serves all payloads
+	is.Equal(b.count("dials_connected"), int64(0)) // and both directions
 }
 
 func TestPeerWithoutTheRightCertificateGetsNothing(t *testing.T) {
@@ -94,7 +95,6 @@
 	authority, err := NewAuthority("test", testTerm)
 	is.NoErr(err)
 	host := startHost(t, authority, "a", "127.0.0.1:0")
-	host.settings.Admit = func(name string, id core.HostID) bool { return name == string(id) }
 	liar := startHost(t, authority, "liar", "127.0.0.1:0")
 	liar.settings.Self = "b"
 	is.True(liar.Send("a", host.Address(), []byte("I am b")))
@@ -102,6 +102,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(len(host.got), 0)
+	is.True(NamedHost("a", "a/1f") && NamedHost("a", "a") && !NamedHost("a", "ab/1f") && !NamedHost("a", "b"))
 }
 
 func TestLinkIsDialledAgainAfterThePeerRestarts(t *testing.T) {
@@ -124,6 +125,44 @@
 	}
 }
 
+func TestIdleLinkEndsAndComesBack(t *testing.T) {
+	is := is.New(t)
+	authority, err := NewAuthority("test", testTerm)
+	is.NoErr(err)
+	a, b := startHost(t, authority, "a", "127.0.0.1:0"), startHost(t, authority, "b", "127.0.0.1:0")
+	a.idle = time.Millisecond
+	for _, payload := range []string{"one", "two"} {
+		is.True(a.Send("b", b.Address(), []byte(payload)))
+		is.Equal(<-b.got, message{"a", payload})
+		for a.count("outbound_open") > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	left := a.registry.Get("link.certificate_seconds_left").(metrics.Gauge).Value()
+	is.True(left > 0 && left <= int64(testTerm.Seconds()))
+}
+
+func TestPairThatDialledAtOnceSettlesOnOneConnection(t *testing.T) {
+	is := is.New(t)
+	authority, err := NewAuthority("test", testTerm)
+	is.NoErr(err)
+	a, b := startHost(t, authority, "a", "127.0.0.1:0"), startHost(t, authority, "b", "127.0.0.1:0")
+	is.True(a.Send("b", b.Address(), []byte("one")))
+	is.Equal(<-b.got, message{"a", "one"})
+	first := b.way("a")
+	b.forget(first) // as if b had dialled before it heard of a's connection
+	is.True(b.Send("a", a.Address(), []byte("two")))
+	is.Equal(<-a.got, message{"b", "two"})
+	is.Equal(b.count("dials_connected"), int64(1))
+	b.learn("a", first)
+	is.True(b.Send("a", a.Address(), []byte("three")))
+	is.True(a.Send("b", b.Address(), []byte("four")))
+	is.Equal(<-a.got, message{"b", "three"})
+	is.Equal(<-b.got, message{"a", "four"})
+	is.Equal(b.count("dials_merged"), int64(1)) // b took the connection of the lower identity
+	is.Equal(a.count("dials_merged"), int64(0)) // and a kept it
+}
+
 func TestFullRingDropsTheOldest(t *testing.T) {
 	is := is.New(t)
 	r := newRing(2, 10)
@@ -142,6 +181,26 @@
 	is.Equal(r.dropBefore(old.Add(time.Minute)), 1)
 }
 
+func TestRingGrowsInOrderAndShrinksWhenEmpty(t *testing.T) {
+	is := is.New(t)
+	r := newRing(100, 1<<20)
+	next := byte(0)
+	for i := range byte(100) {
+		is.Equal(r.push(queued{payload: []byte{i}}), 0)
+		if i%3 == 0 {
+			q, _ := r.pop()
+			is.Equal(q.payload[0], next)
+			next++
+		}
+	}
+	for q, ok := r.pop(); ok; q, ok = r.pop() {
+		is.Equal(q.payload[0], next)
+		next++
+	}
+	is.Equal(next, byte(100))
+	is.True(len(r.items) <= ringStart)
+}
+
 func FuzzReadFrame(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte{0, 0, 0, 2, 'o', 'k', 0, 0})
