--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -24,6 +25,8 @@
 // TestMain looks for leaked goroutines. fasthttp's two sleepers are its own: one
 // per process, and one per server that ends within ten seconds of its shutdown.
 func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
