Measure overhead: a bare relay of bytes as the floor

Cause: without a floor the entry's 0.3 ms could not be judged. Change: a relay that copies bytes and looks at none, as one more way.

--- a/internal/measure/overhead/overhead.go
+++ b/internal/measure/overhead/overhead.go
@@ -69,15 +69,22 @@
 // times of one streamed request.
 type times struct{ first, total time.Duration }
 
-// streamed alternates between the engine itself, the callers' interface alone
-// and the whole host, so that all see the same machine.
+// streamed alternates between the engine itself, a bare relay of bytes, the
+// callers' interface alone and the whole host, so that all see the same machine.
 func streamed(f *fleet, s sizes) ([]measure.Table, []measure.Target, error) {
 	alone, stop, err := f.startAlone()
 	if err != nil {
 		return nil, nil, err
 	}
 	defer stop()
-	ways := []struct{ address, model string }{{f.engine, adapterName + "@1"}, {alone, adapterName}, {f.host, adapterName}}
+	bare, err := startRelay(f.engine)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer bare.stop()
+	ways := []struct{ address, model string }{
+		{f.engine, adapterName + "@1"}, {bare.address(), adapterName + "@1"}, {alone, adapterName}, {f.host, adapterName},
+	}
 	took := make([][]times, len(ways))
 	for i := range s.pairs + warmUps {
 		for w, way := range ways {
@@ -96,7 +103,7 @@
 func compare(took [][]times) measure.Table {
 	table := measure.Table{
 		Title:   "streamed request of 16 tokens, 1 ms to the first (cached prompt) and 1 ms between",
-		Columns: []string{"direct µs", "entry alone µs", "whole host µs", "added µs", "ratio"},
+		Columns: []string{"direct µs", "bare relay µs", "entry alone µs", "whole host µs", "added µs", "ratio"},
 	}
 	first := func(t times) time.Duration { return t.first }
 	total := func(t times) time.Duration { return t.total }
@@ -105,8 +112,13 @@
 		at    float64
 		value func(times) time.Duration
 	}{{"first token p50", 0.50, first}, {"first token p99", 0.99, first}, {"whole answer p50", 0.50, total}, {"whole answer p99", 0.99, total}} {
-		direct, alone, host := quantile(took[0], q.at, q.value), quantile(took[1], q.at, q.value), quantile(took[2], q.at, q.value)
-		table.Rows = append(table.Rows, measure.Row{Label: q.name, Values: []float64{direct, alone, host, host - direct, host / direct}})
+		row := measure.Row{Label: q.name}
+		for _, way := range took {
+			row.Values = append(row.Values, quantile(way, q.at, q.value))
+		}
+		direct, host := row.Values[0], row.Values[len(took)-1]
+		row.Values = append(row.Values, host-direct, host/direct)
+		table.Rows = append(table.Rows, row)
 	}
 	return table
 }
