--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -34,11 +34,15 @@
 	for _, e := range b.entries {
 		largest = max(largest, e.largest)
 		total += int64(e.demand)
-		if e.demand > 0 || e.burst > 0 {
-			all = append(all, b.party(e.host, int64(e.demand), e.burst, e.estimate(now)))
+	}
+	base := m.evenWeight(b)
+	for _, e := range b.entries {
+		if base == 0 && e.demand == 0 && e.burst == 0 {
+			continue
 		}
+		all = append(all, b.party(e.host, base, int64(e.demand), e.burst, e.estimate(now)))
 	}
-	self := b.party(m.settings.Self, own, b.pool.burst, b.pool.level)
+	self := b.party(m.settings.Self, base, own, b.pool.burst, b.pool.level)
 	self.weight = max(self.weight, total/poolPart+1)
 	all = append(all, self)
 	slices.SortFunc(all, func(x, y party) int {
@@ -51,12 +55,21 @@
 	return all[:min(max(n, 1), int64(len(all)))]
 }
 
+// evenWeight is what each host weighs without any demand, so that each holds a
+// part when it has to step in for another, or for the store.
+func (m *Machine) evenWeight(b *book) int64 {
+	if m.settings.EvenPart < 0 {
+		return 0
+	}
+	return int64(b.limit.Rate)/int64(m.settings.EvenPart*(len(b.entries)+1)) + 1
+}
+
 // party weighs a host by its demand and by what its slice has been short of: a
 // rate that would fill it in fillTime. A small workspace's slice stays where it
 // is until another host needs twice as much.
-func (b *book) party(host core.HostID, demand int64, burst, level nano) party {
+func (b *book) party(host core.HostID, base, demand int64, burst, level nano) party {
 	missing := int64(max(burst-max(level, 0), 0)) / nanosPerToken / int64(fillTime/time.Second)
-	p := party{host, demand + missing + 1, demand + 1}
+	p := party{host, max(base, 1) + demand + missing, demand + 1}
 	if burst > nanos(b.limit.Burst)/2 {
 		p.rank *= 2
 	}
@@ -86,6 +99,7 @@
 	growRate, growBurst := max(rate-e.rate, 0), max(burst-e.burst, 0)
 	if growRate > 0 || growBurst > 0 {
 		e.added = b.pool.cut(now, b.pool.rate-growRate, b.pool.burst-growBurst) // debit first
+		e.level += e.added
 	}
 	e.rate += growRate
 	e.burst += growBurst
