Loans pass silent holders over

Cause: with a host lost every minute, 507 loans went unanswered: the owner kept passing questions on to the dead holder, whose level seemed to grow. Change: a question asked again marks the holder it was passed to as silent until its next Ask, and HostLost does the same. Ruled out: dropping the entry, which only its term may end.

--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -64,6 +64,7 @@
 	stated  core.Instant
 	demand  core.Tokens
 	largest core.Tokens
+	silent  bool // did not answer: no loans are asked of it until its next Ask
 }
 
 func (b *book) entry(host core.HostID) *entry {
@@ -285,7 +286,7 @@
 	}
 	b.confirm(now, e, a)
 	e.level, e.stated = min(nano(a.Level), e.burst), now
-	e.demand, e.largest = a.Demand, a.Largest
+	e.demand, e.largest, e.silent = a.Demand, a.Largest, false
 	return e
 }
 
--- a/internal/core/limit/loan.go
+++ b/internal/core/limit/loan.go
@@ -92,8 +92,18 @@
 	return best.host
 }
 
+// doubt passes a holder over that seems not to answer, until its next Ask.
+func (b *book) doubt(host core.HostID) {
+	if e := b.entry(host); e != nil {
+		e.silent = true
+	}
+}
+
 // estimate is the level that a holder has by now if it spent nothing since.
 func (e *entry) estimate(now core.Instant) nano {
+	if e.silent {
+		return 0
+	}
 	return min(e.level+accrued(e.rate, now.Sub(e.stated)), e.burst)
 }
 
@@ -134,6 +144,9 @@
 		return
 	}
 	if b != nil && !q.Forwarded {
+		if q.Again {
+			b.doubt(b.best(now, nanos(q.Tokens), q.Entry))
+		}
 		if to := b.best(now, nanos(q.Tokens), q.Entry); to != "" {
 			q.Forwarded = true
 			r.Send(to, Message{Borrow: &q})
@@ -285,7 +298,7 @@
 	if owner, ok := own.Owner(shardOf(p.workspace)); ok && owner != m.settings.Self {
 		p.asked = owner
 	}
-	r.Send(p.asked, Message{Borrow: &Borrow{Workspace: p.workspace, ID: id, Tokens: p.tokens, Entry: m.settings.Self}})
+	r.Send(p.asked, Message{Borrow: &Borrow{Workspace: p.workspace, ID: id, Tokens: p.tokens, Entry: m.settings.Self, Again: true}})
 }
 
 // pendingDue asks again, and refuses a request whose loan did not come in time.
--- a/internal/core/limit/machine.go
+++ b/internal/core/limit/machine.go
@@ -230,11 +230,15 @@
 	return r
 }
 
-// HostLost tells that a host is gone: it is asked for no more loans.
+// HostLost tells that a host is gone or unreachable: it is asked for no loans
+// until it is heard of again. Its shares come back only when their terms end.
 func (m *Machine) HostLost(_ core.Instant, host core.HostID) {
 	for _, h := range m.holders {
 		if h.lender == host {
 			h.lender = ""
 		}
 	}
+	for _, b := range m.books {
+		b.doubt(host)
+	}
 }
--- a/internal/core/limit/message.go
+++ b/internal/core/limit/message.go
@@ -60,6 +60,7 @@
 	Tokens    core.Tokens      `cbor:"3,keyasint"`
 	Entry     core.HostID      `cbor:"4,keyasint"` // where the answer goes
 	Forwarded bool             `cbor:"5,keyasint,omitempty"`
+	Again     bool             `cbor:"6,keyasint,omitempty"` // no answer came to the first
 }
 
 // Lend answers a Borrow.
