--- /dev/null
+++ b/internal/core/placement/fleet_test.go
@@ -0,0 +1,374 @@
+package placement
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/config"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "30")
+	_ = flag.Set("rapid.shrinktime", "1s")
+	os.Exit(m.Run())
+}
+
+// fleet is a few placement machines with clocks of their own, fake engines that
+// ignore fencing numbers, leases, and a network in between.
+type fleet struct {
+	now     core.Instant
+	hosts   []core.HostID
+	nodes   map[core.HostID]*node
+	owner   map[core.Shard]core.HostID
+	fence   map[core.Shard]core.Fence
+	outage  bool // of the store: leases are not renewed, nothing moves
+	engines map[core.UpstreamID]*engine
+	network []packet
+	pending []pendingOrder
+	orderIn func(core.AdapterOrder) time.Duration   // until an order reaches its engine
+	packIn  func(Message) []time.Duration           // until each copy of a message arrives
+	answer  func(core.AdapterOrder) (answered bool) // whether an order's end is known
+	faults  []string                                // broken invariants, by the engines' own trace
+	out     map[core.RequestID]Decision
+}
+
+type node struct {
+	*Machine
+	ahead  core.Instant // of its clock
+	until  core.Instant // end of its lease, fleet time
+	alive  bool
+	paused bool
+	sees   map[core.Shard]core.HostID // owners, as it has heard
+}
+
+type packet struct {
+	at       core.Instant
+	from, to core.HostID
+	msg      Message
+}
+
+type pendingOrder struct {
+	at core.Instant
+	by core.HostID
+	core.AdapterOrder
+}
+
+type engine struct {
+	incarnation int
+	adapters    map[core.AdapterRef]bool
+	running     map[core.RequestID]core.AdapterRef
+	loads       int
+	fail        int // loads to fail
+}
+
+// ownership is one host's view of the leases.
+type ownership struct {
+	f    *fleet
+	self core.HostID
+}
+
+func (o ownership) Self() core.HostID { return o.self }
+
+func (o ownership) Owner(s core.Shard) (core.HostID, bool) {
+	h, ok := o.f.nodes[o.self].sees[s]
+	return h, ok
+}
+
+func (o ownership) Acting(_ core.Instant, s core.Shard) (core.Grant, bool) {
+	n := o.f.nodes[o.self]
+	if o.f.owner[s] != o.self || n.sees[s] != o.self || o.f.now >= n.until {
+		return core.Grant{}, false
+	}
+	return core.Grant{Fence: o.f.fence[s], Until: n.until + n.ahead}, true
+}
+
+func (o ownership) Serving(now core.Instant, s core.Shard) bool {
+	_, acting := o.Acting(now, s)
+	return acting || (o.f.outage && o.f.owner[s] == o.self && o.f.nodes[o.self].sees[s] == o.self)
+}
+
+func (o ownership) Members() []core.Member {
+	var out []core.Member
+	for _, h := range o.f.hosts {
+		if o.f.nodes[h].alive {
+			out = append(out, core.Member{Host: h})
+		}
+	}
+	return out
+}
+
+const (
+	stepTime = 2 * time.Millisecond
+	leaseFor = 3 * time.Second
+)
+
+func newFleet(hosts, engines, slots, batch int) *fleet {
+	f := &fleet{
+		now: core.Instant(time.Hour), nodes: map[core.HostID]*node{}, owner: map[core.Shard]core.HostID{},
+		fence: map[core.Shard]core.Fence{}, engines: map[core.UpstreamID]*engine{}, out: map[core.RequestID]Decision{},
+		orderIn: func(core.AdapterOrder) time.Duration { return 300 * time.Millisecond },
+		packIn:  func(Message) []time.Duration { return []time.Duration{0} },
+		answer:  func(core.AdapterOrder) bool { return true },
+	}
+	d := &config.Document{}
+	for i := range engines {
+		id := core.UpstreamID(fmt.Sprintf("u%d", i))
+		d.Upstreams = append(d.Upstreams, config.Upstream{
+			ID: id, Kind: config.UpstreamEngine, Pool: "p", Address: "a", Slots: slots, Batch: batch, Domain: core.Domain(fmt.Sprint(i % 3)),
+		})
+		f.engines[id] = &engine{adapters: map[core.AdapterRef]bool{}, running: map[core.RequestID]core.AdapterRef{}}
+	}
+	for i := range hosts {
+		h := core.HostID(fmt.Sprintf("h%d", i))
+		f.hosts = append(f.hosts, h)
+		f.nodes[h] = &node{
+			Machine: New(Settings{Self: h, StoreRate: 100}, core.NewRand(uint64(i))), alive: true,
+			ahead: core.Instant(time.Duration(i) * 1000 * time.Hour), sees: map[core.Shard]core.HostID{},
+		}
+	}
+	f.give(LoaderShard, f.hosts[0])
+	for i := range engines {
+		f.give(upstreamShard(i), f.hosts[i%hosts])
+	}
+	f.renew()
+	f.spread()
+	for _, h := range f.hosts {
+		f.do(h, f.nodes[h].Configure(f.clock(h), f.own(h), config.NewSnapshot(1, d)))
+	}
+	return f
+}
+
+func upstreamShard(i int) core.Shard {
+	return core.Shard{Kind: core.ShardUpstream, Name: fmt.Sprintf("u%d", i)}
+}
+
+// give moves a shard; its former owner must have stopped.
+func (f *fleet) give(s core.Shard, h core.HostID) {
+	f.owner[s] = h
+	f.fence[s]++
+}
+
+// spread lets every host hear who owns what.
+func (f *fleet) spread() {
+	for _, h := range f.hosts {
+		f.hears(h)
+	}
+}
+
+func (f *fleet) hears(h core.HostID) { f.nodes[h].sees = maps.Clone(f.owner) }
+
+func (f *fleet) renew() {
+	for _, h := range f.hosts {
+		if n := f.nodes[h]; n.up() && !f.outage {
+			n.until = f.now.Add(leaseFor)
+		}
+	}
+}
+
+func (n *node) up() bool { return n.alive && !n.paused }
+
+func (f *fleet) own(h core.HostID) core.Ownership { return ownership{f, h} }
+func (f *fleet) clock(h core.HostID) core.Instant { return f.now + f.nodes[h].ahead }
+
+// do carries out a result of host h. An order is not sent once its grant ended.
+func (f *fleet) do(h core.HostID, r Result) {
+	for _, s := range r.Sends {
+		for _, in := range f.packIn(s.Message) {
+			f.network = append(f.network, packet{f.now.Add(stepTime + in), h, s.To, s.Message})
+		}
+	}
+	for _, o := range r.Orders {
+		if f.clock(h) < o.Grant.Until {
+			f.pending = append(f.pending, pendingOrder{f.now.Add(f.orderIn(o)), h, o})
+		}
+	}
+	for _, p := range r.Publish {
+		for _, to := range f.hosts {
+			if to != h && f.nodes[to].up() {
+				f.do(to, f.nodes[to].Learned(f.clock(to), f.own(to), p))
+			}
+		}
+	}
+	for _, d := range r.Decisions {
+		f.out[d.Request] = d
+	}
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(stepTime)
+	due := f.network
+	f.network = nil
+	for _, p := range due {
+		switch n := f.nodes[p.to]; {
+		case f.now < p.at || n.paused:
+			f.network = append(f.network, p)
+		case n.alive:
+			f.do(p.to, n.Peer(f.clock(p.to), f.own(p.to), p.from, p.msg))
+		}
+	}
+	orders := f.pending
+	f.pending = nil
+	for _, o := range orders {
+		if f.now < o.at {
+			f.pending = append(f.pending, o)
+			continue
+		}
+		ok := f.engines[o.Upstream].order(f, o)
+		if n := f.nodes[o.by]; n.up() {
+			done := core.OrderDone{ID: o.ID, OK: ok, Sure: true}
+			if !f.answer(o.AdapterOrder) {
+				done.OK, done.Sure = false, false
+			}
+			f.do(o.by, n.OrderDone(f.clock(o.by), f.own(o.by), done))
+		}
+	}
+}
+
+func (f *fleet) each(every time.Duration) bool {
+	return f.now%core.Instant(every) < core.Instant(stepTime)
+}
+
+// run lets time pass, with ticks and a poll of every upstream each second.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now < end; {
+		f.step()
+		f.renew()
+		if f.each(60 * time.Millisecond) {
+			for _, h := range f.hosts {
+				if f.nodes[h].up() {
+					f.do(h, f.nodes[h].Tick(f.clock(h), f.own(h)))
+				}
+			}
+		}
+		if f.each(time.Second) {
+			f.poll()
+		}
+	}
+}
+
+func (f *fleet) poll() {
+	for _, h := range f.hosts {
+		if !f.nodes[h].up() {
+			continue
+		}
+		for _, u := range f.nodes[h].Polls() {
+			f.do(h, f.nodes[h].Report(f.clock(h), f.own(h), f.engines[u].report(u, f.clock(h))))
+		}
+	}
+}
+
+// crash ends a host for good; its shards move once its lease has ended.
+func (f *fleet) crash(h core.HostID) { f.nodes[h].alive = false }
+
+// succeed moves the shards of hosts whose lease has ended to a live one.
+func (f *fleet) succeed() {
+	for _, s := range slices.SortedFunc(maps.Keys(f.owner), compareShards) {
+		if n := f.nodes[f.owner[s]]; !f.outage && f.now >= n.until {
+			for i := range f.hosts {
+				if h := f.hosts[(i+len(s.Name))%len(f.hosts)]; f.nodes[h].up() {
+					f.give(s, h)
+					break
+				}
+			}
+		}
+	}
+	for _, h := range f.hosts {
+		for _, lost := range f.hosts {
+			if f.nodes[h].up() && !f.nodes[lost].alive && f.now >= f.nodes[lost].until {
+				f.do(h, f.nodes[h].HostLost(f.clock(h), f.own(h), lost))
+			}
+		}
+	}
+}
+
+func compareShards(a, b core.Shard) int { return cmp.Compare(a.Name, b.Name) }
+
+func (e *engine) report(id core.UpstreamID, sent core.Instant) core.UpstreamReport {
+	r := core.UpstreamReport{Upstream: id, OK: true, Incarnation: fmt.Sprint(e.incarnation), Running: len(e.running), Sent: sent}
+	for _, a := range slices.SortedFunc(maps.Keys(e.adapters), compareRefs) {
+		n := 0
+		for _, on := range e.running {
+			if on == a {
+				n++
+			}
+		}
+		r.Adapters = append(r.Adapters, core.AdapterLoad{Adapter: a, Running: n})
+	}
+	return r
+}
+
+// order carries out a load or an unload. An unload under a running request is
+// what must never happen.
+func (e *engine) order(f *fleet, o pendingOrder) bool {
+	if o.Load {
+		e.loads++
+		if e.fail > 0 {
+			e.fail--
+			return false
+		}
+		e.adapters[o.Adapter] = true
+		return true
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(e.running), cmp.Compare) {
+		if e.running[id] == o.Adapter {
+			f.faults = append(f.faults, fmt.Sprintf("%s evicted under %s", o.Adapter, id))
+		}
+	}
+	delete(e.adapters, o.Adapter)
+	return true
+}
+
+// restart empties an engine.
+func (e *engine) restart() {
+	e.incarnation++
+	clear(e.adapters)
+	clear(e.running)
+}
+
+func ref(i int) core.AdapterRef {
+	return core.AdapterRef{ID: core.AdapterID(fmt.Sprintf("a%d", i)), Version: 1}
+}
+
+func (f *fleet) ask(h core.HostID, id core.RequestID, a core.AdapterRef) {
+	f.do(h, f.nodes[h].Ask(f.clock(h), f.own(h), Ask{
+		Request: id, Pool: "p", Adapter: a, Workspace: "w", Weight: 1, Cost: 100, Deadline: f.clock(h).Add(30 * time.Second),
+	}))
+}
+
+// start dispatches a request that has a ticket, if the ticket is still valid
+// and the engine holds the adapter.
+func (f *fleet) start(h core.HostID, id core.RequestID) bool {
+	d := f.out[id]
+	if d.Ticket == nil || !f.nodes[h].Valid(f.clock(h), id) {
+		return false
+	}
+	f.nodes[h].Dispatched(id)
+	return f.arrive(id, d.Ticket)
+}
+
+func (f *fleet) arrive(id core.RequestID, t *Ticket) bool {
+	e := f.engines[t.Upstream]
+	if e.adapters[t.Adapter] {
+		e.running[id] = t.Adapter
+	}
+	return e.adapters[t.Adapter]
+}
+
+func (f *fleet) end(h core.HostID, id core.RequestID, e End) {
+	for _, x := range f.engines {
+		delete(x.running, id)
+	}
+	if f.nodes[h].up() {
+		f.do(h, f.nodes[h].Release(f.clock(h), f.own(h), id, e))
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,28 +7,23 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"strings"
-	"time"
 
 	"github.com/zeebo/errs"
-
-	"gentiancroft/internal/core/config"
-	"gentiancroft/internal/core/node"
-	"gentiancroft/internal/entry"
-	"gentiancroft/internal/host"
-	"gentiancroft/internal/standin"
-	"gentiancroft/internal/upstream"
 )
 
-// Failed is the class of a demo whose steps did not all hold.
-var Failed = errs.Class("demo")
+// Classes of failure.
+var (
+	// Failed is the class of a demo whose steps did not all hold.
+	Failed = errs.Class("demo")
+	// Usage is the class of options that can't be used.
+	Usage = errs.Class("demo options")
+)
 
 // Options of a demo run.
 type Options struct {
-	Deployment string
-	Output     string
+	Deployment string // parapet or embalse
+	Output     string // text or json
+	Keep       bool   // leave it running after the tour
 }
 
 // Step is one step of the tour.
@@ -44,83 +39,66 @@
 	OK    bool   `json:"ok"`
 }
 
-// Run starts the deployment, walks the tour and prints it.
+// Run starts the deployment, walks the tour and prints it. It fails unless
+// every step held.
 func Run(ctx context.Context, w io.Writer, o Options) error {
+	if o.Output != "text" && o.Output != "json" {
+		return Usage.New("output is text or json, not %q", o.Output)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	address, err := start(ctx)
+	d, err := start(ctx, o.Deployment)
 	if err != nil {
-		return Failed.Wrap(err)
-	}
-	result := Result{OK: true}
-	for _, name := range []string{"streamed answer on a cold adapter", "streamed answer on a warm adapter"} {
-		detail, ok := complete(address)
-		result.Steps = append(result.Steps, Step{Name: name, OK: ok, Detail: detail})
-		result.OK = result.OK && ok
+		return err
 	}
-	if err := print(w, o, result); err != nil {
-		return Failed.Wrap(err)
+	defer d.stop()
+	say := w
+	if o.Output == "json" {
+		say = io.Discard
 	}
-	if !result.OK {
-		return Failed.New("a step did not hold")
+	fmt.Fprintf(say, "%s: %d hosts, %d engines, %d services, %d adapters\n\n", o.Deployment, len(d.hosts), len(d.engines), len(d.services), len(d.document.Adapters))
+	if o.Keep {
+		return d.keep(ctx, say)
 	}
-	return nil
-}
-
-func print(w io.Writer, o Options, r Result) error {
+	result := d.walk(ctx, say)
 	if o.Output == "json" {
-		return json.NewEncoder(w).Encode(r)
+		if err := json.NewEncoder(w).Encode(result); err != nil {
+			return Failed.Wrap(err)
+		}
 	}
-	for _, s := range r.Steps {
-		fmt.Fprintf(w, "%-40s ok=%v  %s\n", s.Name, s.OK, s.Detail)
+	if !result.OK {
+		return Failed.New("not every step held")
 	}
 	return nil
 }
 
-func start(ctx context.Context) (string, error) {
-	const key = "demo-key"
-	secret := []byte("demo-secret")
-	engine := standin.NewEngine(standin.EngineSettings{Name: "drafter-0", LoadTime: 250 * time.Millisecond, FirstToken: 20 * time.Millisecond, TokenTime: 5 * time.Millisecond})
-	engineListener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	go func() { _ = http.Serve(engineListener, engine.Handler()) }()
-	n := node.New(node.Settings{Seed: 1})
-	n.SetSnapshot(config.NewSnapshot(1, &config.Document{
-		Workspaces: []config.Workspace{{ID: "care-homes", Rate: 1000, Burst: 10000, Weight: 1}},
-		Keys:       []config.Key{{ID: "k1", Workspace: "care-homes", Hash: config.HashKey(secret, key)}},
-		Adapters:   []config.Adapter{{ID: "quotes", Versions: []int{1, 2}, Default: 2}},
-		Routes:     []config.Route{{Path: "/v1/completions", Kind: config.RouteCompletions, Pool: "drafter", Idempotent: true}},
-		Upstreams:  []config.Upstream{{ID: "drafter-0", Kind: config.UpstreamEngine, Pool: "drafter", Address: engineListener.Addr().String()}},
-	}))
-	h := host.New(n, upstream.Orders{})
-	go func() { _ = h.Serve(ctx) }()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// walk takes every step of the tour.
+func (d *deployment) walk(ctx context.Context, w io.Writer) Result {
+	result := Result{OK: true}
+	for i, s := range tour {
+		fmt.Fprintf(w, "%d. %s\n   expected: %s\n", i+1, s.name, s.expect)
+		seen, ok, err := s.run(ctx, d)
+		if err != nil {
+			seen, ok = err.Error(), false
+		}
+		verdict := "held"
+		if !ok {
+			verdict = "DID NOT HOLD"
+		}
+		fmt.Fprintf(w, "   seen:     %s\n   %s\n\n", seen, verdict)
+		result.Steps = append(result.Steps, Step{Name: s.name, OK: ok, Detail: seen})
+		result.OK = result.OK && ok
 	}
-	go func() { _ = entry.New(h, secret).Serve(ctx, l) }()
-	return l.Addr().String(), nil
+	return result
 }
 
-func complete(address string) (string, bool) {
-	body := `{"model":"quotes","prompt":"a grab rail for a bathroom","max_tokens":8,"stream":true}`
-	request, err := http.NewRequest("POST", "http://"+address+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return err.Error(), false
-	}
-	request.Header.Set("Authorization", "Bearer demo-key")
-	started := time.Now()
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err.Error(), false
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err.Error(), false
-	}
-	whole := strings.Count(string(answer), "quotes@2:") == 8 && strings.HasSuffix(string(answer), "[DONE]\n\n")
-	return fmt.Sprintf("status %d, adapter %s, whole %v, %v", response.StatusCode, response.Header.Get("X-Adapter"), whole, time.Since(started).Round(time.Millisecond)), whole
+// keep leaves the deployment running and tells how to use it.
+func (d *deployment) keep(ctx context.Context, w io.Writer) error {
+	address := d.hosts[0].Address
+	fmt.Fprintf(w, "curl -s -H 'Authorization: Bearer %s' http://%s/v1/entries\n", keyOf(d.workspace), address)
+	fmt.Fprintf(w, "curl -sN -H 'Authorization: Bearer %s' http://%s/v1/completions -d '%s'\n", keyOf(d.workspace), address, completion(d.adapters[0], 16))
+	fmt.Fprintf(w, "curl -s -H 'Authorization: Bearer %s' -H 'Idempotency-Key: crew-1' http://%s%s -d '{\"job\":1}'\n", keyOf(d.workspace), address, d.booking)
+	fmt.Fprintf(w, "curl -s http://%s/metrics\n\ninterrupt to stop\n", address)
+	<-ctx.Done()
+	return nil
 }
