Limits: a leaver gives its shares back

Change: Machine.Leave gives them back with the level left, once (an Ask that frees nothing credits nothing). Before: forgone; after: a script sees the owner's pool whole again, also when the message comes twice. Conclusion: to be called at a graceful shutdown after the last request.

--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -301,11 +301,13 @@
 	freed := e.burst - burst
 	e.rate, e.burst = rate, burst
 	b.reslice(now)
+	level := max(nano(a.Left), 0)
 	if e.open {
 		e.open = false
-		b.pool.level = min(b.pool.level+min(max(nano(a.Released), 0), freed), b.pool.limit())
-		b.pool.sample()
+		level += max(nano(a.Released), 0)
 	}
+	b.pool.level = min(b.pool.level+min(level, freed), b.pool.limit())
+	b.pool.sample()
 }
 
 // share sends a holder what the book says of it. Sent again it is the same.
--- a/internal/core/limit/handover.go
+++ b/internal/core/limit/handover.go
@@ -72,6 +72,31 @@
 	return state
 }
 
+// Leave gives all of this host's shares back to their owners, with the level
+// that is left in them: for a graceful shutdown, once no request is in flight.
+// Without it, or where the message is lost, the owners wait until the terms end.
+func (m *Machine) Leave(now core.Instant, own core.Ownership) Result {
+	var r Result
+	for _, ws := range m.names {
+		h := m.holders[ws]
+		if h == nil {
+			continue
+		}
+		m.lapse(now, h)
+		owner, ok := own.Owner(shardOf(ws))
+		if h.slice.burst == 0 || !ok || owner == m.settings.Self {
+			continue
+		}
+		h.slice.advance(now)
+		left := max(h.slice.level, 0)
+		h.slice.drop()
+		a := m.state(now, ws, h)
+		a.Left, a.Only = int64(left), true
+		r.Send(owner, Message{Ask: &a})
+	}
+	return r
+}
+
 // Adopt keeps a predecessor's account for when this host opens the book. It is
 // used only if the object shows that nobody owned the workspace in between.
 func (m *Machine) Adopt(now core.Instant, ws core.WorkspaceID, state []byte, _ core.HostID) {
--- a/internal/core/limit/machine_test.go
+++ b/internal/core/limit/machine_test.go
@@ -383,3 +383,16 @@
 		p.is.Equal(h.until, until)
 	}
 }
+
+func TestLeaverGivesItsShareBackOnce(t *testing.T) {
+	p := newPair(t)
+	p.share()
+	h := p.other.holders[ws]
+	sum := p.pool() + h.slice.level
+	p.take("h", p.other.Leave(p.now, p.hOwn))
+	p.is.Equal(h.slice.burst, nano(0))
+	p.toOwner = append(p.toOwner, p.toOwner...) // doubled
+	p.carry()
+	p.is.Equal(p.owner.books[ws].pool.burst, nanos(1000))
+	p.is.Equal(p.pool(), sum)
+}
--- a/internal/core/limit/message.go
+++ b/internal/core/limit/message.go
@@ -31,6 +31,7 @@
 	Largest   core.Tokens      `cbor:"9,keyasint"` // the largest request lately
 	Sent      core.Instant     `cbor:"10,keyasint"`
 	Only      bool             `cbor:"11,keyasint,omitempty"` // an acknowledgement: no answer is wanted
+	Left      int64            `cbor:"12,keyasint,omitempty"` // level given up with all that was held, 1e-9 tokens
 }
 
 // Share is a holder's slice as its owner books it.
