--- a/internal/measure/limits/adversary_test.go
+++ b/internal/measure/limits/adversary_test.go
@@ -113,7 +113,11 @@
 	slot := rapid.IntRange(0, len(a.fleet.slots)-1).Draw(a.t, "slot")
 	n := a.fleet.slots[slot]
 	span := time.Duration(rapid.IntRange(1, 30).Draw(a.t, "seconds")) * time.Second
-	switch rapid.SampledFrom([]string{"lose", "pause", "isolate", "store", "part", "limit", "none"}).Draw(a.t, "fault") {
+	switch rapid.SampledFrom([]string{"lose", "leave", "pause", "isolate", "store", "part", "limit", "none"}).Draw(a.t, "fault") {
+	case "leave":
+		a.fleet.run(n, func() limit.Result { return n.Machine.Leave(n.now(a.fleet), n.Own) })
+		a.fleet.Lose(n)
+		a.fleet.Start(slot)
 	case "lose":
 		a.fleet.Lose(n)
 		a.fleet.Start(slot)
