--- a/internal/core/limit/machine_test.go
+++ b/internal/core/limit/machine_test.go
@@ -211,7 +211,10 @@
 	p := newPair(t)
 	p.share()
 	h := p.other.holders[ws]
-	late := Share{Workspace: ws, Fence: 1, Seq: h.applied, Rate: 1, Burst: 1, Echo: h.asked, Term: DefaultTerm}
+	late := Share{
+		Workspace: ws, Fence: 1, Seq: h.applied, Rate: int64(h.slice.rate), Burst: int64(h.slice.burst),
+		Echo: h.asked, Term: DefaultTerm,
+	}
 	p.now = h.asked.Add(DefaultTerm - time.Second)
 	p.other.Peer(p.now, p.hOwn, "o", Message{Share: &late})
 	p.is.Equal(h.until, h.asked.Add(DefaultTerm))
@@ -396,3 +399,50 @@
 	p.is.Equal(p.owner.books[ws].pool.burst, nanos(1000))
 	p.is.Equal(p.pool(), sum)
 }
+
+func TestFrozenOwnerTakesNothingBack(t *testing.T) {
+	p := newPair(t)
+	p.share()
+	p.oOwn.acting = false
+	for range 6 {
+		p.now = p.now.Add(DefaultTerm / 2)
+		p.take("o", p.owner.Tick(p.now, p.oOwn))
+		p.toOther = nil // the holder is cut off, and may have gone over to a successor
+	}
+	p.is.Equal(len(p.owner.books[ws].entries), 1)
+	p.is.True(p.owner.books[ws].pool.burst < nanos(1000))
+}
+
+// A successor books no statement of a host that has not promised its number.
+func TestSuccessorWantsAPromiseFirst(t *testing.T) {
+	p := newPair(t)
+	p.share()
+	next := New(Settings{Self: "n"}, core.NewRand(3))
+	next.Configure(p.now, 1, []Limit{{ws, 100, 1000}})
+	own := &ownership{self: "n", owner: "n", acting: true, grant: core.Grant{Fence: 2, Until: 1 << 60}, hosts: members}
+	q := &pair{is: p.is, now: p.now, owner: next, oOwn: own, other: p.other, hOwn: &ownership{self: "h", owner: "n", hosts: members}}
+	q.open(core.ObjectResult{Status: core.ObjectOK, Object: core.Object{Value: p.listed(1), Version: 1}},
+		core.ObjectResult{Status: core.ObjectOK, Object: core.Object{Version: 2}})
+	q.toOther = nil // its recalls are lost
+	b := next.books[ws]
+	p.is.Equal(b.unheard, []core.HostID{"h"})
+	early := p.other.state(p.now, ws, p.other.holders[ws])
+	r := next.Peer(p.now, own, "h", Message{Ask: &early})
+	p.is.Equal(b.unheard, []core.HostID{"h"})
+	p.is.True(r.Sends[0].Message.Recall != nil)
+	held := p.other.holders[ws].slice.burst
+	q.take("o", r)
+	q.carry()
+	p.is.Equal(len(b.unheard), 0)
+	p.is.True(held > 0)
+	q.now = q.now.Add(2 * time.Second)
+	q.take("o", next.Tick(q.now, own))
+	q.carry()
+	rate, burst := q.sums()
+	p.is.True(rate <= micros(100) && burst <= nanos(1000))
+	p.is.True(burst > nanos(990)) // nothing is withheld any more
+	stale := Share{Workspace: ws, Fence: 1, Seq: 99, Rate: 1, Burst: 1, Echo: q.now, Term: DefaultTerm}
+	before := p.other.holders[ws].applied
+	p.other.Peer(q.now, q.hOwn, "o", Message{Share: &stale}) // of the old owner
+	p.is.Equal(p.other.holders[ws].applied, before)
+}
