Limits: no slice below one request

Change: parties whose slice could not hold the largest request get none. Ruled out: fewer even parts, which an owner's loss needs.

--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -52,7 +52,23 @@
 		return cmp.Compare(x.host, y.host)
 	})
 	n := int64(b.limit.Burst) / (requestsPerSlice * max(int64(largest), 1))
-	return all[:min(max(n, 1), int64(len(all)))]
+	return usable(b.limit, all[:min(max(n, 1), int64(len(all)))], largest)
+}
+
+// usable leaves out the parties, the last first, whose slice could not hold one
+// request: its tokens would be of use to nobody.
+func usable(l Limit, all []party, largest core.Tokens) []party {
+	total := int64(0)
+	for _, p := range all {
+		total += p.weight
+	}
+	for i := len(all) - 1; i > 0; i-- {
+		if mulDiv(int64(l.Burst), all[i].weight, max(total, 1)) < int64(largest) {
+			total -= all[i].weight
+			all = slices.Delete(all, i, i+1)
+		}
+	}
+	return all
 }
 
 // evenWeight is what each host weighs without any demand, so that each holds a
