Limits: what others borrow weighs for the pool, not for its place

Cause: a small workspace's few places for slices went to the owner, whose demand counted what others borrowed from it; a flooded host asked for loans it was refused every two seconds. Change: borrowed demand counts apart (it adds to the pool's weight, not to its rank), the largest request fades everywhere, refused loans count for up to 5 s. Ruled out: nothing else tried.

--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -23,6 +23,7 @@
 	phase     phase
 	limit     Limit
 	pool      bucket
+	lent      demand   // asked of the pool by other hosts
 	entries   []*entry // sorted by host
 	seq       uint64   // of the last share cut
 
--- a/internal/core/limit/holder.go
+++ b/internal/core/limit/holder.go
@@ -57,6 +57,15 @@
 	tokens  core.Tokens
 	rate    core.Tokens
 	largest core.Tokens
+	faded   core.Instant
+}
+
+// fade lets the largest request be forgotten, an eighth in each span of every.
+func (d *demand) fade(now core.Instant, every time.Duration) {
+	if now.Sub(d.faded) >= every {
+		d.faded = now
+		d.largest -= d.largest / 8
+	}
 }
 
 func (d *demand) note(n core.Tokens) {
@@ -165,7 +174,7 @@
 		a := m.state(now, ws, h)
 		r.Send(owner, Message{Ask: &a})
 		h.asked, h.answered = now, false
-		h.demand.largest -= h.demand.largest / 8
+		h.demand.fade(now, m.settings.Renew)
 	}
 	m.reschedule(now.Add(next), ws, h)
 }
--- a/internal/core/limit/loan.go
+++ b/internal/core/limit/loan.go
@@ -143,7 +143,7 @@
 		return
 	}
 	if b != nil && !q.Forwarded {
-		m.holder(now, q.Workspace).demand.note(q.Tokens) // what others borrow here is asked of the pool
+		b.lent.note(q.Tokens) // what others borrow here is asked of the pool
 	}
 	if m.lend(now, own, q, b) {
 		r.Send(q.Entry, Message{Lend: &Lend{Workspace: q.Workspace, ID: q.ID, Granted: true}})
--- a/internal/core/limit/machine.go
+++ b/internal/core/limit/machine.go
@@ -36,7 +36,7 @@
 	DefaultUrgent      = 5 * time.Second
 	DefaultHorizon     = 15 * time.Minute
 	DefaultBorrowBound = 100 * time.Millisecond
-	DefaultDryMax      = 2 * time.Second
+	DefaultDryMax      = 5 * time.Second
 	DefaultDriftPPM    = 200
 	DefaultHomes       = 16
 	DefaultPending     = 1024
--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -28,9 +28,12 @@
 func (m *Machine) parties(now core.Instant, b *book) []party {
 	h := m.holder(now, b.workspace)
 	own := int64(h.demand.roll(now))
-	largest := h.demand.largest
+	lent := int64(b.lent.roll(now))
+	b.lent.fade(now, m.settings.Renew)
+	h.demand.fade(now, m.settings.Renew)
+	largest := max(h.demand.largest, b.lent.largest)
 	all := make([]party, 0, len(b.entries)+1)
-	total := own
+	total := own + lent
 	for _, e := range b.entries {
 		largest = max(largest, e.largest)
 		total += int64(e.demand)
@@ -43,7 +46,7 @@
 		all = append(all, b.party(e.host, base, int64(e.demand), e.burst, e.estimate(now)))
 	}
 	self := b.party(m.settings.Self, base, own, b.pool.burst, b.pool.level)
-	self.weight = max(self.weight, total/poolPart+1)
+	self.weight = max(self.weight+lent, total/poolPart+1)
 	all = append(all, self)
 	slices.SortFunc(all, func(x, y party) int {
 		if c := cmp.Compare(y.rank, x.rank); c != 0 {
