--- a/internal/core/placement/report.go
+++ b/internal/core/placement/report.go
@@ -14,7 +14,7 @@
 	if o == nil || r.Sent.Before(o.since) {
 		return
 	}
-	if !o.reported && r.Sent.Before(o.since.Add(m.settings.OrderLinger)) {
+	if !o.reported && r.Sent <= o.since.Add(m.settings.OrderLinger) {
 		return // an order of a former owner may still arrive
 	}
 	before := o.health.Suspect()
@@ -80,7 +80,7 @@
 		s.become(resident, m.now)
 		o.add(s)
 		o.dirty = true
-	case s.state == doubtful && !r.Sent.Before(s.since.Add(m.settings.OrderLinger+m.settings.ReportLag)):
+	case s.state == doubtful && r.Sent > s.since.Add(m.settings.OrderLinger+m.settings.ReportLag):
 		s.become(resident, m.now)
 		o.dirty = true
 	}
