--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -41,8 +41,11 @@
 	withheldTo core.Instant
 	acted      core.Instant // Grant.Until when last Acting
 	frozen     bool
-	stir       bool     // holders are to ask at once
-	queue      []Borrow // came before the book was open
+	stir       bool          // holders are to ask at once
+	starved    []core.HostID // got less than their part: others hold more than theirs
+	stirred    core.Instant
+	refill     []core.HostID // starved hosts to recall at the next look
+	queue      []Borrow      // came before the book was open
 	due        bool
 }
 
@@ -178,10 +181,11 @@
 func (m *Machine) look(now core.Instant, own core.Ownership, b *book, r *Result) {
 	if m.spendable(now, own, b) {
 		m.reclaim(now, b)
+		m.listHomes(own, b, r)
 		m.settleList(own, b, r)
 	}
 	if b.withheld && (len(b.unheard) == 0 || !now.Before(b.withheldTo)) {
-		b.withheld = false
+		b.withheld, b.unheard = false, nil
 		b.reslice(now)
 	}
 	if b.withheld {
@@ -191,6 +195,22 @@
 		b.stir = false
 		m.recall(b, b.listed, r)
 	}
+	m.even(now, b, r)
+}
+
+// even moves slices before the next regular Ask: hosts that hold too much are
+// asked first, and at the next look those that got too little.
+func (m *Machine) even(now core.Instant, b *book, r *Result) {
+	m.recall(b, b.refill, r)
+	b.refill = nil
+	if b.frozen || b.withheld || now.Sub(b.stirred) < m.settings.Urgent {
+		return
+	}
+	if len(b.starved) == 0 && !m.poolStarved(now, b) {
+		return
+	}
+	m.recall(b, m.holdTooMuch(now, b), r)
+	b.refill, b.starved, b.stirred = b.starved, nil, now
 }
 
 // reclaim takes lapsed shares back: their holders stopped spending earlier.
@@ -223,10 +243,11 @@
 		m.recall(b, []core.HostID{from}, r) // it has to promise first
 		return
 	}
-	b.heard(from)
-	e := m.book2entry(now, b, from, a)
+	restated := b.heard(from)
+	e := m.book2entry(now, b, from, a, restated)
 	if e == nil {
 		m.list(own, b, from, r)
+		m.shareNothing(b, from, a, r)
 		return
 	}
 	if a.Only {
@@ -236,14 +257,18 @@
 	m.share(now, own, b, e, a.Sent, r)
 }
 
-// heard notes that a host restated what it holds.
-func (b *book) heard(host core.HostID) {
+// heard notes that a host restated what it holds, and reports whether that was
+// waited for.
+func (b *book) heard(host core.HostID) bool {
+	n := len(b.unheard)
 	b.unheard = slices.DeleteFunc(b.unheard, func(h core.HostID) bool { return h == host })
+	return len(b.unheard) < n
 }
 
 // book2entry books an Ask. Nil where the host is not listed yet, so may not be
-// granted anything.
-func (m *Machine) book2entry(now core.Instant, b *book, from core.HostID, a Ask) *entry {
+// granted anything. What a host states counts only where it was waited for: the
+// share of a host without an entry has ended otherwise, and the Ask is late.
+func (m *Machine) book2entry(now core.Instant, b *book, from core.HostID, a Ask, restated bool) *entry {
 	e := b.entry(from)
 	if e == nil {
 		if _, ok := slices.BinarySearch(b.listed, from); !ok {
@@ -252,13 +277,15 @@
 		e = b.addEntry(from)
 		e.seq = a.Applied
 		b.seq = max(b.seq, a.Applied)
-		e.rate, e.burst = microRate(max(a.Rate, 0)), nano(max(a.Burst, 0))
+		if restated && b.withheld {
+			e.rate, e.burst = microRate(max(a.Rate, 0)), nano(max(a.Burst, 0))
+		}
 		e.toRate, e.toBurst = e.rate, e.burst
 		e.until = now.Add(longer(m.settings.Term, m.settings.DriftPPM))
 		b.reslice(now)
 	}
 	b.confirm(now, e, a)
-	e.level, e.stated = nano(a.Level), now
+	e.level, e.stated = min(nano(a.Level), e.burst), now
 	e.demand, e.largest = a.Demand, a.Largest
 	return e
 }
@@ -296,3 +323,11 @@
 		TotalRate: b.limit.Rate, TotalBurst: b.limit.Burst, Echo: echo, Term: term,
 	}})
 }
+
+// shareNothing answers a host that holds nothing and gets nothing now.
+func (m *Machine) shareNothing(b *book, to core.HostID, a Ask, r *Result) {
+	r.Send(to, Message{Share: &Share{
+		Workspace: b.workspace, Fence: b.fence, Seq: a.Applied, TotalRate: b.limit.Rate,
+		TotalBurst: b.limit.Burst, Echo: a.Sent, Term: m.settings.Term,
+	}})
+}
--- a/internal/core/limit/list.go
+++ b/internal/core/limit/list.go
@@ -38,7 +38,7 @@
 	delete(m.adopted, ws)
 	b := &book{
 		workspace: ws, fence: g.Fence, phase: phaseReading, limit: m.limits[ws],
-		pool: bucket{last: now, ppm: m.settings.DriftPPM}, acted: g.Until, former: former,
+		pool: bucket{last: now, ppm: m.settings.DriftPPM, generation: m.generation()}, acted: g.Until, former: former,
 	}
 	m.books[ws] = b
 	m.stats.Takeovers++
@@ -47,6 +47,13 @@
 	return b
 }
 
+// generation numbers a new pool: what was taken from an older one can't be
+// settled into it.
+func (m *Machine) generation() uint32 {
+	m.pools++
+	return m.pools
+}
+
 func (m *Machine) call(b *book, c core.ObjectCall, wrote *list, r *Result) {
 	m.tag++
 	c.Tag, c.Key = m.tag, listPrefix+string(b.workspace)
@@ -169,13 +176,14 @@
 		return
 	}
 	b.unsure = false
+	was := b.listed
 	b.listed = l.Holders
 	b.wanted = slices.DeleteFunc(b.wanted, func(h core.HostID) bool {
 		_, ok := slices.BinarySearch(b.listed, h)
-		return ok
+		return ok || h == m.settings.Self
 	})
 	if b.phase == phaseOpen {
-		m.recall(b, b.listed, r)
+		m.listGrew(b, was, r)
 		return
 	}
 	b.phase = phaseOpen
@@ -220,11 +228,34 @@
 
 // list asks that a host be listed.
 func (m *Machine) list(own core.Ownership, b *book, host core.HostID, r *Result) {
-	if b.frozen || b.writing || !isMember(own, host) || len(b.listed) >= 2*m.settings.Homes {
+	if b.frozen || !isMember(own, host) || len(b.listed)+len(b.wanted) >= 2*m.settings.Homes {
 		return
 	}
 	b.wanted = union(b.wanted, []core.HostID{host})
-	m.writeList(b, union(b.listed, b.wanted), r)
+	if !b.writing {
+		m.writeList(b, union(b.listed, b.wanted), r)
+	}
+}
+
+// listHomes lists the homes that joined since the book was opened, so that each
+// holds a part before the owner or the store is lost.
+func (m *Machine) listHomes(own core.Ownership, b *book, r *Result) {
+	for _, h := range m.homes(own, b.workspace) {
+		_, listed := slices.BinarySearch(b.listed, h)
+		if h != m.settings.Self && !listed && !slices.Contains(b.wanted, h) {
+			m.list(own, b, h, r)
+		}
+	}
+}
+
+// listGrew asks the hosts that are newly listed, and lists those that came
+// meanwhile.
+func (m *Machine) listGrew(b *book, was []core.HostID, r *Result) {
+	fresh := slices.DeleteFunc(slices.Clone(b.listed), func(h core.HostID) bool { return slices.Contains(was, h) })
+	m.recall(b, fresh, r)
+	if len(b.wanted) > 0 {
+		m.writeList(b, union(b.listed, b.wanted), r)
+	}
 }
 
 // settleList resolves a write that got no answer, else shortens the list.
--- a/internal/core/limit/machine.go
+++ b/internal/core/limit/machine.go
@@ -26,6 +26,7 @@
 	DriftPPM    int64         // a clock gains or loses at most this, parts per million
 	Homes       int           // most hosts that share one workspace
 	Pending     int           // most requests that wait for a loan
+	EvenPart    int           // 1/EvenPart of the rate weighs evenly over the homes; below 0: nothing does
 }
 
 // Defaults of Settings.
@@ -35,10 +36,11 @@
 	DefaultUrgent      = 5 * time.Second
 	DefaultHorizon     = 15 * time.Minute
 	DefaultBorrowBound = 100 * time.Millisecond
-	DefaultDryMax      = 250 * time.Millisecond
+	DefaultDryMax      = 2 * time.Second
 	DefaultDriftPPM    = 200
 	DefaultHomes       = 16
 	DefaultPending     = 1024
+	DefaultEvenPart    = 16
 )
 
 func (s Settings) withDefaults() Settings {
@@ -59,6 +61,9 @@
 	if s.Homes <= 0 {
 		s.Homes = DefaultHomes
 	}
+	if s.EvenPart == 0 {
+		s.EvenPart = DefaultEvenPart
+	}
 	if s.Pending <= 0 {
 		s.Pending = DefaultPending
 	}
@@ -110,6 +115,7 @@
 	departed map[core.WorkspaceID]core.Fence // of books handed over: never opened again
 	calls    map[uint64]listCall             // under way
 	tag      uint64
+	pools    uint32 // generations of pools so far
 	agenda   agenda
 	stats    Stats
 }
@@ -198,7 +204,7 @@
 	case dutyBook:
 		m.bookDue(now, own, t.workspace, r)
 	case dutyPending:
-		m.pendingDue(now, t.request, r)
+		m.pendingDue(now, own, t.request, r)
 	case dutyLanded:
 		m.loanLanded(now, t.request)
 	case dutyForget:
--- a/internal/entry/hangup_test.go
+++ b/internal/entry/hangup_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/node"
 )
@@ -62,16 +64,19 @@
 	b.is.Equal(e.Kind, node.EndCancelled)
 	b.is.Equal(e.Received, core.Tokens(1))
 	b.is.Equal(e.Used, arrived.Prompt+1) // what was not generated is not charged
+	b.stop()
+	b.is.Equal(b.logs.Entries[0].Fields["outcome"], core.CodeCancelled) // not the upstream's fault
 }
 
 func TestHangUpDuringARecordedAttemptLetsItFinish(t *testing.T) {
 	running, finish := make(chan struct{}), make(chan struct{})
+	registry := metrics.NewRegistry()
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.ReadAll(r.Body)
 		close(running)
 		<-finish
 		_, _ = w.Write([]byte("booked"))
-	})
+	}, WithRegistry(registry))
 	b.node.script = func(x *fakeExchange, a node.Arrive) {
 		d := b.dispatch(a.ID, 1)
 		d.Adapter, d.Record = core.AdapterRef{}, true
@@ -82,6 +87,9 @@
 	arrived := b.next().(node.Arrive)
 	<-running
 	b.is.NoErr(c.Close())
+	for metrics.GetOrRegisterCounter("entry.hung_up", registry).Count() == 0 {
+		time.Sleep(time.Millisecond) // the attempt ends after the hang-up was seen
+	}
 	close(finish)
 	e := b.next().(node.Ended)
 	b.is.Equal(e.Kind, node.EndOK)
--- a/internal/peer/outbound.go
+++ b/internal/peer/outbound.go
@@ -24,7 +24,7 @@
 
 	conn   *quic.Conn
 	stream *quic.SendStream
-	dialed string
+	dialed string // the address, "" where the peer opened the connection
 }
 
 func newOutbound(l *Links, to core.HostID, seed uint64) *outbound {
@@ -45,8 +45,8 @@
 
 // run sends what the ring holds until the links close or the link is idle.
 func (p *outbound) run() {
-	defer p.hangUp()
-	idle := time.NewTimer(idleAfter)
+	defer p.release()
+	idle := time.NewTimer(p.links.idle)
 	defer idle.Stop()
 	for {
 		select {
@@ -59,7 +59,7 @@
 		case <-p.ring.wake:
 			p.drain()
 		}
-		idle.Reset(idleAfter)
+		idle.Reset(p.links.idle)
 	}
 }
 
@@ -133,14 +133,32 @@
 	if p.conn == nil {
 		return false
 	}
-	if p.conn.Context().Err() != nil || p.dialed != p.currentAddress() {
+	moved := p.dialed != "" && p.dialed != p.currentAddress()
+	if moved || p.conn.Context().Err() != nil {
 		p.hangUp()
 		return false
 	}
+	if p.surplus() {
+		p.links.counters.merged.Inc(1)
+		p.release()
+		return false
+	}
 	return true
 }
 
+// surplus reports that both hosts of a pair dialled at once. Both then settle
+// on the connection that the host with the lower identity opened; the other
+// one ends once it has been idle.
+func (p *outbound) surplus() bool {
+	return p.dialed != "" && p.to < p.links.settings.Self && p.links.way(p.to) != nil
+}
+
+// dial takes a connection that the peer opened, or opens one, and starts this
+// host's stream on it.
 func (p *outbound) dial() error {
+	if conn := p.links.way(p.to); conn != nil {
+		return p.use(conn, "")
+	}
 	address := p.currentAddress()
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -152,13 +170,20 @@
 	if err != nil {
 		return LinkError.Wrap(err)
 	}
+	p.links.counters.connected.Inc(1)
+	p.links.start(func() { p.links.receive(conn) }) // the peer may answer on it
+	return p.use(conn, address)
+}
+
+func (p *outbound) use(conn *quic.Conn, address string) error {
 	p.conn, p.dialed = conn, address
 	p.links.counters.outboundNow.Inc(1)
-	if p.stream, err = p.open(); err != nil {
+	stream, err := p.open()
+	if err != nil {
 		p.hangUp()
 		return err
 	}
-	p.links.counters.connected.Inc(1)
+	p.stream = stream
 	return nil
 }
 
@@ -177,6 +202,7 @@
 	return stream, nil
 }
 
+// hangUp closes the connection, which no longer serves.
 func (p *outbound) hangUp() {
 	if p.conn == nil {
 		return
@@ -186,6 +212,17 @@
 	p.links.counters.outboundNow.Dec(1)
 }
 
+// release ends this host's stream. The connection stays as long as the peer
+// uses it, and ends by itself once both sides have been silent.
+func (p *outbound) release() {
+	if p.conn == nil {
+		return
+	}
+	_ = p.stream.Close()
+	p.conn, p.stream = nil, nil
+	p.links.counters.outboundNow.Dec(1)
+}
+
 // pause waits about d and reports whether the links are still open.
 func (p *outbound) pause(d time.Duration) bool {
 	t := time.NewTimer(time.Duration(p.rng.Jitter(int64(d))))
