Replicas: waiting requests move to a new one, and no more than needed

Cause: a script with one hot adapter got a third replica while its queue stayed at the first. Change: no further replica while a holder has room; what waits on a full upstream is sent to the new replica at once.

--- /dev/null
+++ b/internal/core/placement/bench_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/config"
+)
+
+// The size to design for.
+const (
+	sizeUpstreams = 670
+	sizeAdapters  = 15000
+	sizeSlots     = 32
+	sizeHosts     = 350
+)
+
+// one is an ownership in which every shard is this host's, or another's.
+type one struct {
+	self  core.HostID
+	mine  bool
+	hosts []core.Member
+}
+
+func (o one) Self() core.HostID { return o.self }
+func (o one) Owner(core.Shard) (core.HostID, bool) {
+	if o.mine {
+		return o.self, true
+	}
+	return "other", true
+}
+func (o one) Acting(now core.Instant, s core.Shard) (core.Grant, bool) {
+	mine := o.mine && (s.Kind == core.ShardLoader || s.Name == "u0" || s.Name == "u1")
+	return core.Grant{Fence: 1, Until: now.Add(time.Minute)}, mine
+}
+func (o one) Serving(now core.Instant, s core.Shard) bool {
+	_, ok := o.Acting(now, s)
+	return ok
+}
+func (o one) Members() []core.Member { return o.hosts }
+
+// atSize returns a machine with a full view, and what its view weighs.
+func atSize(mine bool) (*Machine, one, uint64) {
+	d := &config.Document{}
+	for i := range sizeUpstreams {
+		d.Upstreams = append(d.Upstreams, config.Upstream{
+			ID: core.UpstreamID(fmt.Sprintf("u%d", i)), Kind: config.UpstreamEngine, Pool: fmt.Sprintf("p%d", i%4),
+			Slots: sizeSlots, Batch: 32, Domain: core.Domain(fmt.Sprint(i % 8)),
+		})
+	}
+	own := one{self: "h0", mine: mine, hosts: make([]core.Member, sizeHosts)}
+	snapshot := config.NewSnapshot(1, d)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := New(Settings{Self: "h0"}, core.NewRand(1))
+	m.Configure(1, own, snapshot)
+	for i := range sizeUpstreams {
+		r := Residency{Upstream: core.UpstreamID(fmt.Sprintf("u%d", i)), Fence: 1, Seq: 1, Warmth: 1, Free: 1}
+		for j := range sizeSlots {
+			r.Adapters = append(r.Adapters, Popular{Adapter: ref((i*sizeSlots + j) % sizeAdapters), Score: 1})
+		}
+		m.Learned(2, own, r)
+	}
+	if m.loader != nil {
+		for i := range sizeAdapters {
+			m.loader.famed(ref(i), "p0", 1, 2, defaultHalfLife)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return m, own, after.HeapAlloc - before.HeapAlloc
+}
+
+func BenchmarkEntryDecision(b *testing.B) {
+	m, own, weighs := atSize(false)
+	b.ReportAllocs()
+	id := core.RequestID("r")
+	for i := 0; b.Loop(); i++ {
+		now := core.Instant(i)
+		pool := fmt.Sprintf("p%d", (i%sizeAdapters/sizeSlots)%4)
+		m.Ask(now, own, Ask{Request: id, Pool: pool, Adapter: ref(i % sizeAdapters), Deadline: now + 1e9})
+		m.Withdraw(now, own, id)
+	}
+	b.ReportMetric(float64(weighs)/1e6, "view-MB")
+}
+
+func BenchmarkOwnerTicket(b *testing.B) {
+	m, own, _ := atSize(true)
+	now := core.Instant(time.Hour)
+	m.Tick(now, own)
+	now = now.Add(time.Minute)
+	report := core.UpstreamReport{Upstream: "u0", OK: true, Incarnation: "1", Sent: now}
+	for j := range sizeSlots {
+		report.Adapters = append(report.Adapters, core.AdapterLoad{Adapter: ref(j)})
+	}
+	m.Report(now, own, report)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		ask := AskMessage{Request: "r", Seq: uint64(i + 1), Upstream: "u0", Adapter: ref(i % sizeSlots), Remaining: time.Second, Sent: now, Workspace: "w"}
+		m.Peer(now, own, "h1", Message{Ask: &ask})
+		r := m.Peer(now, own, "h1", Message{Release: &ReleaseMessage{Request: "r", Seq: ask.Seq, Upstream: "u0", End: End{OK: true}}})
+		if len(r.Sends) != 0 || len(m.owned.byID["u0"].pins) != 0 {
+			b.Fatal("not released")
+		}
+	}
+}
+
+func BenchmarkLoaderWant(b *testing.B) {
+	m, own, weighs := atSize(true)
+	b.ReportAllocs()
+	now := core.Instant(time.Hour)
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(400 * time.Millisecond)
+		cold := core.AdapterRef{ID: "cold", Version: i}
+		r := m.Peer(now, own, "h1", Message{Want: &WantMessage{Adapter: cold, Pool: "p0", Waiting: 1, Arrived: 1}})
+		for _, s := range r.Sends {
+			if s.Message.Load != nil {
+				m.Peer(now, own, s.To, Message{LoadDone: &LoadDoneMessage{ID: s.Message.Load.ID, Adapter: cold, Upstream: s.Message.Load.Upstream, End: LoadOK}})
+			}
+		}
+		m.Peer(now, own, "h1", Message{Want: &WantMessage{Adapter: cold, Pool: "p0"}})
+	}
+	b.ReportMetric(float64(weighs)/1e6, "view+loader-MB")
+}
+
+func BenchmarkTickOfAnEntry(b *testing.B)   { benchmarkTick(b, false) }
+func BenchmarkTickOfTheLoader(b *testing.B) { benchmarkTick(b, true) }
+
+func benchmarkTick(b *testing.B, mine bool) {
+	m, own, _ := atSize(mine)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		m.Tick(core.Instant(time.Duration(i)*100*time.Millisecond), own)
+	}
+}
--- a/internal/core/placement/entry.go
+++ b/internal/core/placement/entry.go
@@ -198,7 +198,7 @@
 	case AnswerNotResident:
 		m.view.lost(r.upstream, r.Adapter)
 		m.elsewhere(r, a.Kind)
-	case AnswerLeaving:
+	case AnswerLeaving, AnswerElsewhere:
 		m.elsewhere(r, a.Kind)
 	case AnswerOverloaded:
 		m.leaveView(r)
--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -256,6 +256,25 @@
 	is.True(f.engines["u0"].adapters[ref(1)] && f.engines["u0"].adapters[ref(2)])
 }
 
+func TestBusyAdapterGetsAReplicaAndNotASecond(t *testing.T) {
+	is := is.New(t)
+	f := settled(3, 3, 2)
+	for i := range 10 { // more than one batch of 8
+		f.ask("h0", core.RequestID(rune('a'+i)), ref(1))
+	}
+	f.run(12 * time.Second)
+	for i := range 10 {
+		is.True(f.ticketed(core.RequestID(rune('a' + i)))) // those that waited moved on
+	}
+	holders := 0
+	for _, e := range f.engines {
+		if e.adapters[ref(1)] {
+			holders++
+		}
+	}
+	is.Equal(holders, 2)
+}
+
 func TestNewLoaderKeepsTheOldOnesLoadsInItsBudget(t *testing.T) {
 	is := is.New(t)
 	f := settled(3, 1, 30)
--- a/internal/core/placement/messages.go
+++ b/internal/core/placement/messages.go
@@ -48,6 +48,7 @@
 	AnswerNotResident            // the upstream does not hold the adapter
 	AnswerLeaving                // the upstream takes no new work
 	AnswerOverloaded             // the queue is full; final
+	AnswerElsewhere              // a further replica has room, this one has not
 	AnswerUnknown                // the owner has nothing of it; state it again
 )
 
--- a/internal/core/placement/replicas.go
+++ b/internal/core/placement/replicas.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -35,7 +37,7 @@
 		return
 	}
 	s := m.busiest(o)
-	if s == nil {
+	if s == nil || m.calmHolder(o, s.adapter) {
 		return
 	}
 	loader, ok := m.own.Owner(LoaderShard)
@@ -49,6 +51,33 @@
 	}})
 }
 
+// calmHolder reports whether another upstream that holds an adapter has room:
+// then the requests should go there, and no further replica is needed.
+func (m *Machine) calmHolder(o *owned, a core.AdapterRef) bool {
+	for _, x := range m.view.holders[a] {
+		usable := x.Upstream != o.id && !x.leaving() && !m.view.listed[x.Upstream] && !m.view.ejected(x)
+		if usable && float64(x.estimate()) < calmBelow*float64(x.config.Batch) {
+			return true
+		}
+	}
+	return false
+}
+
+// share sends what waits for an adapter on full upstreams to a new replica.
+func (m *Machine) share(a core.AdapterRef) {
+	for _, o := range m.owned.list {
+		if o.queue.Waiting(a) == 0 || m.occupied(o) < o.config.Batch || !m.calmHolder(o, a) {
+			continue
+		}
+		for _, id := range slices.Sorted(maps.Keys(o.asks)) {
+			if o.asks[id].Adapter == a {
+				o.queue.Remove(id)
+				m.answerQueued(o, id, AnswerElsewhere)
+			}
+		}
+	}
+}
+
 // busiest is the adapter with the most requests running and waiting, where
 // they are a large part of the batch.
 func (m *Machine) busiest(o *owned) *slot {
--- a/internal/core/placement/wish.go
+++ b/internal/core/placement/wish.go
@@ -110,6 +110,7 @@
 	added, removed := m.view.learn(r)
 	for _, a := range added {
 		m.wake(a)
+		m.share(a)
 	}
 	x := m.view.seen[r.Upstream]
 	if m.loader == nil || x == nil {
--- a/internal/measure/adapters/adapters.go
+++ b/internal/measure/adapters/adapters.go
@@ -61,7 +61,9 @@
 		r.Tables = append(r.Tables, table(s.String(), results[i]))
 		r.Targets = append(r.Targets, targets(s.String(), results[i])...)
 	}
-	return r, nil
+	bytes, err := sizes()
+	r.Tables = append(r.Tables, bytes)
+	return r, err
 }
 
 func (s scenario) play(seed uint64) scores {
