--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -13,7 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"gentiancroft/internal/core"
@@ -29,7 +28,7 @@
 const (
 	MaxMessage = 64 << 10 // bytes
 	MaxValue   = 56 << 10 // bytes of one value
-	PartSize   = 48 << 10 // bytes of one part of a chunk
+	PartSize   = 16 << 10 // bytes of one part of a chunk
 
 	DefaultFlush       = 150 * time.Millisecond // between messages on one link
 	DefaultPing        = 500 * time.Millisecond
@@ -250,14 +249,14 @@
 		return false
 	}
 	if v == nil {
-		v = &value{id: xxhash.Sum64String(string(rune(e.Key.Topic)) + e.Key.Name)}
+		v = &value{id: keyID(e.Key)}
 		m.values[e.Key] = v
 	}
 	m.tally(v)
 	v.entry, v.at = e, now
 	v.digest = digest(v.id, e.Stamp)
 	m.tally(v)
-	if from != "" {
+	if from != "" && from != store {
 		m.changed = append(m.changed, e)
 	}
 	m.spread(now, e.Key, from)
@@ -267,16 +266,20 @@
 	return true
 }
 
+// store stands for the object API as the one who told of a value.
+const store core.HostID = "\x00store"
+
 // spread marks a key on the links that it should go over: all but the one it
 // came by. In a small fleet the one who sets a value sends it to all.
 func (m *Machine) spread(now core.Instant, k Key, from core.HostID) {
-	if from != "" && m.tree.mesh {
+	if from != "" && from != store && m.tree.mesh {
 		return
 	}
 	for _, l := range m.links {
-		if l.host != from {
-			l.mark(now, k)
+		if l.host == from || (from == store && m.tree.watchers[l.host]) {
+			continue // has it, or reads it from the store itself
 		}
+		l.mark(now, k)
 	}
 }
 
--- a/internal/core/feed/fetch.go
+++ b/internal/core/feed/fetch.go
@@ -13,8 +13,9 @@
 // Limits of fetching chunks.
 const (
 	fetchesAtOnce = 4
-	askAgain      = 500 * time.Millisecond
-	asksOfHosts   = 6 // before the store is asked
+	askAgain      = 500 * time.Millisecond // doubles with each unanswered one
+	askAgainMost  = 4 * time.Second
+	asksOfHosts   = 4 // before the store is asked
 	waitersAtMost = 64
 )
 
@@ -116,7 +117,7 @@
 		if i >= fetchesAtOnce {
 			return
 		}
-		if f.asked && now.Sub(f.askedAt) < askAgain {
+		if f.asked && now.Sub(f.askedAt) < min(askAgain<<min(f.asks-1, 4), askAgainMost) {
 			continue
 		}
 		f.asked, f.askedAt = true, now
@@ -139,7 +140,7 @@
 // parents in turn.
 func (m *Machine) giver(asks int) (core.HostID, bool) {
 	list := m.tree.parents()
-	if m.conf.source != "" {
+	if m.conf.source != "" && m.conf.source != store {
 		list = distinct(append([]core.HostID{m.conf.source}, list...), m.set.Self.Host)
 	}
 	if len(list) == 0 {
@@ -176,7 +177,7 @@
 		return
 	}
 	f.data = append(f.data, p.Data...)
-	f.asks = min(f.asks, asksOfHosts)
+	f.asks = min(f.asks, asksOfHosts-1)
 	if len(f.data) >= p.Total {
 		m.chunkComplete(now, p.Hash, f.data)
 		return
--- a/internal/core/feed/link.go
+++ b/internal/core/feed/link.go
@@ -99,7 +99,7 @@
 		return
 	}
 	l.dirty[k] = true
-	if k.Topic <= TopicMembers {
+	if k.Topic <= TopicStatus {
 		l.queue = slices.Insert(l.queue, 0, k)
 		l.urgent = true
 	} else {
--- a/internal/core/feed/messages.go
+++ b/internal/core/feed/messages.go
@@ -21,8 +21,9 @@
 
 // Ping goes from a host to its parent and makes it the parent's child.
 type Ping struct {
-	Echo int64  `cbor:"1,keyasint"` // the sender's clock; only the sender reads it
-	Sum  uint64 `cbor:"2,keyasint"` // over all keys and stamps
+	Echo    int64  `cbor:"1,keyasint"`           // the sender's clock; only the sender reads it
+	Sum     uint64 `cbor:"2,keyasint"`           // over all keys and stamps
+	Version uint64 `cbor:"3,keyasint,omitempty"` // the newest configuration that the sender knows
 }
 
 // Pong answers a Ping. As of Age before it was sent, Version was the newest
--- a/internal/core/feed/repair.go
+++ b/internal/core/feed/repair.go
@@ -16,6 +16,9 @@
 // patience is how long sums may differ while values are on their way.
 const patience = 3 * time.Second
 
+// keyID names a key in digests.
+func keyID(k Key) uint64 { return xxhash.Sum64String(string(rune(k.Topic)) + k.Name) }
+
 // digest is a key's and its stamp's part of the sums.
 func digest(id uint64, s Stamp) uint64 {
 	var b [24]byte
@@ -34,6 +37,14 @@
 		pong.Version, pong.Age = m.fresh.version, now.Sub(m.fresh.at)
 	}
 	m.out.Send(from, Message{Pong: &pong})
+	m.askHead(from, p.Version)
+}
+
+// askHead asks a neighbour that knows a newer configuration for its head.
+func (m *Machine) askHead(from core.HostID, version uint64) {
+	if version > m.conf.target.Version {
+		m.out.Send(from, Message{Need: &Need{IDs: []uint64{keyID(headKey)}}})
+	}
 }
 
 // pongFrom takes a parent's answer. What it says of freshness counts from
@@ -48,6 +59,9 @@
 	if p.Known && p.Age >= 0 && asked <= now {
 		m.newest(p.Version, asked.Add(-p.Age))
 	}
+	if p.Known {
+		m.askHead(from, p.Version)
+	}
 	m.compare(now, l, p.Sum)
 }
 
--- a/internal/core/feed/store.go
+++ b/internal/core/feed/store.go
@@ -164,6 +164,6 @@
 		return false
 	}
 	m.conf.object = o.Version
-	m.apply(now, Entry{Key: headKey, Stamp: Stamp{Seq: h.Version}, Value: o.Value}, "")
+	m.apply(now, Entry{Key: headKey, Stamp: Stamp{Seq: h.Version}, Value: o.Value}, store)
 	return true
 }
--- a/internal/core/feed/tree.go
+++ b/internal/core/feed/tree.go
@@ -24,8 +24,9 @@
 	domains    int
 	mesh       bool
 	watcher    bool
-	fixed      []core.HostID // parents that are always asked: other regions' roots
-	candidates []core.HostID // parents in order of preference; one is asked
+	watchers   map[core.HostID]bool // of all failure domains
+	fixed      []core.HostID        // parents that are always asked: other regions' roots
+	candidates []core.HostID        // parents in order of preference; one is asked
 	current    int
 	since      core.Instant // of asking the current one
 }
@@ -93,8 +94,12 @@
 	heads := map[core.Region][]core.HostID{}
 	var regions []core.Region
 	var own *domain
+	t.watchers = map[core.HostID]bool{}
 	for i := range domains {
 		d := &domains[i]
+		for _, h := range d.hosts[:min(m.set.Watchers, len(d.hosts))] {
+			t.watchers[h] = true
+		}
 		if heads[d.region] == nil {
 			regions = append(regions, d.region)
 		}
@@ -174,7 +179,7 @@
 		}
 		if now >= l.pingAt {
 			l.pingAt = now.Add(m.set.Ping)
-			m.out.Send(h, Message{Ping: &Ping{Echo: int64(now), Sum: m.sum}})
+			m.out.Send(h, Message{Ping: &Ping{Echo: int64(now), Sum: m.sum, Version: m.conf.target.Version}})
 		}
 	}
 	keep := m.links[:0]
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -211,6 +211,9 @@
 // reads them itself.
 func (m *Machine) Suspected(now core.Instant) []core.HostID {
 	var hosts []core.HostID
+	if !m.watch.polls || m.watch.broken {
+		return nil
+	}
 	for i := range m.head.Members {
 		e := &m.head.Members[i]
 		s := m.watch.seen[e.Number]
--- a/internal/core/lease/settings.go
+++ b/internal/core/lease/settings.go
@@ -24,8 +24,9 @@
 const (
 	DefaultTerm         = 6 * time.Second
 	DefaultRenew        = time.Second
+	DefaultPoll         = 2 * time.Second
 	DefaultMargin       = 250 * time.Millisecond
-	DefaultSuspectAfter = 3 * time.Second
+	DefaultSuspectAfter = 3500 * time.Millisecond
 	DefaultStagger      = 300 * time.Millisecond
 	DefaultCallTimeout  = 2 * time.Second
 	DefaultWatchTimeout = 45 * time.Second
@@ -33,7 +34,7 @@
 	DefaultBackoffMax   = 3 * time.Second
 	DefaultDriftPPM     = 500
 	DefaultPollers      = 2
-	DefaultBatchSize    = 64
+	DefaultBatchSize    = 32
 	DefaultSmallFleet   = 8
 	DefaultLog          = 256
 )
@@ -43,6 +44,7 @@
 	Self         core.Member
 	Term         time.Duration // a lease, counted from before its heartbeat was sent
 	Renew        time.Duration // between heartbeats, and between writes of a batch
+	Poll         time.Duration // between readings of all heartbeats; a small fleet reads each Renew
 	Margin       time.Duration // added to the term before another host is fenced
 	SuspectAfter time.Duration // without a heartbeat, a host is suspected
 	Stagger      time.Duration // between the turns of hosts that could do the same thing
@@ -72,6 +74,7 @@
 	}
 	duration(&s.Term, DefaultTerm)
 	duration(&s.Renew, DefaultRenew)
+	duration(&s.Poll, DefaultPoll)
 	duration(&s.Margin, DefaultMargin)
 	duration(&s.SuspectAfter, DefaultSuspectAfter)
 	duration(&s.Stagger, DefaultStagger)
--- a/internal/core/lease/watch.go
+++ b/internal/core/lease/watch.go
@@ -68,7 +68,10 @@
 		return
 	}
 	if now >= w.next && m.calls.ready(now, callBeats) {
-		w.next = now.Add(m.set.Renew)
+		w.next = now.Add(m.set.Poll)
+		if len(m.head.Members) <= m.set.SmallFleet {
+			w.next = now.Add(m.set.Renew)
+		}
 		m.call(now, callBeats, core.ObjectCall{Op: core.ObjectList, Key: BeatsPrefix})
 	}
 	if m.calls.ready(now, callWatch) {
--- a/internal/measure/membership/fleet.go
+++ b/internal/measure/membership/fleet.go
@@ -60,6 +60,7 @@
 
 	ppm     int64        // how fast its clock runs, millionths
 	offset  core.Instant // its clock at time 0
+	claimed []bool       // by shard, as last recorded
 	coupled uint64       // the view that the feed has
 	queue   []func()     // events held while it is paused
 
@@ -258,12 +259,17 @@
 // claims records what the host may act on from now on, in real time.
 func (f *Fleet) claims(h *Host) {
 	now := h.Local(f.Now)
-	for _, s := range f.Shards {
-		if g, ok := h.Lease.Acting(now, s); ok {
+	if h.claimed == nil {
+		h.claimed = make([]bool, len(f.Shards))
+	}
+	for i, s := range f.Shards {
+		g, ok := h.Lease.Acting(now, s)
+		if ok {
 			f.Trace.Claim(f.Now, h.Member.Host, s, g.Fence, h.Real(g.Until))
-			continue
+		} else if h.claimed[i] {
+			f.Trace.Drop(f.Now, h.Member.Host, s)
 		}
-		f.Trace.Drop(f.Now, h.Member.Host, s)
+		h.claimed[i] = ok
 	}
 }
 
