Node: the test of a withdrawn key cuts a stream on every host

Change: streams of 10 s on each host, all must be cut with ran=yes and leave their engines. Conclusion: stricter than it was.

--- a/internal/core/node/fleet_test.go
+++ b/internal/core/node/fleet_test.go
@@ -19,6 +19,7 @@
 	objectDelay = 5 * time.Millisecond
 	loadDelay   = 250 * time.Millisecond
 	runDelay    = 400 * time.Millisecond // of a whole request at an engine
+	longDelay   = 10 * time.Second       // of a long one
 	firstDelay  = 200 * time.Millisecond // of the first byte
 	crashDelay  = 100 * time.Millisecond // until a poisoned request kills its engine
 	tickDelay   = 50 * time.Millisecond
@@ -27,6 +28,9 @@
 // poison starts the identities of requests that crash the engines they run on.
 const poison = "poison"
 
+// long starts the identities of requests that run long.
+const long = "long"
+
 // happening is something due at an instant.
 type happening struct {
 	at  core.Instant
@@ -311,7 +315,11 @@
 		f.after(crashDelay, func() { f.crashOn(e, d) })
 	}
 	f.after(firstDelay, func() { f.first(e, d) })
-	f.after(runDelay, func() { f.finish(e, d) })
+	length := runDelay
+	if strings.HasPrefix(string(d.ID), long) {
+		length = longDelay
+	}
+	f.after(length, func() { f.finish(e, d) })
 }
 
 // first gives the first byte of a request that still runs.
--- a/internal/core/node/node_test.go
+++ b/internal/core/node/node_test.go
@@ -114,23 +114,28 @@
 	f := ready(t, 3)
 	f.step(f.hosts[0], ask("warm up", "key-1", "quotes-01"))
 	f.run(3 * time.Second)
+	for i, h := range f.hosts {
+		f.step(h, ask(fmt.Sprint(long, i), "key-1", "quotes-01"))
+	}
+	f.run(firstDelay + 50*time.Millisecond)
 	doc := config.Canonical(f.doc)
 	doc.Keys[0].Withdrawn = true
 	f.publish(doc)
-	const asked = 80
-	for i := range asked { // a request every 50 ms, the configuration spreads meanwhile
-		f.step(f.hosts[i%3], ask(fmt.Sprint("r", i), "key-1", "quotes-01"))
-		f.run(50 * time.Millisecond)
+	f.step(f.hosts[0], ask(long+"begun meanwhile", "key-1", "quotes-01"))
+	f.run(3 * time.Second)
+	for i, h := range f.hosts {
+		a := f.answers[core.RequestID(fmt.Sprint(long, i))]
+		is.True(a.cut)
+		is.Equal(a.refusal.Code, core.CodeKeyWithdrawn)
+		is.Equal(a.refusal.Ran, core.RanYes)
+		f.step(h, ask(fmt.Sprint("next", i), "key-1", "quotes-01"))
+		is.Equal(f.answers[core.RequestID(fmt.Sprint("next", i))].refusal.Ran, core.RanNo)
 	}
-	last := f.answers["r79"]
-	is.Equal(last.refusal.Code, core.CodeKeyWithdrawn)
-	cut := 0
-	for i := range asked {
-		if f.answers[core.RequestID(fmt.Sprint("r", i))].cut {
-			cut++
-		}
+	is.Equal(f.answers[long+"begun meanwhile"].refusal.Code, core.CodeKeyWithdrawn)
+	f.run(time.Second)
+	for _, e := range f.engines {
+		is.Equal(len(e.running), 0) // cut at the engines, too
 	}
-	is.True(cut > 0) // at least one was running when the key went
 }
 
 func TestLostHostsShardsMove(t *testing.T) {
