--- a/cmd/gentiancroft/measure.go
+++ b/cmd/gentiancroft/measure.go
@@ -9,7 +9,10 @@
 
 	"gentiancroft/internal/measure"
 	"gentiancroft/internal/measure/adapters"
+	"gentiancroft/internal/measure/fairness"
 	"gentiancroft/internal/measure/limits"
+	"gentiancroft/internal/measure/membership"
+	"gentiancroft/internal/measure/once"
 	"gentiancroft/internal/measure/overhead"
 	"gentiancroft/internal/report"
 )
@@ -18,8 +21,11 @@
 
 // measures are all measurements that `measure` and `report` run.
 var measures = []measure.Measure{
-	limits.Measure,
 	adapters.Measure,
+	limits.Measure,
+	fairness.Measure,
+	membership.Measure,
+	once.Measure,
 	overhead.Measure,
 }
 
