--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -107,10 +108,9 @@
 		}, node.Ended{Kind: node.EndFailed, Crashed: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			failed := false
+			var attempts atomic.Int32 // each comes on a connection of its own
 			b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
-				if !failed {
-					failed = true
+				if attempts.Add(1) == 1 {
 					test.first(w, r)
 					return
 				}
