--- a/internal/core/limit/book.go
+++ b/internal/core/limit/book.go
@@ -23,6 +23,7 @@
 	phase     phase
 	limit     Limit
 	pool      bucket
+	lent      demand   // asked of the pool by other hosts
 	entries   []*entry // sorted by host
 	seq       uint64   // of the last share cut
 
@@ -64,6 +65,7 @@
 	stated  core.Instant
 	demand  core.Tokens
 	largest core.Tokens
+	silent  bool // did not answer: no loans are asked of it until its next Ask
 }
 
 func (b *book) entry(host core.HostID) *entry {
@@ -286,7 +288,7 @@
 	}
 	b.confirm(now, e, a)
 	e.level, e.stated = min(nano(a.Level), e.burst), now
-	e.demand, e.largest = a.Demand, a.Largest
+	e.demand, e.largest, e.silent = a.Demand, a.Largest, false
 	return e
 }
 
@@ -300,11 +302,13 @@
 	freed := e.burst - burst
 	e.rate, e.burst = rate, burst
 	b.reslice(now)
+	level := max(nano(a.Left), 0)
 	if e.open {
 		e.open = false
-		b.pool.level = min(b.pool.level+min(max(nano(a.Released), 0), freed), b.pool.limit())
-		b.pool.sample()
+		level += max(nano(a.Released), 0)
 	}
+	b.pool.level = min(b.pool.level+min(level, freed), b.pool.limit())
+	b.pool.sample()
 }
 
 // share sends a holder what the book says of it. Sent again it is the same.
