Placement: residencies are published half as much

Cause: at 32 slots every host received 6.3 to 10.1 KB/s of residencies, three for each load and one for each change of load within 2 s. Change: evictions and starts of loads wait for 0.5 s, mostly the load's end; load alone goes out every 10 s, 2 s where few slots are to be had. A want after an answer of no use waits 0.3 s: two views that differ had bounced one request 50 times and refused it. Ruled out: 10 s everywhere, which refused 40 % more at 8 slots. Left: an index in place of adapter names, and a pace by fleet size.

--- a/internal/core/placement/jobs.go
+++ b/internal/core/placement/jobs.go
@@ -80,7 +80,7 @@
 	o.jobs[j.Adapter] = j
 	m.note("evict", v.adapter.String()+" from "+string(o.id))
 	m.issue(o, &order{upstream: o, adapter: v.adapter, job: j}, core.Grant{Fence: grant.Fence, Until: last})
-	o.dirty = true
+	o.stale = true // whoever asks for the victim meanwhile is turned away
 }
 
 func (m *Machine) startLoad(o *owned, j *job) {
@@ -90,7 +90,7 @@
 	until := m.now.Add(m.settings.LoadTimeout)
 	m.note("load", j.Adapter.String()+" to "+string(o.id))
 	m.issue(o, &order{upstream: o, adapter: j.Adapter, job: j, load: true}, core.Grant{Fence: o.fence, Until: until})
-	o.dirty = true
+	o.stale = true
 }
 
 func (m *Machine) issue(o *owned, x *order, g core.Grant) {
@@ -147,7 +147,7 @@
 
 func (m *Machine) unloadEnded(o *owned, x *order, d core.OrderDone) {
 	v := o.slots[x.adapter]
-	o.dirty = true
+	o.stale = true
 	switch {
 	case d.OK || v == nil:
 		delete(o.slots, x.adapter)
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -41,11 +41,13 @@
 	jobs   map[core.AdapterRef]*job
 	health *health.Tracker
 
-	dirty     bool
+	dirty     bool // publish at once
+	stale     bool // publish within settleTime
 	seq       uint64
 	published core.Instant
 	lastLoad  int
 	full      bool         // as published: no slot to be had
+	tight     bool         // as published: few
 	crowded   core.Instant // since when it has been too busy; zero: it is not
 }
 
@@ -58,7 +60,11 @@
 }
 
 // Publication of load, which structural changes do not wait for.
-const publishEvery = 2 * time.Second
+const (
+	publishEvery = 10 * time.Second // load alone: every answer carries it as well
+	publishTight = 2 * time.Second  // where few slots are to be had: the loader goes by them
+	settleTime   = 500 * time.Millisecond
+)
 
 func (m *Machine) scanOwned() {
 	kept := m.owned.list[:0]
@@ -286,7 +292,14 @@
 		m.pump(o)
 		m.relieve(o)
 		m.nowRoom(o)
-		if load := m.loadOf(o); load != o.lastLoad && m.now.Sub(o.published) >= publishEvery {
+		if o.stale && m.now.Sub(o.published) >= settleTime {
+			o.dirty = true
+		}
+		every := publishEvery
+		if o.tight {
+			every = publishTight
+		}
+		if m.loadOf(o) != o.lastLoad && m.now.Sub(o.published) >= every {
 			o.dirty = true
 		}
 	}
@@ -299,11 +312,12 @@
 		if !o.dirty {
 			continue
 		}
-		o.dirty = false
+		o.dirty, o.stale = false, false
 		o.seq++
 		o.published, o.lastLoad = m.now, m.loadOf(o)
 		r := m.residency(o)
 		o.full = r.Free <= 0 && len(r.Victims) == 0
+		o.tight = r.Free+len(r.Victims) < victimsPublished
 		m.out.Publish = append(m.out.Publish, r)
 		m.learn(r)
 	}
--- a/internal/core/placement/wish.go
+++ b/internal/core/placement/wish.go
@@ -9,6 +9,9 @@
 	"gentiancroft/internal/core"
 )
 
+// wantAgain is how long a want waits after an answer that was of no use.
+const wantAgain = 300 * time.Millisecond
+
 // want makes r wait for a load of its adapter. It holds no batch place.
 func (m *Machine) want(r *request) {
 	r.state = wanting
@@ -19,8 +22,9 @@
 		m.entry.wishes[r.Adapter] = w
 	}
 	w.waiting = append(w.waiting, r.Request)
-	if m.entry.waking {
-		w.sent = m.now // the sweep asks again: two views that differ must not race
+	if m.entry.waking || r.bounces > 1 {
+		// The sweep asks again: hosts whose views differ must not race.
+		w.sent = m.now.Add(wantAgain - m.settings.Repeat)
 		return
 	}
 	w.arrived++
--- a/internal/measure/adapters/adapters.go
+++ b/internal/measure/adapters/adapters.go
@@ -80,7 +80,7 @@
 func table(title string, s scores) measure.Table {
 	return measure.Table{
 		Title:   title,
-		Columns: []string{"stalled share", "stall seconds", "p95 first token s", "mean batch", "loads/min", "refused", "cut", "faults"},
+		Columns: []string{"stalled share", "stall seconds", "p95 first token s", "mean batch", "loads/min", "refused", "cut", "faults", "feed B/s"},
 		Rows: []measure.Row{
 			row("placement", s.ours),
 			row("least loaded, LRU", s.least),
@@ -106,7 +106,7 @@
 
 func row(label string, s *score) measure.Row {
 	return measure.Row{Label: label, Values: []float64{
-		s.share(), s.stall.Seconds(), s.p95(), s.batch, s.loads, float64(s.refused), float64(s.cut), float64(s.faults),
+		s.share(), s.stall.Seconds(), s.p95(), s.batch, s.loads, float64(s.refused), float64(s.cut), float64(s.faults), s.feed,
 	}}
 }
 
--- a/internal/measure/adapters/placed.go
+++ b/internal/measure/adapters/placed.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/config"
 	"gentiancroft/internal/core/placement"
@@ -176,6 +178,7 @@
 		p.order(host, o)
 	}
 	for _, res := range r.Publish {
+		p.published(res)
 		p.clock.after(feedTime, func() {
 			for i := range p.machines {
 				if i != host {
@@ -189,6 +192,18 @@
 	}
 }
 
+// published weighs a residency as the feed carries it.
+func (p *placed) published(r placement.Residency) {
+	if p.clock.now < warmUp {
+		return
+	}
+	b, err := cbor.Marshal(r)
+	if err != nil {
+		p.score.faults++
+	}
+	p.score.feed += float64(len(b)) / (runTime - warmUp).Seconds()
+}
+
 func (p *placed) order(host int, o core.AdapterOrder) {
 	e, a := p.engine(o.Upstream), numberOf(o.Adapter)
 	generation := e.incarnation
--- a/internal/measure/adapters/score.go
+++ b/internal/measure/adapters/score.go
@@ -16,6 +16,7 @@
 	first    *hdr.Histogram
 	batch    float64 // mean requests in a batch that is not empty
 	loads    float64 // a minute
+	feed     float64 // bytes a second of residencies, as every host receives them
 	faults   int     // ran without the adapter, or lost it while running
 }
 
