--- a/internal/core/limit/targets.go
+++ b/internal/core/limit/targets.go
@@ -10,7 +10,7 @@
 
 // Constants of how a limit is cut.
 const (
-	requestsPerSlice = 3  // a slice's burst should hold this many of the largest requests
+	requestsPerSlice = 2  // a slice's burst should hold this many of the largest requests
 	poolPart         = 16 // the owner keeps at least 1/poolPart of all weight for loans
 	hysteresis       = 8  // a slice changes by more than 1/hysteresis or not at all
 	fillTime         = 20 * time.Second
@@ -28,9 +28,12 @@
 func (m *Machine) parties(now core.Instant, b *book) []party {
 	h := m.holder(now, b.workspace)
 	own := int64(h.demand.roll(now))
-	largest := h.demand.largest
+	lent := int64(b.lent.roll(now))
+	b.lent.fade(now, m.settings.Renew)
+	h.demand.fade(now, m.settings.Renew)
+	largest := max(h.demand.largest, b.lent.largest)
 	all := make([]party, 0, len(b.entries)+1)
-	total := own
+	total := own + lent
 	for _, e := range b.entries {
 		largest = max(largest, e.largest)
 		total += int64(e.demand)
@@ -43,7 +46,7 @@
 		all = append(all, b.party(e.host, base, int64(e.demand), e.burst, e.estimate(now)))
 	}
 	self := b.party(m.settings.Self, base, own, b.pool.burst, b.pool.level)
-	self.weight = max(self.weight, total/poolPart+1)
+	self.weight = max(self.weight+lent, total/poolPart+1)
 	all = append(all, self)
 	slices.SortFunc(all, func(x, y party) int {
 		if c := cmp.Compare(y.rank, x.rank); c != 0 {
@@ -52,7 +55,23 @@
 		return cmp.Compare(x.host, y.host)
 	})
 	n := int64(b.limit.Burst) / (requestsPerSlice * max(int64(largest), 1))
-	return all[:min(max(n, 1), int64(len(all)))]
+	return usable(b.limit, all[:min(max(n, 1), int64(len(all)))], largest)
+}
+
+// usable leaves out the parties, the last first, whose slice could not hold one
+// request: its tokens would be of use to nobody.
+func usable(l Limit, all []party, largest core.Tokens) []party {
+	total := int64(0)
+	for _, p := range all {
+		total += p.weight
+	}
+	for i := len(all) - 1; i > 0; i-- {
+		if mulDiv(int64(l.Burst), all[i].weight, max(total, 1)) < int64(largest) {
+			total -= all[i].weight
+			all = slices.Delete(all, i, i+1)
+		}
+	}
+	return all
 }
 
 // evenWeight is what each host weighs without any demand, so that each holds a
