Failures of the feed provoked

Cause: cut-off, repair and replacement of watchers had not been run under faults. Change: store down for all for ten minutes, one host and one failure domain cut off, a domain without the store, lost watchers, a slow child, a gap without new changes, and random loss, delay, doubling, stale and lost reads by rapid with a check that no host's configuration goes back. Ruled out: nothing had to change in the machines.

--- /dev/null
+++ b/internal/core/feed/faults_test.go
@@ -0,0 +1,190 @@
+package feed_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/feed"
+	"gentiancroft/internal/measure/membership"
+)
+
+// never watches that no host's configuration goes back.
+func never(t interface{ Errorf(string, ...any) }, f *membership.Fleet) {
+	highest := map[core.HostID]uint64{}
+	f.Stepped = func(h *membership.Host) {
+		v := h.Feed.ConfigVersion()
+		if v < highest[h.Member.Host] {
+			t.Errorf("%s went from %d back to %d", h.Member.Host, highest[h.Member.Host], v)
+		}
+		highest[h.Member.Host] = v
+	}
+}
+
+func dropStore(cut func(h *membership.Host) bool) func(*membership.Host, core.ObjectCall) membership.Fault {
+	return func(h *membership.Host, _ core.ObjectCall) membership.Fault { return membership.Fault{Drop: cut(h)} }
+}
+
+func TestStoreDownForAllServingGoesOn(t *testing.T) {
+	for _, n := range []int{1, 8, 40} {
+		is := is.New(t)
+		f, hosts := start(3, n, 3)
+		accept(f, 1, "a")
+		f.Run(3 * time.Second)
+		f.Fault = dropStore(func(*membership.Host) bool { return true })
+		for range 100 {
+			f.Run(6 * time.Second)
+			is.Equal(cutOff(f, hosts), 0)
+		}
+		f.Fault = nil
+		f.Run(10 * time.Second)
+		accept(f, 2, "b")
+		f.Run(3 * time.Second)
+		is.Equal(inForce(hosts, 2), n)
+	}
+}
+
+func TestHostCutOffFailsClosedWithinTheBound(t *testing.T) {
+	for _, n := range []int{6, 40} {
+		is := is.New(t)
+		f, hosts := start(4, n, 3)
+		accept(f, 1, "a")
+		f.Run(3 * time.Second)
+		lone := hosts[1]
+		f.Fault = dropStore(func(h *membership.Host) bool { return h == lone })
+		f.Link = func(a, b *membership.Host) (bool, bool) { return a == lone || b == lone, false }
+		f.Run(feed.DefaultBound + 200*time.Millisecond)
+		is.True(lone.Feed.CutOff(lone.Local(f.Now)))
+		f.Run(5 * time.Minute)
+		is.True(lone.Feed.CutOff(lone.Local(f.Now)))
+		is.Equal(cutOff(f, hosts), 1)
+	}
+}
+
+func TestFailureDomainCutOffFailsClosed(t *testing.T) {
+	is := is.New(t)
+	f, hosts := start(5, 30, 3)
+	accept(f, 1, "a")
+	f.Run(3 * time.Second)
+	inside := func(h *membership.Host) bool { return h.Member.Domain == "r1-b" }
+	f.Fault = dropStore(inside)
+	f.Link = func(a, b *membership.Host) (bool, bool) { return inside(a) != inside(b), false }
+	f.Run(feed.DefaultBound + time.Second)
+	is.Equal(cutOff(f, hosts), 10)
+	for _, h := range hosts {
+		is.Equal(h.Feed.CutOff(h.Local(f.Now)), inside(h))
+	}
+}
+
+func TestStoreLostByOneDomainIsFreshThroughOthers(t *testing.T) {
+	is := is.New(t)
+	f, hosts := start(6, 30, 3)
+	f.Fault = dropStore(func(h *membership.Host) bool { return h.Member.Domain == "r1-c" })
+	accept(f, 1, "a")
+	f.Run(20 * time.Second)
+	is.Equal(inForce(hosts, 1), 30)
+	is.Equal(cutOff(f, hosts), 0)
+}
+
+func TestLostWatchersAreReplaced(t *testing.T) {
+	is := is.New(t)
+	f, hosts := start(7, 30, 3)
+	var killed int
+	for _, h := range hosts {
+		if h.Member.Domain == "r1-a" && h.Feed.Watches() {
+			f.Kill(h)
+			killed++
+		}
+	}
+	is.Equal(killed, 2)
+	f.Run(3 * time.Second) // not yet removed: their children ask elsewhere
+	accept(f, 1, "a")
+	f.Run(3 * time.Second)
+	is.Equal(inForce(hosts, 1), 28)
+	f.Run(12 * time.Second)
+	watching := 0
+	for _, h := range hosts {
+		if !h.Dead && h.Member.Domain == "r1-a" && h.Feed.Watches() {
+			watching++
+		}
+	}
+	is.Equal(watching, 2)
+}
+
+func TestSlowChildGetsTheNewestOnly(t *testing.T) {
+	is := is.New(t)
+	f, hosts := start(8, 10, 1)
+	slow := hosts[4]
+	values := 0
+	f.Delay = func(_, b *membership.Host, size int) time.Duration {
+		if b != slow {
+			return 0
+		}
+		if size > 500 {
+			values++
+		}
+		return 1500 * time.Millisecond
+	}
+	k := feed.Key{Topic: feed.TopicUpstream, Name: "u"}
+	const sets = 200
+	for seq := range uint64(sets) {
+		out, err := hosts[0].Feed.Set(hosts[0].Local(f.Now), k, feed.Stamp{Seq: seq + 1}, make([]byte, 1000))
+		is.NoErr(err)
+		f.Apply(hosts[0], out)
+		f.Run(50 * time.Millisecond)
+	}
+	e, _ := hosts[7].Feed.Get(k)
+	is.True(e.Stamp.Seq > sets-10) // others keep up
+	is.True(values < sets/5)       // the slow one was sent a few of them
+	f.Run(10 * time.Second)
+	e, _ = slow.Feed.Get(k)
+	is.Equal(e.Stamp.Seq, uint64(sets))
+}
+
+func TestNothingRevertsUnderAnyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 8, 20}).Draw(rt, "hosts")
+		f, hosts := start(rapid.Uint64Range(0, 9).Draw(rt, "seed"), n, 3)
+		never(rt, f)
+		r := core.NewRand(rapid.Uint64().Draw(rt, "rng"))
+		loss := rapid.IntRange(0, 50).Draw(rt, "loss")
+		f.Fault = func(*membership.Host, core.ObjectCall) membership.Fault {
+			return membership.Fault{Stale: r.IntN(3) == 0, Drop: r.IntN(100) < loss, Lose: r.IntN(100) < loss}
+		}
+		f.Link = func(_, _ *membership.Host) (bool, bool) { return r.IntN(100) < loss, r.IntN(4) == 0 }
+		f.Delay = func(_, _ *membership.Host, _ int) time.Duration { return time.Duration(r.Int64N(int64(time.Second))) }
+		last := uint64(rapid.IntRange(2, 8).Draw(rt, "versions"))
+		for v := uint64(1); v <= last; v++ {
+			accept(f, v, "same", fmt.Sprint("edit ", v))
+			f.Run(time.Duration(r.Int64N(int64(2 * time.Second))))
+		}
+		f.Fault, f.Link, f.Delay = nil, nil, nil
+		f.Run(25 * time.Second)
+		if got := inForce(hosts, last); got != n {
+			rt.Fatalf("in force on %d of %d hosts once the faults had ended", got, n)
+		}
+	})
+}
+
+func TestGapIsRepairedWithoutNewChanges(t *testing.T) {
+	is := is.New(t)
+	f, hosts := start(9, 30, 3)
+	k := feed.Key{Topic: feed.TopicUpstream, Name: "u"}
+	deaf := hosts[20]
+	f.Link = func(_, b *membership.Host) (bool, bool) { return b == deaf, false }
+	out, err := hosts[0].Feed.Set(hosts[0].Local(f.Now), k, feed.Stamp{Seq: 1}, []byte("v"))
+	is.NoErr(err)
+	f.Apply(hosts[0], out)
+	f.Run(20 * time.Second) // its parent has dropped it as a child by now
+	_, ok := deaf.Feed.Get(k)
+	is.Equal(ok, false)
+	f.Link = nil
+	f.Run(feed.DefaultRepair + 10*time.Second)
+	is.Equal(deaf.Lease.Lost(), false) // it wrote its own heartbeats meanwhile
+	_, ok = deaf.Feed.Get(k)
+	is.True(ok)
+}
