Exchange: a cancel that comes before the attempt ends it

Change: it is remembered; debug fields are built only when debug lines are written. Before: lost; after: the context comes cancelled.

--- a/cmd/gentiancroft/main.go
+++ b/cmd/gentiancroft/main.go
@@ -13,6 +13,7 @@
 
 	"gentiancroft/internal/admin"
 	"gentiancroft/internal/demo"
+	"gentiancroft/internal/load"
 	"gentiancroft/internal/peer"
 	"gentiancroft/internal/settings"
 )
@@ -51,7 +52,7 @@
 		Use:           "gentiancroft",
 		Short:         "A serving layer for very many LoRA adapters",
 		Long:          longHelp,
-		Example:       "  gentiancroft demo\n  gentiancroft serve --settings examples/host.yaml",
+		Example:       "  gentiancroft demo\n  gentiancroft serve --settings examples/host-a.yaml",
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
@@ -74,7 +75,7 @@
 // isUsage reports whether an error is the user's: flags, arguments, settings or
 // a document.
 func isUsage(err error) bool {
-	if usage.Has(err) || demo.Usage.Has(err) || settings.Invalid.Has(err) || admin.Invalid.Has(err) || peer.MaterialError.Has(err) {
+	if usage.Has(err) || demo.Usage.Has(err) || settings.Invalid.Has(err) || admin.Invalid.Has(err) || load.Invalid.Has(err) || peer.MaterialError.Has(err) {
 		return true
 	}
 	for _, prefix := range []string{"unknown command", "accepts ", "requires at least", "required flag"} {
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -18,9 +18,10 @@
 	Decisions chan node.Effect // Dispatch, Refuse, Replay or Cut
 	host      *Host
 
-	mu     sync.Mutex
-	cancel context.CancelFunc
-	cut    *core.Refusal
+	mu        sync.Mutex
+	cancel    context.CancelFunc
+	cancelled bool // before an attempt was there to cancel
+	cut       *core.Refusal
 }
 
 // Begin hands a request to the node.
@@ -42,12 +43,16 @@
 	x.host.mu.Unlock()
 }
 
-// Attempt returns the context of an attempt; the node's cancel or cut ends it.
+// Attempt returns the context of an attempt; the node's cancel or cut ends it,
+// also one that came before this call.
 func (x *Exchange) Attempt(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(parent)
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.cancel = cancel
-	x.mu.Unlock()
+	if x.cancelled {
+		cancel()
+	}
 	return ctx, cancel
 }
 
@@ -59,23 +64,28 @@
 }
 
 func (x *Exchange) decide(effect node.Effect) {
-	x.mu.Lock()
-	cancel := x.cancel
-	if c, ok := effect.(node.Cut); ok {
-		x.cut = c.Refusal
-	}
-	x.mu.Unlock()
-	switch effect.(type) {
-	case node.Cancel, node.Cut:
-		if cancel != nil {
-			cancel()
-		}
-	}
-	if _, ok := effect.(node.Cancel); ok {
+	switch e := effect.(type) {
+	case node.Cancel:
+		x.end(nil)
 		return
+	case node.Cut:
+		x.end(e.Refusal)
 	}
 	select {
 	case x.Decisions <- effect:
 	default:
 	}
 }
+
+// end cancels the attempt under way, or the one that is about to begin.
+func (x *Exchange) end(cut *core.Refusal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if cut != nil {
+		x.cut = cut
+	}
+	x.cancelled = true
+	if x.cancel != nil {
+		x.cancel()
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -250,7 +250,16 @@
 		name += "." + n.Reason
 	}
 	h.count(name)
+	if !debugging() {
+		return
+	}
 	log.WithFields(log.Fields{"decision": n.Name, "reason": n.Reason, "detail": n.Detail, "request": string(n.ID)}).Debug("decided")
 }
 
+// debugging reports whether debug lines are written at all.
+func debugging() bool {
+	l, ok := log.Log.(*log.Logger)
+	return !ok || l.Level <= log.DebugLevel
+}
+
 func workerName(pool string, i int) string { return fmt.Sprintf("%s %d", pool, i) }
