--- a/internal/core/limit/loan.go
+++ b/internal/core/limit/loan.go
@@ -32,7 +32,7 @@
 	retryLeast = 20 * time.Millisecond
 	retryMost  = 60 * time.Second
 	deadKept   = 2 * time.Second  // how long a late loan is sent back
-	loanKept   = 30 * time.Minute // how long the unused part of a loan can come back
+	loanKept   = 10 * time.Minute // how long the unused part of a loan can come back
 )
 
 // borrow asks another host for the tokens of one request.
@@ -98,8 +98,18 @@
 	return best.host
 }
 
+// doubt passes a holder over that seems not to answer, until its next Ask.
+func (b *book) doubt(host core.HostID) {
+	if e := b.entry(host); e != nil {
+		e.silent = true
+	}
+}
+
 // estimate is the level that a holder has by now if it spent nothing since.
 func (e *entry) estimate(now core.Instant) nano {
+	if e.silent {
+		return 0
+	}
 	return min(e.level+accrued(e.rate, now.Sub(e.stated)), e.burst)
 }
 
@@ -133,13 +143,16 @@
 		return
 	}
 	if b != nil && !q.Forwarded {
-		m.holder(now, q.Workspace).demand.note(q.Tokens) // what others borrow here is asked of the pool
+		b.lent.note(q.Tokens) // what others borrow here is asked of the pool
 	}
 	if m.lend(now, own, q, b) {
 		r.Send(q.Entry, Message{Lend: &Lend{Workspace: q.Workspace, ID: q.ID, Granted: true}})
 		return
 	}
 	if b != nil && !q.Forwarded {
+		if q.Again {
+			b.doubt(b.best(now, nanos(q.Tokens), q.Entry))
+		}
 		if to := b.best(now, nanos(q.Tokens), q.Entry); to != "" {
 			q.Forwarded = true
 			r.Send(to, Message{Borrow: &q})
@@ -291,7 +304,7 @@
 	if owner, ok := own.Owner(shardOf(p.workspace)); ok && owner != m.settings.Self {
 		p.asked = owner
 	}
-	r.Send(p.asked, Message{Borrow: &Borrow{Workspace: p.workspace, ID: id, Tokens: p.tokens, Entry: m.settings.Self}})
+	r.Send(p.asked, Message{Borrow: &Borrow{Workspace: p.workspace, ID: id, Tokens: p.tokens, Entry: m.settings.Self, Again: true}})
 }
 
 // pendingDue asks again, and refuses a request whose loan did not come in time.
--- a/internal/core/limit/machine.go
+++ b/internal/core/limit/machine.go
@@ -36,7 +36,7 @@
 	DefaultUrgent      = 5 * time.Second
 	DefaultHorizon     = 15 * time.Minute
 	DefaultBorrowBound = 100 * time.Millisecond
-	DefaultDryMax      = 2 * time.Second
+	DefaultDryMax      = 5 * time.Second
 	DefaultDriftPPM    = 200
 	DefaultHomes       = 16
 	DefaultPending     = 1024
@@ -235,11 +235,15 @@
 	return r
 }
 
-// HostLost tells that a host is gone: it is asked for no more loans.
+// HostLost tells that a host is gone or unreachable: it is asked for no loans
+// until it is heard of again. Its shares come back only when their terms end.
 func (m *Machine) HostLost(_ core.Instant, host core.HostID) {
 	for _, h := range m.holders {
 		if h.lender == host {
 			h.lender = ""
 		}
 	}
+	for _, b := range m.books {
+		b.doubt(host)
+	}
 }
