Platform client: closing ends calls that wait

Cause: a waiting watch held its goroutine for up to 30 s after the client was closed; 64 connections could refuse calls while the store is slow. Change: the client keeps its connections and closes them; 256 connections. Figures: test: a watch under way ends with Unknown at once, a later call with Unavailable. Conclusion: a host shuts down without waiting for the platform.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -43,7 +43,7 @@
 	DefaultTimeout      = 5 * time.Second
 	DefaultWatchTimeout = 30 * time.Second
 	dialTimeout         = 2 * time.Second
-	maxConns            = 64
+	maxConns            = 256
 	maxAnswerBytes      = 64 << 20
 )
 
@@ -65,6 +65,7 @@
 	http    *fasthttp.HostClient
 	timeout time.Duration
 	watch   time.Duration
+	conns   connections
 }
 
 // Options of a client. Zero values mean the defaults.
@@ -82,39 +83,36 @@
 	if o.WatchTimeout == 0 {
 		o.WatchTimeout = DefaultWatchTimeout
 	}
-	return &Client{
-		address: o.Address,
-		timeout: o.Timeout,
-		watch:   o.WatchTimeout,
-		http: &fasthttp.HostClient{
-			Addr:                          o.Address,
-			Dial:                          dial,
-			MaxConns:                      maxConns,
-			MaxResponseBodySize:           maxAnswerBytes,
-			NoDefaultUserAgentHeader:      true,
-			DisablePathNormalizing:        true,
-			DisableHeaderNamesNormalizing: false,
-			// Invariant: the client sends a call once. A second try is the
-			// decision of the machine that knows whether it is safe.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-				return false, false
-			},
+	c := &Client{address: o.Address, timeout: o.Timeout, watch: o.WatchTimeout}
+	c.http = &fasthttp.HostClient{
+		Addr:                     o.Address,
+		Dial:                     c.dial,
+		MaxConns:                 maxConns,
+		MaxResponseBodySize:      maxAnswerBytes,
+		NoDefaultUserAgentHeader: true,
+		DisablePathNormalizing:   true,
+		// Invariant: the client sends a call once. A second try is the
+		// decision of the machine that knows whether it is safe.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false
 		},
 	}
+	return c
 }
 
 // dial marks its failures as calls that were not sent.
-func dial(address string) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", address, dialTimeout)
+func (c *Client) dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, NotSent.Wrap(err)
 	}
-	return c, nil
+	return c.conns.add(conn)
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// Close ends all connections. A call that waits, such as a watch, ends with
+// Unknown; a later one with Unavailable.
+func (c *Client) Close() { c.conns.close() }
 
 // Do carries out one call. A status of Unavailable means that the call surely
 // had no effect, Unknown that a write may have had.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -70,6 +70,21 @@
 	is.Equal(server.Store.Calls()[core.ObjectWatch], 1) // a waiting watch is one call
 }
 
+func TestCloseEndsAWaitingWatch(t *testing.T) {
+	is := is.New(t)
+	c, server := serve(t)
+	got := make(chan core.ObjectResult, 1)
+	go func() {
+		got <- c.Do(context.Background(), core.ObjectCall{Op: core.ObjectWatch, Key: "w/"})
+	}()
+	for server.Store.Calls()[core.ObjectWatch] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	is.Equal((<-got).Status, core.ObjectUnknown)
+	is.Equal(c.Do(context.Background(), core.ObjectCall{Op: core.ObjectGet, Key: "w/"}).Status, core.ObjectUnavailable)
+}
+
 func TestStatusesOfFailures(t *testing.T) {
 	is := is.New(t)
 	c, server := serve(t)
