--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -256,6 +256,20 @@
 	is.True(f.engines["u0"].adapters[ref(1)] && f.engines["u0"].adapters[ref(2)])
 }
 
+func TestLeavingLoaderHandsOverWhatItRemembers(t *testing.T) {
+	is := is.New(t)
+	f := settled(2, 1, 1)
+	for i := range 3 {
+		f.serve(is, "h1", core.RequestID(rune('a'+i)), ref(i))
+		f.end("h1", core.RequestID(rune('a'+i)), End{OK: true})
+	}
+	state := f.nodes["h0"].Departing(f.clock("h0"), LoaderShard)
+	f.move(LoaderShard, "h1")
+	f.do("h1", f.nodes["h1"].Adopt(f.clock("h1"), f.own("h1"), LoaderShard, state))
+	is.True(f.nodes["h1"].remembered(ref(0)) > 0.9)
+	is.True(f.nodes["h1"].remembered(ref(1)) > 0.9)
+}
+
 func TestBusyAdapterGetsAReplicaAndNotASecond(t *testing.T) {
 	is := is.New(t)
 	f := settled(3, 3, 2)
--- a/internal/core/placement/fame.go
+++ b/internal/core/placement/fame.go
@@ -1,8 +1,12 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"gentiancroft/internal/core"
 )
 
@@ -103,3 +107,53 @@
 		}
 	}
 }
+
+// handoverFame is how many of the best remembered adapters a leaving loader
+// hands over.
+const handoverFame = 500
+
+// famous is one remembered adapter in a hand-over.
+type famous struct {
+	Popular
+	Pool string `cbor:"4,keyasint"`
+}
+
+// departingLoader stops acting as loader and returns what it remembers. What
+// is wanted and in transit is stated anew to its successor.
+func (m *Machine) departingLoader(now core.Instant) []byte {
+	l := m.loader
+	if l == nil {
+		return nil
+	}
+	all := make([]famous, 0, len(l.fame))
+	for a, f := range l.fame {
+		score := decay(f.score, now.Sub(f.at), m.settings.HalfLife)
+		all = append(all, famous{Popular{Adapter: a, Score: score, Idle: now.Sub(f.last)}, f.pool})
+	}
+	slices.SortFunc(all, func(x, y famous) int {
+		if c := cmp.Compare(y.Score, x.Score); c != 0 {
+			return c
+		}
+		return compareRefs(x.Adapter, y.Adapter)
+	})
+	m.loader = nil
+	b, err := cbor.Marshal(all[:min(len(all), handoverFame)])
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// adoptFame takes up what a leaving loader remembered. Wrong or missing, it
+// costs loads and breaks nothing.
+func (m *Machine) adoptFame(state []byte) {
+	var all []famous
+	if cbor.Unmarshal(state, &all) != nil {
+		return
+	}
+	for _, f := range all {
+		if _, known := m.loader.fame[f.Adapter]; !known {
+			m.loader.remember(f.Popular, f.Pool, m.now)
+		}
+	}
+}
--- a/internal/core/placement/handover.go
+++ b/internal/core/placement/handover.go
@@ -35,9 +35,12 @@
 	Silent  time.Duration   `cbor:"5,keyasint"`
 }
 
-// Departing returns the state of an upstream's shard for its next owner, and
-// stops acting for it. It is nil for a shard that is not this host's.
+// Departing returns the state of a shard for its next owner, and stops acting
+// for it. It is nil for a shard that is not this host's.
 func (m *Machine) Departing(now core.Instant, s core.Shard) []byte {
+	if s == LoaderShard {
+		return m.departingLoader(now)
+	}
 	o := m.owned.byID[core.UpstreamID(s.Name)]
 	if s.Kind != core.ShardUpstream || o == nil {
 		return nil
@@ -73,6 +76,14 @@
 
 func (m *Machine) adopt(s core.Shard, state []byte) {
 	m.scan()
+	if s == LoaderShard {
+		if m.loader == nil {
+			m.owned.early = append(m.owned.early, earlyState{s, state, m.now})
+			return
+		}
+		m.adoptFame(state)
+		return
+	}
 	var h handover
 	if s.Kind != core.ShardUpstream || cbor.Unmarshal(state, &h) != nil {
 		return
@@ -127,7 +138,9 @@
 	m.owned.early = nil
 	for _, e := range early {
 		switch {
-		case m.owned.byID[core.UpstreamID(e.shard.Name)] != nil:
+		case e.shard == LoaderShard && m.loader != nil:
+			m.adoptFame(e.state)
+		case e.shard != LoaderShard && m.owned.byID[core.UpstreamID(e.shard.Name)] != nil:
 			m.adopt(e.shard, e.state)
 		case m.now.Sub(e.at) < earlyTerm:
 			m.owned.early = append(m.owned.early, e)
