--- a/internal/core/feed/link.go
+++ b/internal/core/feed/link.go
@@ -179,3 +179,6 @@
 		l.inFlight, l.resends = nil, 0
 	}
 }
+
+// Links is how many neighbours this host has, for the metrics.
+func (m *Machine) Links() int { return len(m.links) }
--- a/internal/core/lease/watch.go
+++ b/internal/core/lease/watch.go
@@ -18,6 +18,7 @@
 	seen     map[uint64]*seen
 	objects  map[string]observed
 	fencing  []uint64
+	fenced   bool // some member is, or was at the latest view
 }
 
 // seen is one member's heartbeat as this host has watched it.
@@ -52,10 +53,13 @@
 			w.seen[n] = &seen{at: now}
 		}
 	}
-	for n := range w.seen {
+	w.fenced = false
+	for n, s := range w.seen {
 		if !present[n] {
 			delete(w.seen, n)
+			continue
 		}
+		w.fenced = w.fenced || s.fenced
 	}
 }
 
@@ -114,7 +118,7 @@
 		}
 		s.ack = max(s.ack, p.Ack)
 		if p.Fenced && !s.fenced {
-			s.fenced, s.fencedAt = true, now
+			s.fenced, s.fencedAt, m.watch.fenced = true, now, true
 		}
 	}
 }
@@ -213,14 +217,14 @@
 	}
 	for _, n := range m.watch.fencing {
 		if s := m.watch.seen[n]; s != nil && !s.fenced {
-			s.fenced, s.fencedAt = true, now.Add(-m.set.Term)
+			s.fenced, s.fencedAt, m.watch.fenced = true, now.Add(-m.set.Term), true
 		}
 	}
 }
 
 // removable lists the fenced members whose removal is this host's turn.
 func (w *watcher) removable(m *Machine, now core.Instant) []core.HostID {
-	if !w.polls || !m.Holding(now) {
+	if !w.fenced || !w.polls || !m.Holding(now) {
 		return nil
 	}
 	var hosts []core.HostID
