--- a/internal/core/node/fleet_test.go
+++ b/internal/core/node/fleet_test.go
@@ -89,7 +89,7 @@
 
 // fleet drives nodes, a store and engines in virtual time.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	now     core.Instant
 	agenda  agenda
 	seq     int
@@ -97,8 +97,12 @@
 	hosts   []*fakeHost
 	engines map[core.UpstreamID]*engine
 	answers map[core.RequestID]*answer
-	starts  int // requests begun at any engine
-	calls   int // to the object API
+	regions int
+	domains int
+	watch   func(from *fakeHost, x ToPeer)     // of messages, for a measurement
+	timed   func(h *fakeHost, d time.Duration) // of steps, for a measurement
+	starts  int                                // requests begun at any engine
+	calls   int                                // to the object API
 	sends   int
 	left    []core.HostID
 	doc     *config.Document
@@ -106,24 +110,31 @@
 	object  uint64
 }
 
-func newFleet(t *testing.T, hosts int, doc *config.Document) *fleet {
-	f := &fleet{t: t, store: platform.NewStore(), engines: map[core.UpstreamID]*engine{}, answers: map[core.RequestID]*answer{}, doc: doc}
+func newFleet(t testing.TB, hosts int, doc *config.Document) *fleet {
+	f := emptyFleet(t, doc)
+	for i := range hosts {
+		f.join(i)
+	}
+	return f
+}
+
+// emptyFleet is a fleet of one region with three failure domains, without hosts.
+func emptyFleet(t testing.TB, doc *config.Document) *fleet {
+	f := &fleet{t: t, regions: 1, domains: 3, store: platform.NewStore(), engines: map[core.UpstreamID]*engine{}, answers: map[core.RequestID]*answer{}, doc: doc}
 	for _, u := range doc.Upstreams {
 		f.engines[u.ID] = &engine{id: u.ID, adapters: map[core.AdapterRef]bool{}, starts: map[core.RequestID]int{}, life: 1}
 	}
 	f.publish(doc)
-	for i := range hosts {
-		f.join(i)
-	}
 	return f
 }
 
 func (f *fleet) join(i int) *fakeHost {
 	id := core.HostID(fmt.Sprintf("host-%d", i))
-	domain := core.Domain(fmt.Sprintf("sofia-%c", 'a'+i%3))
+	region := core.Region(fmt.Sprintf("region-%d", i%f.domains*f.regions/f.domains))
+	domain := core.Domain(fmt.Sprintf("%s-%c", region, 'a'+i%f.domains))
 	h := &fakeHost{id: id, node: New(Settings{
 		Seed: uint64(i + 1),
-		Self: core.Member{Host: id, Address: string(id), Link: string(id), Domain: domain, Region: "sofia"},
+		Self: core.Member{Host: id, Address: string(id), Link: string(id), Domain: domain, Region: region},
 	})}
 	f.hosts = append(f.hosts, h)
 	f.tick(h)
@@ -183,7 +194,12 @@
 	if h.down {
 		return
 	}
-	for _, effect := range h.node.Step(f.now, e) {
+	began := time.Now()
+	effects := h.node.Step(f.now, e)
+	if f.timed != nil {
+		f.timed(h, time.Since(began))
+	}
+	for _, effect := range effects {
 		f.do(h, effect)
 	}
 }
@@ -208,6 +224,9 @@
 		f.callObject(h, x.Call)
 	case ToPeer:
 		f.sends++
+		if f.watch != nil {
+			f.watch(h, x)
+		}
 		f.after(linkDelay, func() { f.deliver(h, x) })
 	case Poll:
 		f.poll(h, x)
