Suspects: an unproven request does not wait long for a second upstream

Cause: the same prompt sent twice to two upstreams waited for the second one's keeper for up to 20 s. Change: after 250 ms it is sent where the same request runs. Ruled out: one upstream for unproven requests, which would queue a popular prompt behind one batch.

--- a/internal/core/dispatch/suspect/entry.go
+++ b/internal/core/dispatch/suspect/entry.go
@@ -13,8 +13,7 @@
 // ask sends a claim to a home that has not been asked yet.
 func (m *Machine) ask(now core.Instant, c *claim) {
 	if c.apart {
-		m.end(now, c, EndNotSent)
-		m.refuse(c, core.Refuse(core.CodeSuspect, busyRetry, "a suspected request got no turn"), "no turn")
+		m.noTurn(now, c)
 		return
 	}
 	if n := len(c.asked); n > 0 {
@@ -125,8 +124,11 @@
 		m.revoked(now, c)
 	case c.decided:
 	case v.Waiting:
-		c.apart = true
+		c.apart, c.use = true, v.Use
 		c.due = now.Add(apartWait)
+		if len(c.use) > 0 {
+			c.due = now.Add(secondWait)
+		}
 	case v.Allowed:
 		m.allow(now, c, v.Suspect, "home "+string(from))
 	case v.Struck >= Budget:
@@ -136,9 +138,24 @@
 		if c.apart {
 			m.end(now, c, EndNotSent) // the keeper's queue is full: the home must hear of it
 		}
-		m.refuse(c, core.Refuse(core.CodeOverloaded, busyRetry, "the same request is being tried elsewhere"), "budget in use")
-		m.out.Decisions[len(m.out.Decisions)-1].Use = v.Use
+		m.elsewhere(c, v.Use)
+	}
+}
+
+// elsewhere refuses a claim and names where one would be allowed.
+func (m *Machine) elsewhere(c *claim, use []core.UpstreamID) {
+	m.refuse(c, core.Refuse(core.CodeOverloaded, busyRetry, "the same request is being tried elsewhere"), "budget in use")
+	m.out.Decisions[len(m.out.Decisions)-1].Use = use
+}
+
+// noTurn ends the wait of a claim for its upstream's keeper.
+func (m *Machine) noTurn(now core.Instant, c *claim) {
+	m.end(now, c, EndNotSent)
+	if len(c.use) > 0 {
+		m.elsewhere(c, c.use)
+		return
 	}
+	m.refuse(c, core.Refuse(core.CodeSuspect, busyRetry, "a suspected request got no turn"), "no turn")
 }
 
 // revoked takes back a leave whose upstream has died. One that waited for its
--- a/internal/core/dispatch/suspect/home.go
+++ b/internal/core/dispatch/suspect/home.go
@@ -89,9 +89,10 @@
 		return
 	}
 	x.apart = r.suspected(now, c.Upstream)
+	use := r.upstreams()
 	r.active = append(r.active, x)
 	if x.apart {
-		m.keepApart(now, x)
+		m.keepApart(now, x, use)
 		return
 	}
 	m.tell(now, from, Message{Verdict: &VerdictMessage{ID: c.ID, Allowed: true}})
--- a/internal/core/dispatch/suspect/lane.go
+++ b/internal/core/dispatch/suspect/lane.go
@@ -14,13 +14,14 @@
 	waiting []ApartMessage
 }
 
-// keepApart passes an allowed suspect on to the host that keeps its upstream's lane.
-func (m *Machine) keepApart(now core.Instant, x run) {
+// keepApart passes an allowed run on to the host that keeps its upstream's
+// lane. One that is no suspect may go to the upstreams in use instead.
+func (m *Machine) keepApart(now core.Instant, x run, use []core.UpstreamID) {
 	host, ok := m.keeper(now, x.upstream)
 	if !ok {
 		return // the entry host refuses it after its wait
 	}
-	m.tell(now, x.entry, Message{Verdict: &VerdictMessage{ID: x.id, Waiting: true}})
+	m.tell(now, x.entry, Message{Verdict: &VerdictMessage{ID: x.id, Waiting: true, Use: use}})
 	m.tell(now, host, Message{Apart: &ApartMessage{ID: x.id, Entry: x.entry, Upstream: x.upstream}})
 }
 
--- a/internal/core/dispatch/suspect/suspect.go
+++ b/internal/core/dispatch/suspect/suspect.go
@@ -39,6 +39,7 @@
 	claimWait      = 250 * time.Millisecond // before the second home is asked
 	silentTerm     = 5 * time.Second        // a home that did not answer is passed over
 	apartWait      = 20 * time.Second       // how long a suspect waits for its turn
+	secondWait     = 250 * time.Millisecond // how long an unproven request waits for a second upstream
 	deathSlack     = time.Second            // between a death and the last report of it, beyond the claim's age
 	lingerTerm     = 3 * time.Second        // how long a cut request may yet be the cause of a death
 	sameDeath      = time.Minute            // an unclaimed report of the same upstream is of the same death
@@ -106,8 +107,9 @@
 	tries   int
 	due     core.Instant // of the next try, or of the next renewal
 	decided bool
-	apart   bool // runs as a suspect, or waits to
-	cut     bool // over for the request; kept until due
+	apart   bool              // runs as a suspect, or waits to
+	use     []core.UpstreamID // where it may run instead of waiting
+	cut     bool              // over for the request; kept until due
 }
 
 // Machine decides for one host, as an entry host and as a home.
--- a/internal/core/dispatch/suspect/suspect_test.go
+++ b/internal/core/dispatch/suspect/suspect_test.go
@@ -268,6 +268,25 @@
 	is.Equal(f.machines[f.home(41)].cases[41].upstreams(), []core.UpstreamID{upstream(1)})
 }
 
+func TestUnprovenRequestDoesNotWaitLongForASecondUpstream(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for fp := range uint64(2) { // both are unproven, and both want u1 as their second
+		f.claim("h0", 50+fp, upstream(0))
+		f.settle()
+		f.claim("h1", 50+fp, upstream(1))
+		f.settle()
+	}
+	is.Equal(len(f.running), 3) // the second one waits for the keeper of u1
+	f.tick(secondWait)
+	f.settle()
+	is.Equal(len(f.refused), 1)
+	for id, use := range f.use {
+		is.Equal(f.refused[id], core.CodeOverloaded)
+		is.Equal(use, []core.UpstreamID{upstream(0)}) // it goes where the same request runs
+	}
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
