Placement: what waits for a leaving upstream goes elsewhere at once

Cause: asks queued before an upstream was marked leaving still got tickets. Result: a script with a full batch and one waiting request shows it.

--- a/internal/core/dispatch/pick/filter_leaving.go
+++ b/internal/core/dispatch/pick/filter_leaving.go
@@ -6,7 +6,7 @@
 type NotLeaving struct{}
 
 // Name implements Filter.
-func (NotLeaving) Name() string { return "all leaving" }
+func (NotLeaving) Name() string { return "all_leaving" }
 
 // Keep implements Filter.
 func (NotLeaving) Keep(_ *Request, all []Candidate) []Candidate {
--- a/internal/core/dispatch/pick/filter_suspect.go
+++ b/internal/core/dispatch/pick/filter_suspect.go
@@ -7,7 +7,7 @@
 type NotSuspect struct{}
 
 // Name implements Filter.
-func (NotSuspect) Name() string { return "all suspect" }
+func (NotSuspect) Name() string { return "all_suspect" }
 
 // Keep implements Filter.
 func (NotSuspect) Keep(_ *Request, all []Candidate) []Candidate {
--- a/internal/core/dispatch/pick/filter_tried.go
+++ b/internal/core/dispatch/pick/filter_tried.go
@@ -6,7 +6,7 @@
 type NotTried struct{}
 
 // Name implements Filter.
-func (NotTried) Name() string { return "all tried" }
+func (NotTried) Name() string { return "all_tried" }
 
 // Keep implements Filter.
 func (NotTried) Keep(r *Request, all []Candidate) []Candidate {
--- a/internal/core/dispatch/pick/pick_test.go
+++ b/internal/core/dispatch/pick/pick_test.go
@@ -22,13 +22,13 @@
 	rng := core.NewRand(1)
 	all := pool(0)
 	all[0].Leaving = true
-	is.Equal(Default().Choose(&Request{}, all, rng).Reason, "all leaving")
+	is.Equal(Default().Choose(&Request{}, all, rng).Reason, "all_leaving")
 	all = pool(0)
 	all[0].Suspect = true
-	is.Equal(Default().Choose(&Request{}, all, rng).Reason, "all suspect")
+	is.Equal(Default().Choose(&Request{}, all, rng).Reason, "all_suspect")
 	d := Default().Choose(&Request{Avoid: []core.UpstreamID{"u0"}}, pool(0), rng)
 	is.True(!d.OK)
-	is.Equal(d.Reason, "all tried")
+	is.Equal(d.Reason, "all_tried")
 }
 
 // TestNoHerd has many hosts choose by the same stale view, in which one
--- a/internal/core/dispatch/pick/picker_two.go
+++ b/internal/core/dispatch/pick/picker_two.go
@@ -6,7 +6,7 @@
 // same stale view don't all run to the one that looks idlest.
 func twoChoices(all []Candidate, rng *core.Rand, score func(*Candidate) float64) (int, string) {
 	if len(all) == 1 {
-		return 0, "only one"
+		return 0, "only_one"
 	}
 	i := rng.IntN(len(all))
 	j := rng.IntN(len(all) - 1)
@@ -16,5 +16,5 @@
 	if score(&all[j]) > score(&all[i]) {
 		i = j
 	}
-	return i, "better of two"
+	return i, "better_of_two"
 }
--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -207,6 +207,23 @@
 	is.True(runs) // what runs there ends there
 }
 
+func TestWhatWaitsForALeavingUpstreamGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := settled(2, 2, 2)
+	for i := range 9 { // one more than the batch
+		f.ask("h0", core.RequestID(rune('a'+i)), ref(1))
+	}
+	f.run(time.Second)
+	is.True(!f.ticketed("i"))
+	u := f.out["a"].Ticket.Upstream
+	for _, h := range f.hosts {
+		f.do(h, f.nodes[h].Leaving(f.clock(h), f.own(h), []core.UpstreamID{u}))
+	}
+	f.run(time.Second)
+	is.True(f.ticketed("i"))
+	is.True(f.out["i"].Ticket.Upstream != u)
+}
+
 func TestOutageGivesTicketsAndEvictsNothing(t *testing.T) {
 	is := is.New(t)
 	f := settled(2, 1, 1)
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -262,6 +262,10 @@
 	if !o.open() || !m.own.Serving(m.now, o.shard) {
 		return
 	}
+	if m.leavingNow(o) {
+		m.turnAway(o) // Keeps: a leaving upstream receives no new work
+		return
+	}
 	ready := func(a core.AdapterRef) bool { return a == (core.AdapterRef{}) || o.slots[a].ready() }
 	for room := o.config.Batch - m.occupied(o); room > 0 && o.queue.Len() > 0; {
 		it, ok := o.queue.Pop(m.now, ready)
--- a/internal/core/placement/report.go
+++ b/internal/core/placement/report.go
@@ -7,6 +7,9 @@
 	"gentiancroft/internal/core"
 )
 
+// suspicion names a change of an upstream's health.
+var suspicion = map[bool]string{true: "upstream.suspect", false: "upstream.cleared"}
+
 // report takes an upstream's own account. It lags: a line of it proves a state
 // only where the poll was sent ReportLag after that state could have changed.
 func (m *Machine) report(r core.UpstreamReport) {
@@ -19,7 +22,10 @@
 	}
 	before := o.health.Suspect()
 	o.health.Polled(m.now, r.OK)
-	o.dirty = o.dirty || before != o.health.Suspect()
+	if before != o.health.Suspect() {
+		o.dirty = true
+		m.note(suspicion[o.health.Suspect()], string(o.id))
+	}
 	if !r.OK {
 		m.flush()
 		m.bounceEjected(o)
@@ -154,6 +160,11 @@
 	if x := m.view.seen[o.id]; x == nil || !m.view.ejected(x) {
 		return
 	}
+	m.turnAway(o)
+}
+
+// turnAway sends what waits for an upstream elsewhere.
+func (m *Machine) turnAway(o *owned) {
 	for _, id := range slices.Sorted(maps.Keys(o.asks)) {
 		o.queue.Remove(id)
 		m.answerQueued(o, id, AnswerLeaving)
