--- a/internal/core/limit/machine_test.go
+++ b/internal/core/limit/machine_test.go
@@ -108,13 +108,14 @@
 func TestLoanIsDebitedOnceAndReturnedOnce(t *testing.T) {
 	p := newPair(t)
 	p.carry()
-	p.borrow("r1", 600)
+	p.owner.Reserve(p.now, p.oOwn, "open", ws, 10) // stays open: the pool keeps its samples
+	p.borrow("r1", 590)
 	p.toOwner = append(p.toOwner, p.toOwner...) // doubled
 	p.carry()
 	p.is.Equal(len(p.decided), 1)
 	p.is.True(p.decided[0].Granted)
 	p.is.Equal(p.pool(), nanos(400))
-	p.take("h", p.other.Settle(p.now, p.hOwn, "r1", 500, true))
+	p.take("h", p.other.Settle(p.now, p.hOwn, "r1", 490, true))
 	p.toOwner = append(p.toOwner, p.toOwner...)
 	p.carry()
 	p.is.Equal(p.pool(), nanos(500))
@@ -322,6 +323,7 @@
 	p.is.True(p.owner.Departing(p.now, ws) == nil)
 	r := p.owner.Reserve(p.now, p.oOwn, "mine", ws, 1)
 	p.is.True(len(r.Decisions) == 0 || !r.Decisions[0].Granted) // spends nothing any more
+	p.is.Equal(len(r.Calls)+len(p.owner.Tick(p.now, p.oOwn).Calls), 0) // and claims nothing under the same number
 	next := New(Settings{Self: "n"}, core.NewRand(3))
 	next.Configure(p.now, 1, []Limit{{ws, 100, 1000}})
 	next.Adopt(p.now, ws, state, "o")
@@ -446,3 +448,19 @@
 	p.other.Peer(q.now, q.hOwn, "o", Message{Share: &stale}) // of the old owner
 	p.is.Equal(p.other.holders[ws].applied, before)
 }
+
+// A host is granted nothing before the object names it, however it asks.
+func TestHostIsListedBeforeItIsGrantedAnything(t *testing.T) {
+	p := newPair(t)
+	p.carry()
+	p.oOwn.hosts = append([]core.Member{{Host: "x"}}, members...)
+	r := p.owner.Peer(p.now, p.oOwn, "x", Message{Ask: &Ask{Workspace: ws, Fence: 1, Demand: 90, Largest: 10, Sent: 1}})
+	p.is.Equal(len(r.Calls), 1) // lists it first
+	p.is.Equal(r.Sends[0].Message.Share.Burst, int64(0))
+	p.is.True(p.owner.books[ws].entry("x") == nil)
+	p.oOwn.acting = false // the write ends too late: a successor may have read before
+	p.owner.Object(p.now, p.oOwn, core.ObjectResult{Tag: r.Calls[0].Tag, Status: core.ObjectOK, Object: core.Object{Version: 2}})
+	r = p.owner.Peer(p.now, p.oOwn, "x", Message{Ask: &Ask{Workspace: ws, Fence: 1, Demand: 90, Largest: 10, Sent: 2}})
+	p.is.Equal(r.Sends[0].Message.Share.Burst, int64(0))
+	p.is.True(p.owner.books[ws].entry("x") == nil)
+}
