--- a/internal/core/feed/link.go
+++ b/internal/core/feed/link.go
@@ -99,7 +99,7 @@
 		return
 	}
 	l.dirty[k] = true
-	if k.Topic <= TopicMembers {
+	if k.Topic <= TopicStatus {
 		l.queue = slices.Insert(l.queue, 0, k)
 		l.urgent = true
 	} else {
@@ -179,3 +179,6 @@
 		l.inFlight, l.resends = nil, 0
 	}
 }
+
+// Links is how many neighbours this host has, for the metrics.
+func (m *Machine) Links() int { return len(m.links) }
