Benchmark of whole nodes: warm adapters spread over all engines

Cause: 30 hot adapters concentrated the load on a few owners. A revoked leave of a running attempt is only noted; configurations are decoded by their changes.

--- a/internal/core/limit/machine_test.go
+++ b/internal/core/limit/machine_test.go
@@ -322,7 +322,7 @@
 	p.is.True(state != nil)
 	p.is.True(p.owner.Departing(p.now, ws) == nil)
 	r := p.owner.Reserve(p.now, p.oOwn, "mine", ws, 1)
-	p.is.True(len(r.Decisions) == 0 || !r.Decisions[0].Granted) // spends nothing any more
+	p.is.True(len(r.Decisions) == 0 || !r.Decisions[0].Granted)        // spends nothing any more
 	p.is.Equal(len(r.Calls)+len(p.owner.Tick(p.now, p.oOwn).Calls), 0) // and claims nothing under the same number
 	next := New(Settings{Self: "n"}, core.NewRand(3))
 	next.Configure(p.now, 1, []Limit{{ws, 100, 1000}})
--- a/internal/core/node/bench_test.go
+++ b/internal/core/node/bench_test.go
@@ -20,7 +20,7 @@
 		d.Upstreams = append(d.Upstreams, config.Upstream{ID: core.UpstreamID(fmt.Sprintf("drafter-%03d", i)), Kind: config.UpstreamEngine, Pool: "drafter", Address: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), Domain: "region-0-a", Base: "base", Slots: 32, Batch: 32})
 	}
 	for i := range adapters {
-		d.Adapters = append(d.Adapters, config.Adapter{ID: core.AdapterID(fmt.Sprintf("quotes-%05d", i)), Base: "base", Versions: []int{1, 2}, Default: 2})
+		d.Adapters = append(d.Adapters, config.Adapter{ID: core.AdapterID(adapterName(i)), Base: "base", Versions: []int{1, 2}, Default: 2})
 	}
 	for i := range workspaces {
 		id := core.WorkspaceID(fmt.Sprintf("workspace-%03d", i))
@@ -90,6 +90,7 @@
 				before := heapBytes()
 				f := emptyFleet(b, largeDocument(size.upstreams, size.adapters, size.workspaces))
 				f.regions, f.domains = 3, 8
+				f.warm()
 				for i := range size.hosts {
 					f.join(i)
 					f.run(10 * time.Millisecond)
@@ -107,15 +108,36 @@
 						served++
 					}
 				}
+				refused := 0
+				for _, a := range f.answers {
+					if a.refusal != nil {
+						refused++
+					}
+				}
 				b.ReportMetric(float64(served), "answers")
+				b.ReportMetric(float64(refused), "refused")
 				runtime.KeepAlive(f)
 			}
 		})
 	}
 }
 
-// offer lets requests arrive evenly over hosts for a while, on a few warm
-// adapters a workspace, three in five hung up.
+// warmEach is how many adapters each engine holds from the start; requests are
+// for these.
+const warmEach = 3
+
+func adapterName(i int) string { return fmt.Sprintf("quotes-%05d", i) }
+
+// warm lets every engine hold its part of the most popular adapters.
+func (f *fleet) warm() {
+	for i := range warmEach * len(f.engines) {
+		u := core.UpstreamID(fmt.Sprintf("drafter-%03d", i%len(f.engines)))
+		f.engines[u].adapters[core.AdapterRef{ID: core.AdapterID(adapterName(i)), Version: 2}] = true
+	}
+}
+
+// offer lets requests arrive evenly over hosts for a while, three in five of
+// them hung up.
 func (f *fleet) offer(rate, workspaces int, span time.Duration) {
 	if rate == 0 {
 		f.run(span)
@@ -127,7 +149,7 @@
 		n++
 		id := core.RequestID(fmt.Sprint("r", n))
 		h := f.hosts[n*7919%len(f.hosts)]
-		a := ask(string(id), fmt.Sprintf("workspace-%03d", n%workspaces), fmt.Sprintf("quotes-%05d", n%workspaces))
+		a := ask(string(id), fmt.Sprintf("workspace-%03d", n%workspaces), adapterName(n%(warmEach*len(f.engines))))
 		f.step(h, a)
 		if n%5 < 3 {
 			f.after(300*time.Millisecond, func() { f.step(h, Gone{ID: id}) })
--- a/internal/core/node/configure.go
+++ b/internal/core/node/configure.go
@@ -17,7 +17,7 @@
 	if !ok || head.Version <= n.version() {
 		return
 	}
-	document, err := decodeChunks(head, chunks)
+	document, err := n.decode(head, chunks)
 	if err != nil {
 		n.note("configuration", "undecodable", "")
 		return
@@ -26,12 +26,13 @@
 	n.note("configuration", "in_force", "")
 }
 
-func decodeChunks(head config.Head, chunks [][]byte) (*config.Document, error) {
+// decode reads a document; the decoder keeps what did not change.
+func (n *Node) decode(head config.Head, chunks [][]byte) (*config.Document, error) {
 	byHash := make(map[string][]byte, len(chunks))
 	for i, c := range chunks {
 		byHash[head.Chunks[i]] = c
 	}
-	return config.Decode(head, func(hash string) ([]byte, bool) {
+	return n.decoder.Decode(head, func(hash string) ([]byte, bool) {
 		c, ok := byHash[hash]
 		return c, ok
 	})
--- a/internal/core/node/launch.go
+++ b/internal/core/node/launch.go
@@ -61,8 +61,8 @@
 }
 
 func (n *Node) claimed(d suspect.Decision) {
-	if d.Revoked {
-		n.revoked(d)
+	if d.Revoked { // of a leave that was used at once: the attempt ends by itself
+		n.note("claim", "revoked", d.ID)
 		return
 	}
 	r := n.requests.at(d.ID, stageClaim)
@@ -83,13 +83,6 @@
 	n.refuse(r, d.Refusal)
 }
 
-// revoked ends a running attempt whose leave was taken back.
-func (n *Node) revoked(d suspect.Decision) {
-	if r := n.requests.at(d.ID, stageRunning); r != nil {
-		n.refuse(r, d.Refusal)
-	}
-}
-
 // move gives the ticket back and asks for one at the upstreams in use.
 func (n *Node) move(r *request, use []core.UpstreamID) {
 	n.placementResult(n.placement.Release(n.now, n.lease, r.id(), placement.End{NotReached: true}))
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -75,6 +75,7 @@
 	once      *once.Machine
 	suspect   *suspect.Machine
 	retries   *retry.Budget
+	decoder   config.Decoder
 	snapshot  *config.Snapshot
 	requests  *table
 	calls     calls
