--- a/internal/core/feed/fetch.go
+++ b/internal/core/feed/fetch.go
@@ -137,16 +137,16 @@
 }
 
 // giver chooses whom to ask for a chunk: first who told of the head, then the
-// parents in turn.
+// parents and the other candidates in turn.
 func (m *Machine) giver(asks int) (core.HostID, bool) {
-	list := m.tree.parents()
+	list := distinct(append(m.tree.parents(), m.tree.candidates...), m.set.Self.Host)
 	if m.conf.source != "" && m.conf.source != store {
 		list = distinct(append([]core.HostID{m.conf.source}, list...), m.set.Self.Host)
 	}
 	if len(list) == 0 {
 		return "", false
 	}
-	return list[(asks-1)/2%len(list)], true
+	return list[(asks-1)%len(list)], true
 }
 
 // wantFrom sends a part of a chunk, or remembers who wants it.
--- a/internal/core/feed/tree.go
+++ b/internal/core/feed/tree.go
@@ -9,10 +9,10 @@
 
 // Times of the tree.
 const (
-	pingsLost   = 4                // unanswered pings until another parent is tried
-	slowAnswer  = time.Second      // a later answer counts as none
-	childGone   = 4 * time.Second  // without a ping a child is dropped
-	preferAgain = 60 * time.Second // until the first choice is tried once more
+	pingsLost   = 3                      // unanswered pings until another parent is tried
+	slowAnswer  = 500 * time.Millisecond // a later answer counts as none
+	childGone   = 4 * time.Second        // without a ping a child is dropped
+	preferAgain = 60 * time.Second       // until the first choice is tried once more
 )
 
 // kindFeed separates these rendezvous scores from others.
