--- a/internal/core/lease/faults_test.go
+++ b/internal/core/lease/faults_test.go
@@ -184,8 +184,15 @@
 }
 
 func TestStoreOutageFreezesAndReturnsWithoutAStampede(t *testing.T) {
+	for _, n := range []int{6, 20} { // all read for themselves; most do not
+		outage(t, n)
+	}
+}
+
+func outage(t *testing.T, n int) {
 	is := is.New(t)
-	f, hosts := start(11, 6, 30)
+	f, hosts := start(11, n, 30)
+	f.Run(20 * time.Second)
 	before := f.Store.Total()
 	f.Run(time.Minute)
 	steady := f.Store.Total() - before
@@ -207,7 +214,7 @@
 	f.Run(time.Second)
 	is.True(f.Store.Total()-before < steady/60*4) // the first second back
 	f.Run(20 * time.Second)
-	is.Equal(len(hosts[0].Lease.Members()), 6) // nobody was removed
+	is.Equal(len(hosts[0].Lease.Members()), n) // nobody was removed
 	recovered(t, f, 30)
 }
 
--- /dev/null
+++ b/internal/core/lease/floor_test.go
@@ -0,0 +1,51 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/lease"
+	"gentiancroft/internal/measure/membership"
+)
+
+// TestLeaderWithAnOldHeadDoesNotWrite keeps a host from reading the head. It
+// must not write a heartbeat object that a newer head has been used for: a
+// member that it still knows may have been removed since.
+func TestLeaderWithAnOldHeadDoesNotWrite(t *testing.T) {
+	is := is.New(t)
+	f := membership.NewFleet(1)
+	h := f.Add(membership.Places(1)[0])
+	f.Run(5 * time.Second)
+	is.True(h.Lease.Leads())
+	key := lease.BeatsPrefix + "r1-a/0"
+	read := func(key string) (o core.Object) {
+		f.Store.Do(core.ObjectCall{Op: core.ObjectGet, Key: key}, false, func(r core.ObjectResult) { o = r.Object })
+		return o
+	}
+	f.Fault = func(_ *membership.Host, c core.ObjectCall) membership.Fault {
+		return membership.Fault{Drop: c.Key == lease.HeadKey}
+	}
+	head, err := lease.DecodeHead(read(lease.HeadKey).Value)
+	is.NoErr(err)
+	beat, err := lease.DecodeBeat(read(key).Value)
+	is.NoErr(err)
+	head.Version++
+	beat.Leader, beat.Head = "gone", head.Version
+	value, err := lease.EncodeBeat(beat)
+	is.NoErr(err)
+	f.Store.Put(key, value)
+	written := read(key).Version
+	f.Run(20 * time.Second)
+	is.Equal(read(key).Version, written) // not written with the old head
+	is.Equal(h.Lease.Holding(h.Local(f.Now)), false)
+	value, err = lease.EncodeHead(head)
+	is.NoErr(err)
+	f.Store.Put(lease.HeadKey, value)
+	f.Fault = nil
+	f.Run(10 * time.Second)
+	is.True(read(key).Version > written)
+	is.True(h.Lease.Holding(h.Local(f.Now)))
+}
--- a/internal/measure/membership/force.go
+++ b/internal/measure/membership/force.go
@@ -103,6 +103,16 @@
 	p.reached[h] = max(p.reached[h], version)
 }
 
+// all reports whether every host has a version in force.
+func (p *progress) all(hosts []core.HostID, version uint64) bool {
+	for _, h := range hosts {
+		if p.reached[h] < version {
+			return false
+		}
+	}
+	return true
+}
+
 // finish counts what never came as the whole time.
 func (p *progress) finish(now core.Instant, hosts []core.HostID, last uint64) {
 	for _, h := range hosts {
@@ -166,7 +176,9 @@
 		total, most = total+b, max(most, b)
 	}
 	r.perHost, r.busiest = float64(total)/float64(n)/changes, float64(most)/changes
-	f.Run(drainFor)
+	for waited := time.Duration(0); waited < drainFor && !p.all(f.Order, changes+1); waited += time.Second {
+		f.Run(time.Second)
+	}
 	p.finish(f.Now, f.Order, changes+1)
 	return r
 }
