--- a/internal/core/placement/failures_test.go
+++ b/internal/core/placement/failures_test.go
@@ -207,6 +207,23 @@
 	is.True(runs) // what runs there ends there
 }
 
+func TestWhatWaitsForALeavingUpstreamGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := settled(2, 2, 2)
+	for i := range 9 { // one more than the batch
+		f.ask("h0", core.RequestID(rune('a'+i)), ref(1))
+	}
+	f.run(time.Second)
+	is.True(!f.ticketed("i"))
+	u := f.out["a"].Ticket.Upstream
+	for _, h := range f.hosts {
+		f.do(h, f.nodes[h].Leaving(f.clock(h), f.own(h), []core.UpstreamID{u}))
+	}
+	f.run(time.Second)
+	is.True(f.ticketed("i"))
+	is.True(f.out["i"].Ticket.Upstream != u)
+}
+
 func TestOutageGivesTicketsAndEvictsNothing(t *testing.T) {
 	is := is.New(t)
 	f := settled(2, 1, 1)
@@ -256,6 +273,20 @@
 	is.True(f.engines["u0"].adapters[ref(1)] && f.engines["u0"].adapters[ref(2)])
 }
 
+func TestLeavingLoaderHandsOverWhatItRemembers(t *testing.T) {
+	is := is.New(t)
+	f := settled(2, 1, 1)
+	for i := range 3 {
+		f.serve(is, "h1", core.RequestID(rune('a'+i)), ref(i))
+		f.end("h1", core.RequestID(rune('a'+i)), End{OK: true})
+	}
+	state := f.nodes["h0"].Departing(f.clock("h0"), LoaderShard)
+	f.move(LoaderShard, "h1")
+	f.do("h1", f.nodes["h1"].Adopt(f.clock("h1"), f.own("h1"), LoaderShard, state))
+	is.True(f.nodes["h1"].remembered(ref(0)) > 0.9)
+	is.True(f.nodes["h1"].remembered(ref(1)) > 0.9)
+}
+
 func TestBusyAdapterGetsAReplicaAndNotASecond(t *testing.T) {
 	is := is.New(t)
 	f := settled(3, 3, 2)
