Feed: hosts gone leave no values behind

Change: keys of these topics named after no member are dropped at a new view and not taken again, so a repair with a host of an older view can't bring them back. Figures: none measured; the new test fails without the dropping. Ruled out: tombstones, which would stay as well. Conclusion: upstream and strike keys still stay; their owners would have to end them.

--- a/internal/core/feed/faults_test.go
+++ b/internal/core/feed/faults_test.go
@@ -212,3 +212,23 @@
 	f.Run(time.Second)
 	is.Equal(inForce(hosts, 2), 29)
 }
+
+func TestHostsGoneLeaveNothingBehind(t *testing.T) {
+	is := is.New(t)
+	f, hosts := start(12, 20, 3)
+	k := feed.Key{Topic: feed.TopicLoad, Name: string(hosts[3].Member.Host)}
+	out, err := hosts[3].Feed.Set(hosts[3].Local(f.Now), k, feed.Stamp{Seq: 1}, []byte("v"))
+	is.NoErr(err)
+	f.Apply(hosts[3], out)
+	f.Run(3 * time.Second)
+	for _, h := range hosts {
+		_, ok := h.Feed.Get(k)
+		is.True(ok)
+	}
+	f.Kill(hosts[3])
+	f.Run(feed.DefaultRepair * 3)
+	for _, h := range hosts {
+		_, ok := h.Feed.Get(k)
+		is.Equal(ok, h.Dead)
+	}
+}
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -245,7 +245,7 @@
 // Invariant: a key's stamp never goes back on a host.
 func (m *Machine) apply(now core.Instant, e Entry, from core.HostID) bool {
 	v := m.values[e.Key]
-	if v != nil && !v.entry.Stamp.Before(e.Stamp) {
+	if (v != nil && !v.entry.Stamp.Before(e.Stamp)) || m.stray(e.Key) {
 		return false
 	}
 	if v == nil {
--- a/internal/core/feed/fresh.go
+++ b/internal/core/feed/fresh.go
@@ -89,13 +89,23 @@
 	}, "")
 }
 
-// pruneStatus forgets the reports of hosts that are members no more.
-func (m *Machine) pruneStatus() {
-	for k := range m.values {
-		if k.Topic != TopicStatus {
-			continue
-		}
-		if !slices.ContainsFunc(m.tree.members, func(o core.Member) bool { return string(o.Host) == k.Name }) {
+// ofHost reports whether a topic's keys are named after the hosts that set them.
+func ofHost(t Topic) bool { return t == TopicStatus || t == TopicSuspects || t == TopicLoad }
+
+// stray reports whether a key is named after a host that is no member: a value
+// of it is dropped and not taken again, so that hosts gone leave nothing behind.
+func (m *Machine) stray(k Key) bool {
+	if !ofHost(k.Topic) || m.tree.version == 0 || k.Name == string(m.set.Self.Host) {
+		return false
+	}
+	return !slices.ContainsFunc(m.tree.members, func(o core.Member) bool { return string(o.Host) == k.Name })
+}
+
+// pruneStrays drops the values of hosts that are members no more.
+func (m *Machine) pruneStrays() {
+	for k, v := range m.values {
+		if m.stray(k) {
+			m.tally(v)
 			delete(m.values, k)
 		}
 	}
--- a/internal/core/feed/link.go
+++ b/internal/core/feed/link.go
@@ -165,7 +165,7 @@
 	l := m.find(from)
 	for _, e := range v.Entries {
 		m.apply(now, e, from)
-		if own := m.values[e.Key]; l != nil && l.dirty[e.Key] && !e.Stamp.Before(own.entry.Stamp) {
+		if own := m.values[e.Key]; l != nil && own != nil && l.dirty[e.Key] && !e.Stamp.Before(own.entry.Stamp) {
 			delete(l.dirty, e.Key)
 			l.queue = slices.DeleteFunc(l.queue, func(k Key) bool { return k == e.Key })
 		}
--- a/internal/core/feed/tree.go
+++ b/internal/core/feed/tree.go
@@ -42,7 +42,7 @@
 	t.mesh = len(members) <= m.set.Mesh
 	m.place(now)
 	m.pruneLinks(now)
-	m.pruneStatus()
+	m.pruneStrays()
 }
 
 // domain is a failure domain's hosts in the order that all hosts compute; those
