--- a/internal/core/feed/tree.go
+++ b/internal/core/feed/tree.go
@@ -9,10 +9,10 @@
 
 // Times of the tree.
 const (
-	pingsLost   = 4                // unanswered pings until another parent is tried
-	slowAnswer  = time.Second      // a later answer counts as none
-	childGone   = 4 * time.Second  // without a ping a child is dropped
-	preferAgain = 60 * time.Second // until the first choice is tried once more
+	pingsLost   = 3                      // unanswered pings until another parent is tried
+	slowAnswer  = 500 * time.Millisecond // a later answer counts as none
+	childGone   = 4 * time.Second        // without a ping a child is dropped
+	preferAgain = 60 * time.Second       // until the first choice is tried once more
 )
 
 // kindFeed separates these rendezvous scores from others.
@@ -42,7 +42,7 @@
 	t.mesh = len(members) <= m.set.Mesh
 	m.place(now)
 	m.pruneLinks(now)
-	m.pruneStatus()
+	m.pruneStrays()
 }
 
 // domain is a failure domain's hosts in the order that all hosts compute; those
