--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -113,6 +113,9 @@
 func (s *stream) broken(err error) {
 	kind := node.EndCancelled
 	refusal := s.task.x.CutBy()
+	if refusal == nil && s.task.isGone() {
+		refusal = &core.Refusal{Code: core.CodeCancelled, Message: "the caller hung up", Ran: core.RanYes}
+	}
 	if refusal == nil {
 		refusal = &core.Refusal{Code: core.CodeStreamBroken, Message: "the answer broke off", Ran: core.RanYes, RetryAfter: retryBroken}
 		if s.attempt.Err() == nil {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -14,6 +14,8 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/upstream"
+
+	"gentiancroft/internal/supervise"
 )
 
 // Invalid is the class of options that can't be used.
@@ -158,7 +160,7 @@
 	places := make(chan struct{}, maxInFlight)
 	for {
 		p, ok := planner.next()
-		if !ok || !wait(ctx, time.Until(started.Add(p.at))) {
+		if !ok || !supervise.Sleep(ctx, time.Until(started.Add(p.at))) {
 			break
 		}
 		result.offered()
@@ -179,17 +181,3 @@
 	result.finish(time.Since(started))
 	return result, nil
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"gentiancroft/internal/supervise"
 )
 
 type completionRequest struct {
@@ -112,7 +114,7 @@
 	if x.engine.prefixes.use(x.body.Model, x.body.prompt()) {
 		prefill /= cachedPrefill
 	}
-	if !sleep(x.ctx, x.faults.stretch(prefill)) {
+	if !supervise.Sleep(x.ctx, x.faults.stretch(prefill)) {
 		return x.ending()
 	}
 	switch {
@@ -139,7 +141,7 @@
 		if x.faults.BreakAfter > 0 && i >= x.faults.BreakAfter || x.evicted() {
 			return "crashed"
 		}
-		if i > 0 && !sleep(x.ctx, x.tokenTime()) || x.ctx.Err() != nil {
+		if i > 0 && !supervise.Sleep(x.ctx, x.tokenTime()) || x.ctx.Err() != nil {
 			return x.ending()
 		}
 		answer.token(fmt.Sprintf("%s:%d ", x.body.Model, i))
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gentiancroft/internal/upstream"
+
+	"gentiancroft/internal/supervise"
 )
 
 type adapterOrder struct {
@@ -82,7 +84,7 @@
 	if e.settings.Weights != nil {
 		return e.settings.Weights.Load(ctx)
 	}
-	sleep(ctx, e.currentFaults().stretch(e.settings.LoadTime))
+	supervise.Sleep(ctx, e.currentFaults().stretch(e.settings.LoadTime))
 	return nil
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gentiancroft/internal/upstream"
+
+	"gentiancroft/internal/supervise"
 )
 
 // ServiceSettings shape a plain service.
@@ -103,7 +105,7 @@
 	case faults.Drop:
 		abort()
 	}
-	if !sleep(r.Context(), faults.stretch(s.settings.Delay)) {
+	if !supervise.Sleep(r.Context(), faults.stretch(s.settings.Delay)) {
 		return
 	}
 	if faults.Fail {
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"gentiancroft/internal/supervise"
 )
 
 // StoreError is a load that the weight store refused.
@@ -48,7 +50,7 @@
 		return err
 	}
 	defer w.end()
-	if !sleep(ctx, took) {
+	if !supervise.Sleep(ctx, took) {
 		return StoreError.Wrap(ctx.Err())
 	}
 	return nil
@@ -104,18 +106,3 @@
 	defer w.mu.Unlock()
 	return WeightCounts{Started: w.started, Refused: w.refused, Most: w.most}
 }
-
-// sleep waits for d and reports whether ctx was still alive then.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
