docs/metrics.md names every decision, whether a run comes to it or not

Change: all decisions noted in the core are on the page, checked against the source; the run's names are checked as well, groups allowed. Before: verdict by luck; after: the same each time. Conclusion: stricter.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -33,12 +33,44 @@
 	page, err := os.ReadFile("../../docs/metrics.md")
 	is.NoErr(err)
 	for _, name := range metricNames(d) {
-		if !strings.Contains(string(page), "`"+name+"`") {
+		if !documented(string(page), name) {
 			t.Errorf("docs/metrics.md does not name %s", name)
 		}
 	}
 }
 
+// documented reports whether the page has a metric, by name or as one of a group.
+func documented(page, name string) bool {
+	group := name[:strings.LastIndexByte(name, '.')+1] + "*"
+	return strings.Contains(page, "`"+name+"`") || strings.Contains(page, "`"+group+"`")
+}
+
+// Every decision that the core can note is on the page, whether or not a run
+// comes to it.
+func TestEveryDecisionIsDocumented(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/metrics.md")
+	is.NoErr(err)
+	noted := regexp.MustCompile(`\.note\("([a-z_.]+)"(?:, "([a-z_]+)")?`)
+	found := 0
+	for _, dir := range []string{"../core/node", "../core/placement"} {
+		files, err := filepath.Glob(dir + "/*.go")
+		is.NoErr(err)
+		for _, f := range files {
+			b, err := os.ReadFile(f)
+			is.NoErr(err)
+			for _, m := range noted.FindAllStringSubmatch(string(b), -1) {
+				found++
+				name := strings.Trim("decision."+m[1]+"."+m[2], ".")
+				if !documented(string(page), name) && !strings.Contains(string(page), "`"+name+".") {
+					t.Errorf("docs/metrics.md does not name %s (%s)", name, f)
+				}
+			}
+		}
+	}
+	is.True(found > 30)
+}
+
 // metricNames are the metrics that the hosts count, with * for what varies.
 func metricNames(d *deployment) []string {
 	var names []string
