A paused host cuts nothing before it has looked

Cause: three processes, one stopped for 14 s in mid-stream: on waking it was past the bound of freshness, cut its stream (716 of 900 tokens, host_cut_off) and only then read that its configuration was the newest; it was fenced and had rejoined under a new identity within a second. Change: running requests are cut once the host has been cut off for a second of its own running time; new ones are refused at once as before. Before: cut; after: the stream ends whole (virtual time; the test fails without the change).

--- a/internal/core/node/configure.go
+++ b/internal/core/node/configure.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/config"
 	"gentiancroft/internal/core/limit"
@@ -87,10 +89,21 @@
 	}
 }
 
+// cutGrace is how long a host tries to learn whether its configuration is the
+// newest before it cuts running requests: one that was paused finds out at once.
+const cutGrace = time.Second
+
 // failClosed ends the requests that came with a key once this host can't tell
 // any more whether keys are valid.
 func (n *Node) failClosed() {
 	if n.snapshot == nil || !n.feed.CutOff(n.now) {
+		n.cutSince = 0
+		return
+	}
+	if n.cutSince == 0 {
+		n.cutSince = n.now
+	}
+	if n.now.Sub(n.cutSince) < cutGrace {
 		return
 	}
 	for _, r := range n.requests.all() {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -83,6 +83,7 @@
 	listed    listed
 	due       due
 	leaving   leaving
+	cutSince  core.Instant // when this host found itself cut off, 0: it is not
 }
 
 // due is when periodic work is next done.
--- a/internal/core/node/node_test.go
+++ b/internal/core/node/node_test.go
@@ -296,3 +296,18 @@
 	f.run(5 * time.Second)
 	is.True(f.answers["after"].ok)
 }
+
+func TestPausedHostFinishesWhatItStreams(t *testing.T) {
+	is := is.New(t)
+	f := ready(t, 4)
+	f.step(f.hosts[1], ask("warm up", "key-1", "quotes-01"))
+	f.run(3 * time.Second)
+	f.step(f.hosts[1], ask(long, "key-1", "quotes-01")) // 10 s
+	f.run(time.Second)
+	f.hosts[1].down = true
+	f.run(7 * time.Second) // past the bound of freshness
+	f.hosts[1].down = false
+	f.run(4 * time.Second)
+	is.True(f.answers[long].refusal == nil)
+	is.True(f.answers[long].ok)
+}
