GET /v1/entries takes the caller's failure domain

Cause: the directory could order hosts by nearness, but no caller could say where it is. Change: ?domain=; the demo asks from another domain than the host it asks and expects a host of its own first.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -112,9 +112,9 @@
 	return lines.Err()
 }
 
-// entries asks a host which addresses to use.
-func entries(address string, ws core.WorkspaceID) ([]string, float64, error) {
-	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/v1/entries", nil)
+// entries asks a host which addresses to use, near ones first.
+func entries(address string, ws core.WorkspaceID, near core.Domain) ([]string, float64, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/v1/entries?domain="+string(near), nil)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -70,8 +70,9 @@
 // entryHost is one running host.
 type entryHost struct {
 	*wiring.Running
-	kill context.CancelFunc
-	done chan error
+	domain core.Domain
+	kill   context.CancelFunc
+	done   chan error
 }
 
 // start brings a deployment up and waits until its hosts are ready.
@@ -227,15 +228,15 @@
 }
 
 func (d *deployment) startHost(ctx context.Context, i int) error {
-	zone := string(rune('a' + i))
-	name := fmt.Sprintf("%s-%s-0", d.region, zone)
+	domain := fmt.Sprintf("%s-%c", d.region, 'a'+i)
+	name := domain + "-0"
 	material, err := d.authority.Material(name, certTerm)
 	if err != nil {
 		return err
 	}
 	r, err := wiring.New(wiring.Settings{
 		Name:      name,
-		Domain:    core.Domain(string(d.region) + "-" + zone),
+		Domain:    core.Domain(domain),
 		Region:    d.region,
 		Callers:   "127.0.0.1:0",
 		Links:     "127.0.0.1:0",
@@ -248,7 +249,7 @@
 		return err
 	}
 	own, kill := context.WithCancel(ctx)
-	h := &entryHost{Running: r, kill: kill, done: make(chan error, 1)}
+	h := &entryHost{Running: r, domain: core.Domain(domain), kill: kill, done: make(chan error, 1)}
 	d.hosts = append(d.hosts, h)
 	go func() { h.done <- r.Run(own) }()
 	return nil
--- a/internal/demo/tour.go
+++ b/internal/demo/tour.go
@@ -30,7 +30,7 @@
 }
 
 var tour = []stop{
-	{"ask for entries", "addresses of live hosts, and how long to keep them", askEntries},
+	{"ask for entries", "addresses of live hosts, near ones first, and how long to keep them", askEntries},
 	{"cold adapter", "a whole stream from the default version, after a load", coldAdapter},
 	{"warm adapter", "the same on another host, without a load", warmAdapter},
 	{"cancelled request", "the engine stops as soon as the caller hangs up", cancelled},
@@ -43,18 +43,20 @@
 }
 
 func askEntries(_ context.Context, d *deployment) (string, bool, error) {
-	addresses, keep, err := entries(d.hosts[0].Address, d.workspace)
+	near := d.hosts[1]
+	addresses, keep, err := entries(d.hosts[0].Address, d.workspace, near.domain)
 	if err != nil {
 		return "", false, err
 	}
+	nearFirst := len(addresses) > 0 && addresses[0] == near.Address
 	known := 0
 	for _, h := range d.hosts {
 		if slices.Contains(addresses, h.Address) {
 			known++
 		}
 	}
-	return fmt.Sprintf("%d addresses, all of live hosts: %v, kept for %.0f s", len(addresses), known == len(addresses), keep),
-		len(addresses) > 0 && known == len(addresses) && keep > 0, nil
+	return fmt.Sprintf("%d addresses, all of live hosts: %v, the caller's failure domain first: %v, kept for %.0f s", len(addresses), known == len(addresses), nearFirst, keep),
+		nearFirst && known == len(addresses) && keep > 0, nil
 }
 
 func (d *deployment) stream(ctx context.Context, host int, model string, tokens int, onToken func(int)) (reply, error) {
@@ -288,7 +290,7 @@
 	lost.kill()
 	began := time.Now()
 	err := until(ctx, lostWithin, "the lost host is named no more", func() bool {
-		addresses, _, err := entries(d.hosts[0].Address, d.workspace)
+		addresses, _, err := entries(d.hosts[0].Address, d.workspace, "")
 		return err == nil && len(addresses) > 0 && !slices.Contains(addresses, lost.Address)
 	})
 	if err != nil {
@@ -326,7 +328,7 @@
 	began := time.Now()
 	leaving.Leave()
 	err := until(ctx, leaveWithin, "the leaving host is named no more", func() bool {
-		addresses, _, err := entries(d.hosts[0].Address, d.workspace)
+		addresses, _, err := entries(d.hosts[0].Address, d.workspace, "")
 		return err == nil && !slices.Contains(addresses, leaving.Address)
 	})
 	if err != nil {
--- a/internal/entry/pages.go
+++ b/internal/entry/pages.go
@@ -15,8 +15,9 @@
 type Status interface {
 	// Ready reports whether the host serves, and if not why.
 	Ready() (ok bool, reason string)
-	// Entries tells the holder of a key which hosts to use.
-	Entries(keyHash string) (Entries, *core.Refusal)
+	// Entries tells the holder of a key which hosts to use, near ones first where
+	// the caller names its failure domain.
+	Entries(keyHash string, near core.Domain) (Entries, *core.Refusal)
 	// Models lists what the holder of a key may ask for.
 	Models(keyHash string) ([]Model, *core.Refusal)
 }
@@ -65,7 +66,8 @@
 }
 
 func (s *Server) entries(ctx *fasthttp.RequestCtx) {
-	e, refusal := s.status.Entries(s.keyHash(ctx))
+	near := core.Domain(ctx.QueryArgs().Peek("domain"))
+	e, refusal := s.status.Entries(s.keyHash(ctx), near)
 	if refusal != nil {
 		refuse(ctx, refusal)
 		return
--- a/internal/wiring/status.go
+++ b/internal/wiring/status.go
@@ -47,9 +47,9 @@
 }
 
 // Entries implements entry.Status.
-func (s status) Entries(keyHash string) (entry.Entries, *core.Refusal) {
+func (s status) Entries(keyHash string, near core.Domain) (entry.Entries, *core.Refusal) {
 	result := make(chan directory.Answer, 1)
-	if !s.read(func(n *node.Node, _ core.Instant) { result <- n.Entries(keyHash, "") }) {
+	if !s.read(func(n *node.Node, _ core.Instant) { result <- n.Entries(keyHash, near) }) {
 		return entry.Entries{}, core.Refuse(core.CodeOverloaded, time.Second, "the host is overloaded")
 	}
 	a := <-result
