Adapter orders: a replica is asked again whether it is done, instead of its lagging report

Cause: one replica's sequence in the list is a count of heartbeats, not of orders; each load waited for a report that lags by 100 ms while it took one of six places on the way. Change: internal/core/stock checks by repeating; homes are asked in a stable order; the hosts of a new deployment meet before the shards are dealt.

--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -152,7 +152,7 @@
 type Message struct {
 	Beat   *Beat            `cbor:"1,keyasint,omitempty"`
 	Wants  []stock.Want     `cbor:"2,keyasint,omitempty"`
-	Stocks []replicas.Entry `cbor:"3,keyasint,omitempty"`
+	Stocks []replicas.Stock `cbor:"3,keyasint,omitempty"`
 	Uses   []stock.Use      `cbor:"4,keyasint,omitempty"`
 }
 
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -45,6 +45,9 @@
 	DefaultLeaveBy      = 7500 * time.Millisecond
 )
 
+// meetTime is how long the hosts of a new deployment take to find each other.
+const meetTime = 600 * time.Millisecond
+
 // beatPerHost is added to the time between two messages for each host, so that
 // what a host sends and takes a second does not grow with the fleet.
 const beatPerHost = 10 * time.Millisecond
@@ -66,6 +69,7 @@
 	orDefault(&s.LeaveBy, DefaultLeaveBy)
 	s.Shard.Self = core.HostID(s.Self.Name)
 	s.Stock.Self = core.HostID(s.Self.Name)
+	orDefault(&s.Shard.Meet, meetTime)
 }
 
 // Machine is one host's decisions.
@@ -381,7 +385,7 @@
 		return
 	}
 	for _, e := range changed {
-		m.replicas.Stock(m.now, e.ID, e.Started, e.Sequence, e.Models)
+		m.replicas.TakeStock(m.now, e)
 	}
 	m.tellAll(Message{Stocks: changed})
 	m.placeWaiting()
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -34,7 +34,7 @@
 		m.due.stock = m.now.Add(stockEvery)
 		message.Stocks = m.stock.Changed(m.acting, true)
 		for _, e := range message.Stocks {
-			m.replicas.Stock(m.now, e.ID, e.Started, e.Sequence, e.Models)
+			m.replicas.TakeStock(m.now, e)
 		}
 	}
 	for _, p := range peers {
@@ -159,11 +159,11 @@
 		m.stock.Used(m.now, e.From, u)
 	}
 	for _, s := range e.Message.Stocks {
-		if _, ok := m.acting(s.ID); ok {
+		if _, ok := m.acting(s.Replica); ok {
 			continue // this host knows better
 		}
-		m.replicas.Stock(m.now, s.ID, s.Started, s.Sequence, s.Models)
-		m.stock.Yield(s.ID)
+		m.replicas.TakeStock(m.now, s)
+		m.stock.Yield(s.Replica)
 	}
 	if len(e.Message.Wants) > 0 {
 		m.order()
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -13,11 +13,11 @@
 const (
 	// homeKind separates the scores of adapters' homes from those of other things.
 	homeKind = 23
-	// homeReplicas is how many replicas an adapter is asked for at, in turn.
-	homeReplicas = 3
-	// askAgain is how long after asking for an adapter it is asked for again, and
-	// then at its next home too.
-	askAgain = 500 * time.Millisecond
+	// askAgain is how long after asking for an adapter it is asked for again.
+	askAgain = 400 * time.Millisecond
+	// widenAfter is how long an adapter is awaited from one home before its next
+	// home is asked as well.
+	widenAfter = 1200 * time.Millisecond
 	// waitObjectives is how long a request waits for its adapter at most, in
 	// objectives of its route.
 	waitObjectives = 3
@@ -147,27 +147,22 @@
 	return all
 }
 
-// ask asks the owner of a home of the request's adapter to load it.
+// ask asks the owner of a home of the request's adapter to load it, and after a
+// while that of the next home too.
 func (m *Machine) ask(r *request) {
 	if r.asked != 0 && m.now.Sub(r.asked) < askAgain {
 		return
 	}
 	r.asked = m.now
-	homes := m.homes(r)
-	if len(homes) == 0 {
-		return
-	}
-	wanted := 0
-	for _, x := range homes[:min(homeReplicas+r.asks, len(homes))] {
-		if !m.want(r, x) {
-			continue
+	wanted := 1 + int(m.now.Sub(r.since)/widenAfter)
+	for _, x := range m.homes(r) {
+		if m.want(r, x) {
+			wanted--
 		}
-		wanted++
-		if wanted > r.asks {
-			break
+		if wanted == 0 {
+			return
 		}
 	}
-	r.asks++
 }
 
 // want tells the host that orders a replica that an adapter is wanted there. It
--- a/internal/core/direct/requests.go
+++ b/internal/core/direct/requests.go
@@ -40,7 +40,6 @@
 	over     bool // the caller has its final answer, or needs none
 	last     string
 	asked    core.Instant // when its adapter was last asked for
-	asks     int
 }
 
 func (r *request) id() core.RequestID { return r.arrive.ID }
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -29,7 +29,7 @@
 	Batch    int // requests that it runs at once
 	Leaving  bool
 	Started  int64  // when this incarnation started, in ms of the replica's own clock
-	Sequence uint64 // orders that this incarnation has accepted
+	Sequence uint64 // rises with each entry that this incarnation writes
 	Models   []Model
 }
 
@@ -45,15 +45,15 @@
 // Replica is an entry and what this host adds to it.
 type Replica struct {
 	Entry
-	Mine     int // requests of this host that are there now
-	Others   int // requests of other hosts, as they last told
-	Health   *health.Tracker
-	Pace     time.Duration // smoothed time to an answer's first byte; 0: none seen
-	missing  core.Instant  // since when the platform's list lacks it; 0: it is listed
-	stock    map[core.AdapterID]int
-	base     map[core.BaseModel]bool
-	stockAt  core.Instant // when the owner last told of the stock; 0: never
-	stockSeq uint64
+	Mine    int // requests of this host that are there now
+	Others  int // requests of other hosts, as they last told
+	Health  *health.Tracker
+	Pace    time.Duration // smoothed time to an answer's first byte; 0: none seen
+	missing core.Instant  // since when the platform's list lacks it; 0: it is listed
+	stock   map[core.AdapterID]int
+	base    map[core.BaseModel]bool
+	stockAt core.Instant // when the owner last told of the stock; 0: never
+	orders  uint64       // that it had accepted then
 }
 
 // Load is how many requests are at the replica, as far as this host knows.
@@ -147,8 +147,7 @@
 	}
 	r.Entry = e
 	r.Leaving = leaving
-	owned := r.stockAt != 0 && now.Sub(r.stockAt) < stockFresh && r.stockSeq >= e.Sequence
-	if !owned {
+	if r.stockAt == 0 || now.Sub(r.stockAt) >= stockFresh {
 		r.restock(e.Models)
 	}
 	return false
@@ -166,14 +165,23 @@
 	}
 }
 
-// Stock takes the word of the host that orders a replica on what it holds.
-func (s *Set) Stock(now core.Instant, id core.UpstreamID, started int64, sequence uint64, models []Model) {
-	r := s.byID[id]
-	if r == nil || r.Started != started || sequence < r.stockSeq {
+// Stock is what a replica holds by the word of the host that orders it.
+type Stock struct {
+	Replica core.UpstreamID
+	Started int64
+	Orders  uint64 // that the replica has accepted
+	Models  []Model
+}
+
+// TakeStock takes the word of the host that orders a replica. An older word
+// than the last changes nothing.
+func (s *Set) TakeStock(now core.Instant, k Stock) {
+	r := s.byID[k.Replica]
+	if r == nil || r.Started != k.Started || k.Orders < r.orders {
 		return
 	}
-	r.stockAt, r.stockSeq = now, sequence
-	r.restock(models)
+	r.stockAt, r.orders = now, k.Orders
+	r.restock(k.Models)
 }
 
 // Lacks notes that a replica has just said that it does not hold an adapter.
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -31,6 +31,7 @@
 	Renew time.Duration // between two renewals, well within Term
 	Gap   time.Duration // between the orders of two holders
 	Turn  time.Duration // that the next best successor waits longer
+	Meet  time.Duration // from the start, for the hosts to find each other
 }
 
 // Defaults of Settings.
@@ -204,7 +205,7 @@
 func (m *Machine) free(now core.Instant, i int, l *lease, members []core.HostID) bool {
 	turn := time.Duration(m.rank(i, members)) * m.settings.Turn
 	if l.version == 0 {
-		return now >= core.Instant(turn)
+		return now >= core.Instant(m.settings.Meet+turn)
 	}
 	wait := m.settings.Term + m.settings.Gap
 	if l.record.Released {
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -12,11 +12,14 @@
 
 // Times of the decisions.
 const (
-	probeEvery   = 60 * time.Millisecond  // while something is on its way
+	probeEvery   = 100 * time.Millisecond // after a report that tells of an earlier state
 	probeModel   = 250 * time.Millisecond // while a model is being loaded
 	probeFailed  = 500 * time.Millisecond // after a report that did not come
-	probeFirst   = 120 * time.Millisecond // after an order was accepted
 	settle       = 150 * time.Millisecond // after an order without an answer
+	unloadAgain  = 100 * time.Millisecond // between two questions whether an adapter is gone
+	loadAgain    = 25 * time.Millisecond  // between two questions whether an adapter is there
+	copyTime     = 28 * time.Millisecond  // to load an adapter that the replica has a copy of
+	fetchTime    = 256 * time.Millisecond // to load one that it has not
 	loadPatience = 8 * time.Second        // for what is on its way; then the replica is asked anew
 	useFor       = 2 * time.Second        // a use that is not repeated is dropped after it
 	keepAtLeast  = 300 * time.Millisecond // from an adapter's arrival to its unloading
@@ -36,6 +39,8 @@
 	state   state
 	since   core.Instant // of the state
 	used    core.Instant // last
+	check   core.Instant // when the replica is next asked whether the state has ended
+	copied  bool         // it loads from a copy that the replica has kept
 }
 
 type wish struct {
@@ -61,7 +66,9 @@
 	items    map[core.AdapterID]*item
 	wishes   map[core.AdapterID]*wish
 	uses     map[core.AdapterID]map[core.HostID]use
-	order    *Order // without an answer yet
+	copies   map[core.AdapterID]bool // adapters that the replica has held
+	order    *Order                  // without an answer yet
+	checks   bool                    // the order repeats one, to learn whether it is done
 	probing  bool
 	probe    core.Instant // when the next report is due; 0: none is
 	busy     core.Instant // a model is on its way since; 0: none is
@@ -120,13 +127,11 @@
 			items:   map[core.AdapterID]*item{},
 			wishes:  map[core.AdapterID]*wish{},
 			uses:    map[core.AdapterID]map[core.HostID]use{},
+			copies:  map[core.AdapterID]bool{},
 		}
 		m.shelves[e.ID] = s
 	}
 	s.address, s.service = e.Address, e.Service
-	if !s.synced || e.Sequence > s.sequence {
-		s.adopt(0, e.Sequence, e.Models, nil)
-	}
 }
 
 // Remove forgets a replica.
@@ -163,7 +168,7 @@
 		if o := old[a.ID]; o != nil {
 			i.used = o.used
 			if o.state == st {
-				i.since = o.since
+				i.since, i.check, i.copied = o.since, o.check, o.copied
 			}
 			if o.state == unloading && st == ready {
 				i.state = unloading
@@ -175,6 +180,7 @@
 		s.models[model.Name] = model.Version
 		for _, a := range model.Adapters {
 			take(a, ready)
+			s.copies[a.ID] = true
 		}
 	}
 	for _, a := range pending {
@@ -289,10 +295,11 @@
 	if s.order != nil || !s.synced {
 		return
 	}
-	o, ok := m.choose(now, s, limit)
+	o, checks, ok := m.choose(now, s, limit)
 	if !ok {
 		return
 	}
+	s.checks = checks
 	m.next++
 	o.ID, o.Replica, o.Address = m.next, s.id, s.address
 	o.Expected, o.Holder, o.Fence = s.sequence, m.settings.Self, fence
@@ -321,33 +328,67 @@
 	}
 }
 
-// choose picks the next order for a replica.
-func (m *Machine) choose(now core.Instant, s *shelf, limit limits) (Order, bool) {
+// choose picks the next order for a replica. It may be one that was given
+// before: a replica that is asked again says whether it has carried it out.
+func (m *Machine) choose(now core.Instant, s *shelf, limit limits) (o Order, checks, ok bool) {
 	if s.busy != 0 {
-		return Order{}, false
+		return Order{}, false, false
+	}
+	if o, ok := m.loadModel(s, limit); ok {
+		return o, false, true
 	}
-	if o, ok := m.loadModel(now, s, limit); ok {
-		return o, true
+	if o, ok := s.check(now); ok {
+		return o, true, true
 	}
-	w := s.topWish(now)
+	w := s.topWish()
 	if w == nil {
-		return Order{}, false
+		return Order{}, false, false
 	}
 	if _, there := s.models[w.want.Model]; !there {
-		return Order{}, false
+		return Order{}, false, false
 	}
 	replaces := s.items[w.want.Adapter.ID] != nil
 	if len(s.items) >= limit.slots && !replaces {
-		return m.makeRoom(now, s, w.want.Model)
+		o, ok := m.makeRoom(now, s, w.want.Model)
+		return o, false, ok
+	}
+	if s.transit() >= m.settings.InTransit || !s.copies[w.want.Adapter.ID] && m.fetching() >= m.settings.AllInTransit {
+		return Order{}, false, false
+	}
+	return Order{Load: true, Model: w.want.Model, Adapter: w.want.Adapter}, false, true
+}
+
+// check asks again for what should have been carried out by now.
+func (s *shelf) check(now core.Instant) (Order, bool) {
+	var due core.AdapterID
+	var first *item
+	for a, i := range s.items {
+		if i.state == ready || now < i.check {
+			continue
+		}
+		if first == nil || i.check < first.check || i.check == first.check && a < due {
+			due, first = a, i
+		}
 	}
-	if m.transit(s) >= m.settings.InTransit || m.allTransit() >= m.settings.AllInTransit {
+	if first == nil {
 		return Order{}, false
 	}
-	return Order{Load: true, Model: w.want.Model, Adapter: w.want.Adapter}, true
+	return Order{Load: first.state == loading, Model: s.model(), Adapter: core.AdapterRef{ID: due, Version: first.version}}, true
+}
+
+// model is the base model that the replica holds.
+func (s *shelf) model() core.BaseModel {
+	var first core.BaseModel
+	for name := range s.models {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
 }
 
 // loadModel loads the service's model into a replica that has none.
-func (m *Machine) loadModel(now core.Instant, s *shelf, limit limits) (Order, bool) {
+func (m *Machine) loadModel(s *shelf, limit limits) (Order, bool) {
 	if len(s.models) > 0 || len(limit.models) == 0 {
 		return Order{}, false
 	}
@@ -355,7 +396,7 @@
 }
 
 // topWish is the most wanted adapter that is neither held nor on its way.
-func (s *shelf) topWish(now core.Instant) *wish {
+func (s *shelf) topWish() *wish {
 	var best *wish
 	for a, w := range s.wishes {
 		if i := s.items[a]; i != nil && (i.state != ready || i.version >= w.want.Adapter.Version) {
@@ -400,7 +441,8 @@
 	return Order{Model: model, Adapter: core.AdapterRef{ID: victim, Version: oldest.version}}, true
 }
 
-func (m *Machine) transit(s *shelf) int {
+// transit is how many adapters are on their way to a replica.
+func (s *shelf) transit() int {
 	n := 0
 	for _, i := range s.items {
 		if i.state == loading {
@@ -410,11 +452,18 @@
 	return n
 }
 
-func (m *Machine) allTransit() int {
+// fetching is how many adapters are on their way from the weight store to the
+// replicas of this host.
+func (m *Machine) fetching() int {
 	n := 0
 	for _, s := range m.shelves {
-		if s.synced {
-			n += m.transit(s)
+		if !s.synced {
+			continue
+		}
+		for _, i := range s.items {
+			if i.state == loading && !i.copied {
+				n++
+			}
 		}
 	}
 	return n
@@ -442,11 +491,17 @@
 		s.resync(now)
 		return
 	}
+	checks := s.checks
+	s.checks = false
 	switch d.Outcome {
 	case Accepted:
+		if checks {
+			s.stillOnItsWay(now, o)
+			return
+		}
 		s.accepted(now, o)
 	case Holds:
-		s.holds(now, o)
+		s.done(now, o, checks)
 	case Conflict, Elsewhere, Invalid:
 		s.resync(now)
 	case Unknown:
@@ -460,6 +515,24 @@
 	s.probe = at
 }
 
+// stillOnItsWay takes the answer that an order is being carried out yet.
+func (s *shelf) stillOnItsWay(now core.Instant, o Order) {
+	i := s.items[o.Adapter.ID]
+	if i == nil {
+		return
+	}
+	again := unloadAgain
+	if o.Load {
+		again = loadAgain
+	}
+	i.check = now.Add(again)
+	if i.copied {
+		i.copied = false // the copy is gone: it is being fetched
+		i.check = i.since.Add(fetchTime)
+	}
+}
+
+// accepted takes the answer that an order has been begun.
 func (s *shelf) accepted(now core.Instant, o Order) {
 	s.sequence++
 	s.changed = true
@@ -467,35 +540,43 @@
 	case o.Adapter.ID == "":
 		s.busy = now
 		s.probe = now.Add(probeModel)
-		return
 	case o.Load:
-		old := s.items[o.Adapter.ID]
-		i := &item{version: o.Adapter.Version, state: loading, since: now, used: now}
-		if old != nil {
+		i := &item{version: o.Adapter.Version, state: loading, since: now, used: now, copied: s.copies[o.Adapter.ID]}
+		if old := s.items[o.Adapter.ID]; old != nil {
 			i.used = old.used
+			i.copied = false // another version of it
+		}
+		i.check = now.Add(fetchTime)
+		if i.copied {
+			i.check = now.Add(copyTime)
 		}
 		s.items[o.Adapter.ID] = i
 	default:
 		if i := s.items[o.Adapter.ID]; i != nil {
 			i.state, i.since = unloading, now
+			i.check = now.Add(unloadAgain)
 		}
 	}
-	if s.probe == 0 {
-		s.probe = now.Add(probeFirst)
-	}
 }
 
-func (s *shelf) holds(now core.Instant, o Order) {
+// done takes the answer that the replica is as ordered.
+func (s *shelf) done(now core.Instant, o Order, checks bool) {
 	s.changed = true
 	switch {
 	case o.Adapter.ID == "":
 		s.resync(now)
 	case o.Load:
-		s.items[o.Adapter.ID] = &item{version: o.Adapter.Version, state: ready, since: now, used: now}
+		i := &item{version: o.Adapter.Version, state: ready, since: now, used: now}
+		if old := s.items[o.Adapter.ID]; old != nil {
+			i.used = max(old.used, old.since)
+		}
+		s.items[o.Adapter.ID] = i
+		s.copies[o.Adapter.ID] = true
 	default:
-		// An unused adapter goes at once, and that counts as an order.
 		delete(s.items, o.Adapter.ID)
-		s.sequence++
+		if !checks {
+			s.sequence++ // an unused adapter goes at once, and that counts as an order
+		}
 	}
 }
 
@@ -529,32 +610,25 @@
 	}
 	if s.busy != 0 {
 		s.probe = now.Add(probeModel)
-		return
-	}
-	for _, i := range s.items {
-		if i.state != ready {
-			s.probe = now.Add(probeEvery)
-			return
-		}
 	}
 }
 
-// Changed returns the replicas whose stock has changed since the last call, as
-// entries to tell other hosts, of those that act reports as this host's.
-func (m *Machine) Changed(act Actor, all bool) []replicas.Entry {
-	var changed []replicas.Entry
+// Changed returns the stock of the replicas that act reports as this host's:
+// of all, or of those whose stock has changed since the last call.
+func (m *Machine) Changed(act Actor, all bool) []replicas.Stock {
+	var changed []replicas.Stock
 	for _, s := range m.sorted() {
 		if _, ok := act(s.id); !ok || !s.synced || !s.changed && !all {
 			continue
 		}
 		s.changed = false
-		changed = append(changed, s.entry())
+		changed = append(changed, s.stock())
 	}
 	return changed
 }
 
-func (s *shelf) entry() replicas.Entry {
-	e := replicas.Entry{ID: s.id, Started: s.started, Sequence: s.sequence}
+func (s *shelf) stock() replicas.Stock {
+	e := replicas.Stock{Replica: s.id, Started: s.started, Orders: s.sequence}
 	for name, version := range s.models {
 		m := replicas.Model{Name: name, Version: version}
 		if len(e.Models) == 0 { // adapters are of the one model that engines run here
