--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -38,7 +38,7 @@
 const (
 	DefaultCount = 4
 	DefaultTerm  = 2 * time.Second
-	DefaultRenew = 700 * time.Millisecond
+	DefaultRenew = 1100 * time.Millisecond
 	DefaultGap   = 3300 * time.Millisecond
 	DefaultTurn  = 700 * time.Millisecond
 )
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -17,17 +17,18 @@
 
 // Times of the watches.
 const (
-	watchWait   = 2 * time.Second        // a watch waits for a change
-	againFirst  = 100 * time.Millisecond // after a call that failed
-	againMost   = 600 * time.Millisecond // after several
-	leasesEvery = time.Second            // between two readings of the leases
+	waitShort   = 2400 * time.Millisecond // for a change that must be seen soon, also after a connection fell silent
+	waitLong    = 4 * time.Second         // for one that may come later
+	againFirst  = 100 * time.Millisecond  // after a call that failed
+	againMost   = 600 * time.Millisecond  // after several
+	leasesEvery = time.Second             // between two readings of the leases
 )
 
 // Paces of the watches: the least time between two answers, so that frequent
 // changes cost few calls.
 const (
 	paceConfiguration = 30 * time.Millisecond
-	paceReplicas      = 400 * time.Millisecond
+	paceReplicas      = 800 * time.Millisecond
 	paceVersions      = 400 * time.Millisecond
 	paceHosts         = 150 * time.Millisecond
 )
@@ -38,6 +39,7 @@
 	gateway *Gateway
 	kind    string
 	pace    time.Duration
+	wait    time.Duration
 	listed  func([]core.Object)
 	changed func(core.Object)
 }
@@ -45,10 +47,10 @@
 func (g *Gateway) watches() []*watch {
 	d := g.carriers.Documents
 	return []*watch{
-		{gateway: g, kind: d.Configuration, pace: paceConfiguration, listed: each(g.configuration), changed: g.configuration},
-		{gateway: g, kind: d.Replicas, pace: paceReplicas, listed: g.replicasListed, changed: g.replicaChanged},
-		{gateway: g, kind: d.Versions, pace: paceVersions, listed: each(g.versionListed), changed: g.versionChanged},
-		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, listed: each(g.host), changed: g.host},
+		{gateway: g, kind: d.Configuration, pace: paceConfiguration, wait: waitShort, listed: each(g.configuration), changed: g.configuration},
+		{gateway: g, kind: d.Replicas, pace: paceReplicas, wait: waitShort, listed: g.replicasListed, changed: g.replicaChanged},
+		{gateway: g, kind: d.Versions, pace: paceVersions, wait: waitLong, listed: each(g.versionListed), changed: g.versionChanged},
+		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, wait: waitLong, listed: each(g.host), changed: g.host},
 	}
 }
 
@@ -86,7 +88,7 @@
 func (w *watch) once(ctx context.Context, version uint64) (next uint64, ok bool) {
 	call := core.ObjectCall{Op: core.ObjectList, Key: w.kind}
 	if version != 0 {
-		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: watchWait}
+		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: w.wait}
 	}
 	result := w.gateway.carriers.Store.Do(ctx, call)
 	w.gateway.storeAnswered(result.Status)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -120,6 +121,11 @@
 // serve answers one request.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	s.metrics.requests.Inc(1)
+	if ambiguous(ctx.Request.Header.RawHeaders()) {
+		ctx.SetConnectionClose()
+		s.refuse(ctx, "", core.Refuse(core.CodeBadRequest, 0, "the request gives its length twice"))
+		return
+	}
 	declared := s.dialect.Declared(&ctx.Request.Header)
 	t := &task{server: s, requestID: declared.RequestID, started: time.Now(), request: &ctx.Request}
 	arrive := s.arrive(ctx, declared)
@@ -133,6 +139,20 @@
 	t.run(ctx)
 }
 
+// ambiguous reports whether a header tells the body's length more than once, so
+// that two readers could find different requests in the same bytes.
+func ambiguous(raw []byte) bool {
+	lengths := 0
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
+		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			lengths++
+		}
+	}
+	return lengths > 1
+}
+
 // statuses maps codes to HTTP statuses; every other code is 503.
 var statuses = map[core.Code]int{
 	core.CodeBadRequest:     fasthttp.StatusBadRequest,
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -6,7 +6,8 @@
 	"strings"
 )
 
-// Page is docs/settings.md: every field of a host's settings, from the code.
+// Page is docs/settings.md: every field of the settings of both kinds of host,
+// from the code.
 func Page() string {
 	var b strings.Builder
 	b.WriteString("# Settings of a host\n\n")
@@ -16,6 +17,10 @@
 	b.WriteString("start at the settings file. Samples: `examples/`. This page is checked against the code.\n\n")
 	b.WriteString("| field | needed | default | meaning |\n|---|---|---|---|\n")
 	describe(&b, "", reflect.TypeFor[Host]())
+	b.WriteString("\n# Settings of a relaying host\n\n")
+	b.WriteString("`gentiancroft relay --settings FILE` reads one YAML file, as strictly.\n\n")
+	b.WriteString("| field | needed | default | meaning |\n|---|---|---|---|\n")
+	describe(&b, "", reflect.TypeFor[Relay]())
 	return b.String()
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,8 +10,9 @@
 // Bounds of the kept connections. Usual engines close a connection that was
 // idle for five seconds, so none is kept that long.
 const (
-	keepIdle  = 3 * time.Second
-	keepMost  = 64 // per address
+	keepIdle  = 3 * time.Second  // where the upstream does not say how long it keeps them
+	keepLong  = 10 * time.Second // where it says longer
+	keepMost  = 64               // per address
 	sweepTime = 10 * time.Second
 )
 
@@ -47,7 +48,7 @@
 func (c *conn) usable(fresh time.Duration) time.Duration {
 	limit := keepIdle
 	if c.keep > 0 {
-		limit = min(limit, c.keep*2/3)
+		limit = min(keepLong, c.keep*2/3)
 	}
 	if fresh > 0 {
 		limit = min(limit, fresh)
@@ -104,7 +105,7 @@
 	for address, stack := range p.idle {
 		var kept []*conn
 		for _, c := range stack {
-			if now.Sub(c.idle) < keepIdle {
+			if now.Sub(c.idle) < c.usable(0) {
 				kept = append(kept, c)
 				continue
 			}
