Cost a host: replicas sorted once, loads summed as they change, hosts found by their process

Cause: at 75 hosts each beat added up all hosts' loads at all replicas, each request sorted all replicas. Change: indexes kept instead; shards ask for members only when a lease may be free; requests are looked after in one pass.

--- a/internal/core/direct/finish.go
+++ b/internal/core/direct/finish.go
@@ -20,6 +20,8 @@
 	// budgetPart is how much of the fleet's retries is used; the rest is left for
 	// hosts that count alone.
 	budgetPart = 0.7
+	// lookEvery is how often a request's times are looked at.
+	lookEvery = 20 * time.Millisecond
 	// lateRetry is the time before the deadline within which nothing is retried.
 	lateRetry = 30 * time.Millisecond
 )
@@ -225,7 +227,8 @@
 // expire ends the requests whose deadline has passed or that have waited too
 // long, and moves those whose replica is silent.
 func (m *Machine) expire() {
-	for _, r := range m.requests.all() {
+	for _, r := range m.requests.due(m.now) {
+		r.look = m.now.Add(lookEvery)
 		switch {
 		case r.over:
 		case m.now >= r.deadline:
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -356,7 +356,7 @@
 
 // leases renews and takes the shards' leases.
 func (m *Machine) leases() {
-	for _, c := range m.shards.Tick(m.now, m.fleet.Members(m.now)) {
+	for _, c := range m.shards.Tick(m.now, func() []core.HostID { return m.fleet.Members(m.now) }) {
 		m.write(c.Object, func(r core.ObjectResult) {
 			had := m.shards.Holder(c.Shard)
 			m.shards.Written(m.now, c, r)
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -77,30 +77,30 @@
 
 // forgetLoads drops what hosts told that are silent now.
 func (m *Machine) forgetLoads() {
-	changed := false
 	for h := range m.loads {
 		if !m.fleet.Alive(m.now, h) {
-			delete(m.loads, h)
-			changed = true
+			m.takeLoads(h, nil)
 		}
 	}
-	if changed {
-		m.sumLoads()
-	}
 }
 
-// sumLoads adds up what the other hosts have at each replica.
-func (m *Machine) sumLoads() {
-	for _, x := range m.replicas.All() {
-		x.Others = 0
+// takeLoads puts what a host has at the replicas in the place of what it had.
+func (m *Machine) takeLoads(from core.HostID, loads []Load) {
+	for _, l := range m.loads[from] {
+		if x := m.replicas.Get(l.Replica); x != nil {
+			x.Others = max(x.Others-l.Running, 0)
+		}
 	}
-	for _, loads := range m.loads {
-		for _, l := range loads {
-			if x := m.replicas.Get(l.Replica); x != nil {
-				x.Others += l.Running
-			}
+	for _, l := range loads {
+		if x := m.replicas.Get(l.Replica); x != nil {
+			x.Others += l.Running
 		}
 	}
+	if loads == nil {
+		delete(m.loads, from)
+		return
+	}
+	m.loads[from] = loads
 }
 
 // tellUses tells the hosts that order replicas which adapters are in use there.
@@ -181,8 +181,7 @@
 		m.quota.Join(from, b.Spent) // spent before this host was there
 	}
 	m.quota.Heard(m.now, from, b.Spent)
-	m.loads[from] = b.Loads
-	m.sumLoads()
+	m.takeLoads(from, b.Loads)
 	m.heardCrashes(from, b.Crashes)
 }
 
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -137,14 +137,23 @@
 // homes are the replicas that should hold an adapter, the first one first. The
 // order stays the same as long as the replicas do.
 func (m *Machine) homes(r *request) []*replicas.Replica {
-	all := slices.DeleteFunc(m.replicas.Of(r.service.ID), func(x *replicas.Replica) bool {
-		return x.Leaving || !x.HoldsModel(r.arrive.Model)
-	})
+	type scored struct {
+		*replicas.Replica
+		score uint64
+	}
 	name := string(r.arrive.Adapter)
-	slices.SortFunc(all, func(a, b *replicas.Replica) int {
-		return cmp.Compare(core.Score(core.HostID(b.ID), homeKind, name), core.Score(core.HostID(a.ID), homeKind, name))
-	})
-	return all
+	var all []scored
+	for _, x := range m.replicas.Of(r.service.ID) {
+		if !x.Leaving && x.HoldsModel(r.arrive.Model) {
+			all = append(all, scored{x, core.Score(core.HostID(x.ID), homeKind, name)})
+		}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	homes := make([]*replicas.Replica, len(all))
+	for i, x := range all {
+		homes[i] = x.Replica
+	}
+	return homes
 }
 
 // ask asks the owner of a home of the request's adapter to load it, and after a
--- a/internal/core/direct/requests.go
+++ b/internal/core/direct/requests.go
@@ -40,6 +40,7 @@
 	over     bool // the caller has its final answer, or needs none
 	last     string
 	asked    core.Instant // when its adapter was last asked for
+	look     core.Instant // when it is next looked after
 }
 
 func (r *request) id() core.RequestID { return r.arrive.ID }
@@ -73,6 +74,17 @@
 	return all
 }
 
+// due returns those that may have to be looked after at a time, in the order in
+// which they came.
+func (t *requests) due(now core.Instant) []*request {
+	for _, r := range t.byID {
+		if now >= r.look {
+			return t.all()
+		}
+	}
+	return nil
+}
+
 // waiting returns those that wait, the most urgent first.
 func (t *requests) waiting() []*request {
 	all := slices.DeleteFunc(t.all(), func(r *request) bool { return r.stage != stageWaiting || r.over })
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -11,15 +11,13 @@
 
 // Registration is a host as it writes itself into the store.
 type Registration struct {
-	Name    string        `json:"name"` // the same over restarts
-	Host    core.HostID   `json:"host"` // of this process
-	Link    string        `json:"link"` // ip:port for other hosts
-	Entry   string        `json:"entry"`
-	Domain  core.Domain   `json:"domain"`
-	Key     string        `json:"key"` // fingerprint of the certificate of its links
-	Leaving bool          `json:"leaving"`
-	Shards  []string      `json:"shards,omitempty"`
-	Uptime  time.Duration `json:"-"`
+	Name    string      `json:"name"` // the same over restarts
+	Host    core.HostID `json:"host"` // of this process
+	Link    string      `json:"link"` // ip:port for other hosts
+	Entry   string      `json:"entry"`
+	Domain  core.Domain `json:"domain"`
+	Key     string      `json:"key"` // fingerprint of the certificate of its links
+	Leaving bool        `json:"leaving"`
 }
 
 // Times of the fleet.
@@ -44,11 +42,14 @@
 // Fleet is one host's view of all hosts.
 type Fleet struct {
 	self  Registration
-	peers map[string]*peer // by name, without this host
+	peers map[string]*peer      // by name, without this host
+	hosts map[core.HostID]*peer // the same by process
 }
 
 // New returns the view of a host that knows nobody yet.
-func New(self Registration) *Fleet { return &Fleet{self: self, peers: map[string]*peer{}} }
+func New(self Registration) *Fleet {
+	return &Fleet{self: self, peers: map[string]*peer{}, hosts: map[core.HostID]*peer{}}
+}
 
 // Listed takes a registration from the store.
 func (f *Fleet) Listed(now core.Instant, r Registration) {
@@ -57,7 +58,9 @@
 	}
 	p := f.peers[r.Name]
 	if p == nil || p.Host != r.Host {
-		f.peers[r.Name] = &peer{Registration: r, listed: now, leaving: r.Leaving}
+		f.Unlisted(r.Name)
+		p = &peer{Registration: r, listed: now, leaving: r.Leaving}
+		f.peers[r.Name], f.hosts[r.Host] = p, p
 		return
 	}
 	p.Registration = r
@@ -65,11 +68,16 @@
 }
 
 // Unlisted takes the news that a host's registration is gone.
-func (f *Fleet) Unlisted(name string) { delete(f.peers, name) }
+func (f *Fleet) Unlisted(name string) {
+	if p := f.peers[name]; p != nil {
+		delete(f.hosts, p.Host)
+		delete(f.peers, name)
+	}
+}
 
 // Heard notes a message from a host. It reports whether the host is known.
 func (f *Fleet) Heard(now core.Instant, from core.HostID, ready, leaving bool) bool {
-	p := f.byHost(from)
+	p := f.hosts[from]
 	if p == nil {
 		return false
 	}
@@ -78,15 +86,6 @@
 	return true
 }
 
-func (f *Fleet) byHost(h core.HostID) *peer {
-	for _, p := range f.peers {
-		if p.Host == h {
-			return p
-		}
-	}
-	return nil
-}
-
 func (p *peer) alive(now core.Instant) bool {
 	return p.heard != 0 && now.Sub(p.heard) < HeardFor
 }
@@ -99,7 +98,7 @@
 
 // Alive reports whether a host has been heard lately.
 func (f *Fleet) Alive(now core.Instant, h core.HostID) bool {
-	p := f.byHost(h)
+	p := f.hosts[h]
 	return p != nil && p.alive(now)
 }
 
@@ -162,7 +161,7 @@
 
 // Trusted reports whether a certificate with this fingerprint is a host's own.
 func (f *Fleet) Trusted(h core.HostID, key string) bool {
-	p := f.byHost(h)
+	p := f.hosts[h]
 	return p != nil && p.Key == key
 }
 
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -5,6 +5,7 @@
 package replicas
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -84,6 +85,8 @@
 // Set is all replicas that a host knows.
 type Set struct {
 	byID   map[core.UpstreamID]*Replica
+	sorted []*Replica                     // all, by id; nil: to be made
+	of     map[table.ServiceID][]*Replica // the same by service
 	health health.Settings
 	lost   core.Instant // when the store was last out of reach; 0: never
 	back   core.Instant // when it was last reached after that
@@ -100,25 +103,38 @@
 // Len is how many replicas are known.
 func (s *Set) Len() int { return len(s.byID) }
 
-// All returns every replica, sorted.
+// All returns every replica, sorted. The slice is not the caller's to change.
 func (s *Set) All() []*Replica {
-	all := make([]*Replica, 0, len(s.byID))
-	for _, r := range s.byID {
-		all = append(all, r)
+	if s.sorted == nil {
+		s.sort()
 	}
-	slices.SortFunc(all, func(a, b *Replica) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return all
+	return s.sorted
 }
 
-// Of returns the replicas of a service, sorted.
+// Of returns the replicas of a service, sorted. The slice is not the caller's to
+// change.
 func (s *Set) Of(service table.ServiceID) []*Replica {
-	all := s.All()
-	return slices.DeleteFunc(all, func(r *Replica) bool { return r.Service != service })
+	if s.sorted == nil {
+		s.sort()
+	}
+	return s.of[service]
+}
+
+func (s *Set) sort() {
+	s.sorted = make([]*Replica, 0, len(s.byID))
+	for _, r := range s.byID {
+		s.sorted = append(s.sorted, r)
+	}
+	slices.SortFunc(s.sorted, func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) })
+	s.of = map[table.ServiceID][]*Replica{}
+	for _, r := range s.sorted {
+		s.of[r.Service] = append(s.of[r.Service], r)
+	}
+}
+
+func (s *Set) drop(id core.UpstreamID) {
+	delete(s.byID, id)
+	s.sorted = nil
 }
 
 // Put takes a listed entry. It reports whether the replica is a new one or a
@@ -129,6 +145,7 @@
 		known := r != nil
 		r = &Replica{Entry: e, Health: health.NewTracker(s.health)}
 		s.byID[e.ID] = r
+		s.sorted = nil
 		if known {
 			r.Health.Restarted(now)
 		}
@@ -141,6 +158,9 @@
 		r.Leaving = leaving
 		return false
 	}
+	if r.Service != e.Service {
+		s.sorted = nil
+	}
 	r.Entry = e
 	r.Leaving = leaving
 	if r.stockAt == 0 || now.Sub(r.stockAt) >= stockFresh {
@@ -197,7 +217,7 @@
 		r.missing = true
 		return
 	}
-	delete(s.byID, id)
+	s.drop(id)
 }
 
 // List takes the platform's whole list: entries that it lacks are gone.
@@ -243,7 +263,7 @@
 	}
 	for id, r := range s.byID {
 		if r.missing {
-			delete(s.byID, id)
+			s.drop(id)
 			gone = append(gone, id)
 		}
 	}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -150,8 +150,8 @@
 // Leave gives all leases up and takes none any more.
 func (m *Machine) Leave() { m.leaving = true }
 
-// Tick returns the writes that are due. Members are the hosts that are there.
-func (m *Machine) Tick(now core.Instant, members []core.HostID) []Call {
+// Tick returns the writes that are due. Members gives the hosts that are there.
+func (m *Machine) Tick(now core.Instant, members func() []core.HostID) []Call {
 	if !m.listed {
 		return nil
 	}
@@ -170,7 +170,7 @@
 	return calls
 }
 
-func (m *Machine) next(now core.Instant, i int, l *lease, members []core.HostID) (Call, bool) {
+func (m *Machine) next(now core.Instant, i int, l *lease, members func() []core.HostID) (Call, bool) {
 	mine := l.version != 0 && l.record.Holder == m.settings.Self && !l.record.Released
 	switch {
 	case m.leaving && mine && l.until != 0:
@@ -202,16 +202,20 @@
 }
 
 // free reports whether a lease may be taken by this host now.
-func (m *Machine) free(now core.Instant, i int, l *lease, members []core.HostID) bool {
-	turn := time.Duration(m.rank(i, members)) * m.settings.Turn
-	if l.version == 0 {
-		return now >= core.Instant(m.settings.Meet+turn)
-	}
+func (m *Machine) free(now core.Instant, i int, l *lease, members func() []core.HostID) bool {
 	wait := m.settings.Term + m.settings.Gap
 	if l.record.Released {
 		wait = m.settings.Gap
 	}
-	return now.Sub(l.seen) >= wait+turn
+	from := l.seen
+	if l.version == 0 {
+		from, wait = 0, m.settings.Meet
+	}
+	if now.Sub(from) < wait {
+		return false
+	}
+	turn := time.Duration(m.rank(i, members())) * m.settings.Turn
+	return now.Sub(from) >= wait+turn
 }
 
 // rank is this host's place among those that could take a shard.
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -41,6 +41,8 @@
 	return all
 }
 
+func alone() []core.HostID { return []core.HostID{"a"} }
+
 func at(d time.Duration) core.Instant { return core.Instant(d) }
 
 func TestAFreshFleetActsAtOnce(t *testing.T) {
@@ -48,7 +50,7 @@
 	s := newStore()
 	m := New(Settings{Self: "a", Count: 1})
 	m.Read(0, s.list())
-	calls := m.Tick(0, []core.HostID{"a"})
+	calls := m.Tick(0, alone)
 	is.Equal(len(calls), 1)
 	m.Written(at(time.Millisecond), calls[0], s.do(calls[0].Object))
 	fence, ok := m.Acting(at(time.Second), 0)
@@ -64,7 +66,7 @@
 	for i := range 3 {
 		m := New(Settings{Self: "a", Count: 1})
 		m.Read(0, s.list())
-		calls := m.Tick(0, []core.HostID{"a"})
+		calls := m.Tick(0, alone)
 		is.Equal(len(calls), 1)
 		m.Written(0, calls[0], s.do(calls[0].Object))
 		fence, ok := m.Acting(0, 0)
@@ -78,16 +80,16 @@
 	s := newStore()
 	m := New(Settings{Self: "a", Count: 1, Renew: 700 * time.Millisecond})
 	m.Read(0, nil)
-	first := m.Tick(0, []core.HostID{"a"})[0]
+	first := m.Tick(0, alone)[0]
 	m.Written(0, first, s.do(first.Object))
-	lost := m.Tick(at(time.Second), []core.HostID{"a"})[0]
+	lost := m.Tick(at(time.Second), alone)[0]
 	s.do(lost.Object)
 	m.Written(at(time.Second), lost, core.ObjectResult{Status: core.ObjectUnknown})
 	_, ok := m.Acting(at(DefaultTerm), 0)
 	is.True(!ok)
-	again := m.Tick(at(DefaultTerm), []core.HostID{"a"})[0]
+	again := m.Tick(at(DefaultTerm), alone)[0]
 	m.Written(at(DefaultTerm), again, s.do(again.Object)) // conflicts with its own renewal
-	again = m.Tick(at(DefaultTerm+time.Second), []core.HostID{"a"})[0]
+	again = m.Tick(at(DefaultTerm+time.Second), alone)[0]
 	m.Written(at(DefaultTerm+time.Second), again, s.do(again.Object))
 	_, ok = m.Acting(at(DefaultTerm+time.Second), 0)
 	is.True(ok)
@@ -130,7 +132,7 @@
 				if i%10 == 0 || !m.listed {
 					m.Read(now, stale)
 				}
-				for _, c := range m.Tick(now, names) {
+				for _, c := range m.Tick(now, func() []core.HostID { return names }) {
 					result := s.do(c.Object)
 					if rapid.IntRange(0, 9).Draw(rt, "lost") == 0 {
 						result = core.ObjectResult{Status: core.ObjectUnknown}
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -79,6 +79,7 @@
 type Machine struct {
 	settings Settings
 	shelves  map[core.UpstreamID]*shelf
+	sorted   []*shelf // the same by replica; nil: to be made
 	services map[table.ServiceID]limits
 	next     uint64 // id of the next order
 	byOrder  map[uint64]*shelf
@@ -130,6 +131,7 @@
 			copies:  map[core.AdapterID]bool{},
 		}
 		m.shelves[e.ID] = s
+		m.sorted = nil
 	}
 	s.address, s.service = e.Address, e.Service
 }
@@ -146,6 +148,7 @@
 		delete(m.byOrder, s.order.ID)
 	}
 	delete(m.shelves, s.id)
+	m.sorted = nil
 }
 
 // Yield forgets what is known of a replica that another host orders now.
@@ -262,7 +265,7 @@
 // Tick returns the orders and probes that are due.
 func (m *Machine) Tick(now core.Instant, act Actor) Output {
 	var out Output
-	for _, s := range m.sorted() {
+	for _, s := range m.all() {
 		fence, ok := act(s.id)
 		if !ok {
 			continue
@@ -272,13 +275,17 @@
 	return out
 }
 
-func (m *Machine) sorted() []*shelf {
-	all := make([]*shelf, 0, len(m.shelves))
+// all returns the shelves by replica.
+func (m *Machine) all() []*shelf {
+	if m.sorted != nil {
+		return m.sorted
+	}
+	m.sorted = make([]*shelf, 0, len(m.shelves))
 	for _, s := range m.shelves {
-		all = append(all, s)
+		m.sorted = append(m.sorted, s)
 	}
-	slices.SortFunc(all, func(a, b *shelf) int { return cmp.Compare(a.id, b.id) })
-	return all
+	slices.SortFunc(m.sorted, func(a, b *shelf) int { return cmp.Compare(a.id, b.id) })
+	return m.sorted
 }
 
 func (m *Machine) advance(now core.Instant, s *shelf, fence core.Fence, out *Output) {
@@ -617,7 +624,7 @@
 // of all, or of those whose stock has changed since the last call.
 func (m *Machine) Changed(act Actor, all bool) []replicas.Stock {
 	var changed []replicas.Stock
-	for _, s := range m.sorted() {
+	for _, s := range m.all() {
 		if _, ok := act(s.id); !ok || !s.synced || !s.changed && !all {
 			continue
 		}
@@ -647,7 +654,7 @@
 // Replicas returns the replicas that the machine knows, sorted.
 func (m *Machine) Replicas() []core.UpstreamID {
 	var ids []core.UpstreamID
-	for _, s := range m.sorted() {
+	for _, s := range m.all() {
 		ids = append(ids, s.id)
 	}
 	return ids
