Beats spread in a large fleet, and a few hosts watch the list of replicas for all

Change: up to 12 hosts tell all others; beyond that each tells three, with the beats of others that it has just learned. Three hosts by rendezvous watch the list and tell its changes; the others compare digests in the beats and read it themselves where they differ for 0.6 s or no watcher is heard. A newer configuration or version that another host knows has the documents read again, so that watches may wait 8 s.

--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -151,20 +151,28 @@
 
 // Message is what hosts tell each other. It may be lost, doubled or late.
 type Message struct {
-	Beat   *Beat            `cbor:"1,keyasint,omitempty"`
-	Wants  []stock.Want     `cbor:"2,keyasint,omitempty"`
-	Stocks []replicas.Stock `cbor:"3,keyasint,omitempty"`
-	Uses   []stock.Use      `cbor:"4,keyasint,omitempty"`
+	Beats    []Beat            `cbor:"1,keyasint,omitempty"` // the sender's own first, then those of others
+	Wants    []stock.Want      `cbor:"2,keyasint,omitempty"`
+	Stocks   []replicas.Stock  `cbor:"3,keyasint,omitempty"`
+	Uses     []stock.Use       `cbor:"4,keyasint,omitempty"`
+	Replicas []replicas.Entry  `cbor:"5,keyasint,omitempty"` // entries of the platform's list that have changed
+	Gone     []core.UpstreamID `cbor:"6,keyasint,omitempty"` // entries that it lacks now
 }
 
-// Beat is a host's regular message to all others.
+// Beat is what a host tells all others regularly.
 type Beat struct {
-	Ready   bool             `cbor:"1,keyasint,omitempty"`
-	Leaving bool             `cbor:"2,keyasint,omitempty"`
-	Uptime  time.Duration    `cbor:"3,keyasint,omitempty"`
-	Spent   quota.Totals     `cbor:"4,keyasint,omitempty"`
-	Loads   []Load           `cbor:"5,keyasint,omitempty"`
-	Crashes map[uint64]uint8 `cbor:"6,keyasint,omitempty"` // replicas lost, by request fingerprint
+	Host     core.HostID      `cbor:"1,keyasint"`
+	Number   uint64           `cbor:"2,keyasint"` // rises with each beat of the host
+	Ready    bool             `cbor:"3,keyasint,omitempty"`
+	Leaving  bool             `cbor:"4,keyasint,omitempty"`
+	Uptime   time.Duration    `cbor:"5,keyasint,omitempty"`
+	Spent    quota.Totals     `cbor:"6,keyasint,omitempty"`
+	Loads    []Load           `cbor:"7,keyasint,omitempty"`
+	Crashes  map[uint64]uint8 `cbor:"8,keyasint,omitempty"`  // replicas lost, by request fingerprint
+	Config   uint64           `cbor:"9,keyasint,omitempty"`  // version of the configuration in force
+	Versions uint64           `cbor:"10,keyasint,omitempty"` // sum of the adapters' newest versions
+	Watches  bool             `cbor:"11,keyasint,omitempty"` // it watches the list of replicas, and the store answers it
+	List     uint64           `cbor:"12,keyasint,omitempty"` // digest of its list of replicas
 }
 
 // Load is how many requests a host has at a replica.
@@ -220,10 +228,9 @@
 // Object is a write to the store.
 type Object struct{ Call core.ObjectCall }
 
-// ToPeer is a message for another host.
-type ToPeer struct {
-	To      core.HostID
-	Link    string // ip:port
+// ToPeers is a message for other hosts.
+type ToPeers struct {
+	To      []fleet.Registration
 	Message Message
 }
 
@@ -249,7 +256,7 @@
 func (Order) isEffect()    {}
 func (Probe) isEffect()    {}
 func (Object) isEffect()   {}
-func (ToPeer) isEffect()   {}
+func (ToPeers) isEffect()  {}
 func (Note) isEffect()     {}
 func (Left) isEffect()     {}
 
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -50,10 +50,6 @@
 // meetTime is how long the hosts of a new deployment take to find each other.
 const meetTime = 600 * time.Millisecond
 
-// beatPerHost is added to the time between two messages for each host, so that
-// what a host sends and takes a second does not grow with the fleet.
-const beatPerHost = 10 * time.Millisecond
-
 func orDefault[T comparable](v *T, d T) {
 	var zero T
 	if *v == zero {
@@ -95,12 +91,18 @@
 	failures map[core.UpstreamID]*decayed
 	copies   map[core.AdapterID]core.Instant // when a further copy was last asked for
 
-	requests *requests
-	writes   writes
-	loads    map[core.HostID][]Load
-	due      due
-	leaving  core.Instant // 0: not leaving
-	left     bool
+	requests   *requests
+	writes     writes
+	loads      map[core.HostID][]Load
+	gossip     gossip
+	cover      cover
+	rereads    uint64 // times that documents are to be read again
+	versionSum uint64 // of the adapters' newest versions
+	wanters    wanters
+	untold     map[core.UpstreamID]replicas.Stock // changed, and not told to all hosts yet
+	due        due
+	leaving    core.Instant // 0: not leaving
+	left       bool
 }
 
 // named is an adapter's newest version and when it was named, at the latest.
@@ -113,6 +115,7 @@
 type due struct {
 	beat     core.Instant
 	stock    core.Instant
+	untold   core.Instant
 	register core.Instant
 }
 
@@ -135,6 +138,9 @@
 		requests: newRequests(),
 		writes:   writes{open: map[uint64]func(core.ObjectResult){}},
 		loads:    map[core.HostID][]Load{},
+		gossip:   gossip{known: map[core.HostID]Beat{}},
+		wanters:  wanters{},
+		untold:   map[core.UpstreamID]replicas.Stock{},
 	}
 }
 
@@ -159,7 +165,9 @@
 		m.replicaListed(e.Entry)
 	case ReplicaUnlisted:
 		m.replicas.Remove(m.now, e.ID)
-		m.dropIfGone(e.ID)
+		if m.dropIfGone(e.ID) {
+			m.tellList(nil, []core.UpstreamID{e.ID})
+		}
 	case VersionNamed:
 		m.versionNamed(e)
 	case HostsListed:
@@ -173,6 +181,7 @@
 	case StoreLost:
 		m.replicas.StoreLost(m.now)
 	case StoreReached:
+		m.cover.answered = m.now
 		m.replicas.StoreReached(m.now)
 	case ObjectDone:
 		m.writes.done(e.Result)
@@ -196,8 +205,11 @@
 func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
 
 func (m *Machine) tick() {
-	for _, id := range m.replicas.Tick(m.now) {
-		m.dropIfGone(id)
+	if gone := m.replicas.Tick(m.now); len(gone) > 0 {
+		for _, id := range gone {
+			m.dropIfGone(id)
+		}
+		m.tellList(nil, gone)
 	}
 	m.quota.Hears(m.now, m.fleet.Part(m.now))
 	m.register()
@@ -245,42 +257,67 @@
 
 func (m *Machine) replicasListed(entries []replicas.Entry) {
 	m.listed = true
-	m.replicas.List(m.now, entries)
+	m.cover.differs = 0
+	var changed []replicas.Entry
 	for _, e := range entries {
-		m.stock.Put(e)
+		if m.takeEntry(e) {
+			changed = append(changed, e)
+		}
 	}
-	for _, s := range m.stock.Replicas() {
-		m.dropIfGone(s)
+	m.replicas.List(m.now, entries)
+	var gone []core.UpstreamID
+	for _, id := range m.stock.Replicas() {
+		if m.dropIfGone(id) {
+			gone = append(gone, id)
+		}
 	}
+	m.tellList(changed, gone)
 	m.placeWaiting()
 }
 
 func (m *Machine) replicaListed(e replicas.Entry) {
+	if m.takeEntry(e) {
+		m.tellList([]replicas.Entry{e}, nil)
+	}
+	m.placeWaiting()
+}
+
+// takeEntry takes an entry of the list. It reports whether the entry tells
+// something new of where and whether the replica may be used.
+func (m *Machine) takeEntry(e replicas.Entry) (changed bool) {
 	before := m.replicas.Get(e.ID)
+	moved := before != nil && before.Address != e.Address
 	wasLeaving := before != nil && before.Leaving
-	if m.replicas.Put(m.now, e) {
+	fresh := m.replicas.Put(m.now, e)
+	m.stock.Put(e)
+	if fresh {
 		m.emit(Note{Name: "replica", Reason: "started", Upstream: e.ID, Detail: string(e.Service)})
 	}
-	if e.Leaving && !wasLeaving {
+	leaves := e.Leaving && (fresh || !wasLeaving)
+	if leaves {
 		m.emit(Note{Name: "replica", Reason: "leaving", Upstream: e.ID, Detail: string(e.Service)})
 	}
-	m.stock.Put(e)
-	m.placeWaiting()
+	return fresh || leaves || moved
 }
 
 // dropIfGone forgets what belongs to a replica that is not there any more.
-func (m *Machine) dropIfGone(id core.UpstreamID) {
-	if m.replicas.Get(id) == nil {
-		m.stock.Remove(id)
-		delete(m.failures, id)
-		m.emit(Note{Name: "replica", Reason: "gone", Upstream: id})
+func (m *Machine) dropIfGone(id core.UpstreamID) bool {
+	if m.replicas.Get(id) != nil {
+		return false
 	}
+	m.stock.Remove(id)
+	delete(m.failures, id)
+	delete(m.wanters, id)
+	delete(m.untold, id)
+	m.emit(Note{Name: "replica", Reason: "gone", Upstream: id})
+	return true
 }
 
 func (m *Machine) versionNamed(e VersionNamed) {
 	if e.Adapter.Version <= m.versions[e.Adapter.ID].version {
 		return
 	}
+	m.versionSum += uint64(e.Adapter.Version - m.versions[e.Adapter.ID].version)
 	at := m.now
 	if e.Listed {
 		at = at.Add(-m.settings.VersionGrace)
@@ -394,13 +431,5 @@
 	for _, p := range out.Probes {
 		m.emit(Probe{p})
 	}
-	changed := m.stock.Changed(m.acting, false)
-	if len(changed) == 0 {
-		return
-	}
-	for _, e := range changed {
-		m.replicas.TakeStock(m.now, e)
-	}
-	m.tellAll(Message{Stocks: changed})
-	m.placeWaiting()
+	m.tellStocks()
 }
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -2,50 +2,18 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/stock"
 )
 
-// stockEvery is how often the whole stock of the replicas that this host orders
-// is told again, for what was lost on the way.
-const stockEvery = time.Second
-
-// beat tells the other hosts what this one has spent and has running.
-func (m *Machine) beat() {
-	if m.now < m.due.beat {
-		return
-	}
-	peers := m.fleet.Peers(m.now)
-	m.due.beat = m.now.Add(m.settings.Beat + time.Duration(len(peers))*beatPerHost)
-	loads := m.ownLoads()
-	m.forgetLoads()
-	message := Message{Beat: &Beat{
-		Ready:   m.Ready(),
-		Leaving: m.leaving != 0,
-		Uptime:  time.Duration(m.now),
-		Spent:   m.quota.Mine(),
-		Loads:   loads,
-		Crashes: m.ownCrashes(),
-	}}
-	if m.now >= m.due.stock {
-		m.due.stock = m.now.Add(stockEvery)
-		message.Stocks = m.stock.Changed(m.acting, true)
-		for _, e := range message.Stocks {
-			m.replicas.TakeStock(m.now, e)
-		}
-	}
-	for _, p := range peers {
-		m.emit(ToPeer{To: p.Host, Link: p.Link, Message: message})
-	}
-	m.tellUses()
-}
-
+// tellAll sends a message to all hosts that may be there.
 func (m *Machine) tellAll(message Message) {
-	for _, p := range m.fleet.Peers(m.now) {
-		m.emit(ToPeer{To: p.Host, Link: p.Link, Message: message})
+	if peers := m.fleet.Peers(m.now); len(peers) > 0 {
+		m.emit(ToPeers{To: peers, Message: message})
 	}
 }
 
@@ -56,13 +24,12 @@
 	if holder == "" || holder == core.HostID(m.settings.Self.Name) {
 		return false
 	}
-	for _, p := range m.fleet.Peers(m.now) {
-		if core.HostID(p.Name) == holder && m.fleet.Alive(m.now, p.Host) {
-			m.emit(ToPeer{To: p.Host, Link: p.Link, Message: message})
-			return true
-		}
+	p, ok := m.fleet.Named(string(holder))
+	if !ok || !m.fleet.Alive(m.now, p.Host) {
+		return false
 	}
-	return false
+	m.emit(ToPeers{To: []fleet.Registration{p}, Message: message})
+	return true
 }
 
 func (m *Machine) ownLoads() []Load {
@@ -105,23 +72,18 @@
 
 // tellUses tells the hosts that order replicas which adapters are in use there.
 func (m *Machine) tellUses() {
-	uses := m.uses()
-	byReplica := map[core.UpstreamID][]stock.Use{}
-	for _, u := range uses {
-		byReplica[u.Replica] = append(byReplica[u.Replica], u)
-	}
-	for _, x := range m.replicas.All() {
-		list := byReplica[x.ID]
-		if len(list) == 0 {
+	byShard := map[int][]stock.Use{}
+	for _, u := range m.uses() {
+		if _, ok := m.acting(u.Replica); ok {
+			m.stock.Used(m.now, core.HostID(m.settings.Self.Name), u)
 			continue
 		}
-		if _, ok := m.acting(x.ID); ok {
-			for _, u := range list {
-				m.stock.Used(m.now, core.HostID(m.settings.Self.Name), u)
-			}
-			continue
-		}
-		m.tellOwner(x.ID, Message{Uses: list})
+		shard := m.shards.Of(u.Replica)
+		byShard[shard] = append(byShard[shard], u)
+	}
+	for _, shard := range slices.Sorted(maps.Keys(byShard)) {
+		uses := byShard[shard]
+		m.tellOwner(uses[0].Replica, Message{Uses: uses})
 	}
 }
 
@@ -149,11 +111,13 @@
 
 // fromPeer takes another host's message.
 func (m *Machine) fromPeer(e FromPeer) {
-	if b := e.Message.Beat; b != nil {
-		m.heard(e.From, b)
+	for i := range e.Message.Beats {
+		m.heard(&e.Message.Beats[i])
 	}
+	m.takeList(e.Message)
 	for _, w := range e.Message.Wants {
 		m.stock.Wanted(m.now, w)
+		m.wanters.add(w.Replica, e.From)
 	}
 	for _, u := range e.Message.Uses {
 		m.stock.Used(m.now, e.From, u)
@@ -173,18 +137,6 @@
 	}
 }
 
-func (m *Machine) heard(from core.HostID, b *Beat) {
-	if !m.fleet.Heard(m.now, from, b.Ready, b.Leaving) {
-		return
-	}
-	if !m.quota.Knows(from) && b.Uptime > time.Duration(m.now)+time.Second {
-		m.quota.Join(from, b.Spent) // spent before this host was there
-	}
-	m.quota.Heard(m.now, from, b.Spent)
-	m.takeLoads(from, b.Loads)
-	m.heardCrashes(from, b.Crashes)
-}
-
 // leave begins a graceful shutdown: the host is named to callers no more, hands
 // its shards over, and serves those who still come for a while.
 func (m *Machine) leave() {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,8 +23,12 @@
 
 // Times of the fleet.
 const (
-	// HeardFor is how long a host counts as heard after its last message.
+	// HeardFor is how long a host counts as heard after its last beat.
 	HeardFor = 1200 * time.Millisecond
+	// heardPerHost is added for each host beyond meshMost: beats pass through
+	// others there.
+	heardPerHost = 15 * time.Millisecond
+	meshMost     = 12
 	// forgetAfter is how long a registered host that is never heard still counts
 	// as a part of the fleet.
 	forgetAfter = 20 * time.Second
@@ -86,8 +91,9 @@
 	return true
 }
 
-func (p *peer) alive(now core.Instant) bool {
-	return p.heard != 0 && now.Sub(p.heard) < HeardFor
+func (f *Fleet) alive(now core.Instant, p *peer) bool {
+	patience := HeardFor + time.Duration(max(len(f.peers)-meshMost, 0))*heardPerHost
+	return p.heard != 0 && now.Sub(p.heard) < patience
 }
 
 // gone reports that a host has been silent so long that it can't count on its
@@ -96,10 +102,26 @@
 	return now.Sub(max(p.heard, p.listed)) > forgetAfter
 }
 
+// Named returns the registration of another host by its name.
+func (f *Fleet) Named(name string) (Registration, bool) {
+	if p := f.peers[name]; p != nil {
+		return p.Registration, true
+	}
+	return Registration{}, false
+}
+
+// Of returns the registration of another host by its process.
+func (f *Fleet) Of(h core.HostID) (Registration, bool) {
+	if p := f.hosts[h]; p != nil {
+		return p.Registration, true
+	}
+	return Registration{}, false
+}
+
 // Alive reports whether a host has been heard lately.
 func (f *Fleet) Alive(now core.Instant, h core.HostID) bool {
 	p := f.hosts[h]
-	return p != nil && p.alive(now)
+	return p != nil && f.alive(now, p)
 }
 
 // Part is the share of the fleet that this host hears, itself included.
@@ -110,7 +132,7 @@
 			continue
 		}
 		all++
-		if p.alive(now) {
+		if f.alive(now, p) {
 			heard++
 		}
 	}
@@ -136,7 +158,7 @@
 			all = append(all, p.Registration)
 		}
 	}
-	sortByName(all)
+	Sort(all)
 	return all
 }
 
@@ -148,7 +170,7 @@
 		names = append(names, core.HostID(f.self.Name))
 	}
 	for _, p := range f.peers {
-		if p.alive(now) && !p.leaving {
+		if f.alive(now, p) && !p.leaving {
 			names = append(names, core.HostID(p.Name))
 		}
 	}
@@ -173,7 +195,7 @@
 		if p.leaving || p.gone(now) {
 			continue
 		}
-		if p.alive(now) && p.ready {
+		if f.alive(now, p) && p.ready {
 			heard = append(heard, p.Entry)
 		}
 		listed = append(listed, p.Entry)
@@ -189,11 +211,7 @@
 	return names[:min(len(names), namesMost)]
 }
 
-func sortByName(all []Registration) {
-	slices.SortFunc(all, func(a, b Registration) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+// Sort sorts registrations by name.
+func Sort(all []Registration) {
+	slices.SortFunc(all, func(a, b Registration) int { return cmp.Compare(a.Name, b.Name) })
 }
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -87,6 +87,7 @@
 	byID   map[core.UpstreamID]*Replica
 	sorted []*Replica                     // all, by id; nil: to be made
 	of     map[table.ServiceID][]*Replica // the same by service
+	digest uint64                         // 0: to be made
 	health health.Settings
 	lost   core.Instant // when the store was last out of reach; 0: never
 	back   core.Instant // when it was last reached after that
@@ -135,11 +136,34 @@
 func (s *Set) drop(id core.UpstreamID) {
 	delete(s.byID, id)
 	s.sorted = nil
+	s.digest = 0
+}
+
+// Digest is a number that two sets share, but for chance, if they list the same
+// replicas in the same states.
+func (s *Set) Digest() uint64 {
+	if s.digest != 0 {
+		return s.digest
+	}
+	var sum uint64
+	for id, r := range s.byID {
+		if r.missing {
+			continue
+		}
+		state := "ready"
+		if r.Leaving {
+			state = "leaving"
+		}
+		sum += core.Fingerprint(uint64(r.Started), string(id), r.Address, state)
+	}
+	s.digest = sum
+	return sum
 }
 
 // Put takes a listed entry. It reports whether the replica is a new one or a
 // new incarnation.
 func (s *Set) Put(now core.Instant, e Entry) (fresh bool) {
+	s.digest = 0
 	r := s.byID[e.ID]
 	if r == nil || r.Started != e.Started && e.Started != 0 {
 		known := r != nil
@@ -215,6 +239,7 @@
 	}
 	if s.aroundOutage(now) && !r.Leaving {
 		r.missing = true
+		s.digest = 0
 		return
 	}
 	s.drop(id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	view     atomic.Pointer[view]
 	reached  atomic.Bool // the store answered last time
 	notes    map[string]metrics.Counter
+	reread   interrupts // of the watches of documents
 
 	mu        sync.Mutex
 	exchanges map[core.RequestID]*exchange
@@ -89,6 +90,7 @@
 	ready     bool
 	leaving   bool
 	addresses []string
+	wants     direct.Wants
 }
 
 // New returns a gateway whose duties are not running yet.
@@ -174,11 +176,22 @@
 	}
 	switch e.(type) {
 	case direct.Tick, direct.Leave, direct.Configured, direct.ReplicasListed:
-		g.view.Store(&view{
-			ready:     g.machine.Ready(),
-			leaving:   g.machine.Leaving(),
-			addresses: g.machine.Addresses(),
-		})
+		g.look()
+	}
+}
+
+// look publishes what other duties need to know, and has documents read again
+// where the machine wants it.
+func (g *Gateway) look() {
+	next := &view{
+		ready:     g.machine.Ready(),
+		leaving:   g.machine.Leaving(),
+		addresses: g.machine.Addresses(),
+		wants:     g.machine.Wants(),
+	}
+	last := g.view.Swap(next)
+	if last.wants.Reread != next.wants.Reread {
+		g.reread.call()
 	}
 }
 
@@ -217,8 +230,8 @@
 		go g.probe(ctx, x.Probe)
 	case direct.Object:
 		go g.object(ctx, x.Call)
-	case direct.ToPeer:
-		g.toPeer(x)
+	case direct.ToPeers:
+		g.toPeers(x)
 	case direct.Note:
 		g.note(x)
 	case direct.Left:
@@ -272,14 +285,16 @@
 	core.ObjectHistoryGone: "history_gone",
 }
 
-// toPeer encodes a message. Several effects of one step often carry the same one.
-func (g *Gateway) toPeer(x direct.ToPeer) {
+// toPeers encodes a message once for all that it goes to.
+func (g *Gateway) toPeers(x direct.ToPeers) {
 	payload, err := cbor.Marshal(x.Message)
 	if err != nil {
 		log.WithError(err).Error("peer message not encoded")
 		return
 	}
-	g.carriers.Links.Send(x.To, x.Link, payload)
+	for _, p := range x.To {
+		g.carriers.Links.Send(p.Host, p.Link, payload)
+	}
 }
 
 // note counts a decision and logs it.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -17,11 +18,15 @@
 
 // Times of the watches.
 const (
-	waitShort   = 2400 * time.Millisecond // for a change that must be seen soon, also after a connection fell silent
-	waitLong    = 4 * time.Second         // for one that may come later
-	againFirst  = 100 * time.Millisecond  // after a call that failed
-	againMost   = 600 * time.Millisecond  // after several
-	leasesEvery = time.Second             // between two readings of the leases
+	// waitAlone is how long a watch waits where no other host would show that its
+	// connection has fallen silent.
+	waitAlone   = 2400 * time.Millisecond
+	waitLong    = 8 * time.Second
+	coveredLook = 50 * time.Millisecond  // between two looks whether the list must be followed again
+	listEvery   = 12 * time.Second       // between two readings of a list that others follow
+	againFirst  = 100 * time.Millisecond // after a call that failed
+	againMost   = 600 * time.Millisecond // after several
+	leasesEvery = time.Second            // between two readings of the leases
 )
 
 // Paces of the watches: the least time between two answers, so that frequent
@@ -39,7 +44,8 @@
 	gateway *Gateway
 	kind    string
 	pace    time.Duration
-	wait    time.Duration
+	urgent  bool // a change must be seen soon, also after the connection fell silent
+	others  bool // another host may follow the objects instead
 	listed  func([]core.Object)
 	changed func(core.Object)
 }
@@ -47,10 +53,10 @@
 func (g *Gateway) watches() []*watch {
 	d := g.carriers.Documents
 	return []*watch{
-		{gateway: g, kind: d.Configuration, pace: paceConfiguration, wait: waitShort, listed: each(g.configuration), changed: g.configuration},
-		{gateway: g, kind: d.Replicas, pace: paceReplicas, wait: waitShort, listed: g.replicasListed, changed: g.replicaChanged},
-		{gateway: g, kind: d.Versions, pace: paceVersions, wait: waitLong, listed: each(g.versionListed), changed: g.versionChanged},
-		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, wait: waitLong, listed: each(g.host), changed: g.host},
+		{gateway: g, kind: d.Configuration, pace: paceConfiguration, listed: each(g.configuration), changed: g.configuration},
+		{gateway: g, kind: d.Replicas, pace: paceReplicas, urgent: true, others: true, listed: g.replicasListed, changed: g.replicaChanged},
+		{gateway: g, kind: d.Versions, pace: paceVersions, listed: each(g.versionListed), changed: g.versionChanged},
+		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, listed: each(g.host), changed: g.host},
 	}
 }
 
@@ -67,6 +73,11 @@
 	version := uint64(0)
 	again := againFirst
 	for ctx.Err() == nil {
+		if w.others && version != 0 && !w.gateway.view.Load().wants.Watch {
+			w.rest(ctx)
+			version = 0
+			continue
+		}
 		began := time.Now()
 		next, ok := w.once(ctx, version)
 		if !ok {
@@ -83,14 +94,36 @@
 	return ctx.Err()
 }
 
+// rest waits while another host follows the objects.
+func (w *watch) rest(ctx context.Context) {
+	since := time.Now()
+	for ctx.Err() == nil && time.Since(since) < listEvery && !w.gateway.view.Load().wants.Watch {
+		pause(ctx, coveredLook)
+	}
+}
+
+// wait is how long a watch waits for a change.
+func (w *watch) wait() time.Duration {
+	if w.urgent || w.gateway.view.Load().wants.Alone {
+		return waitAlone
+	}
+	return waitLong
+}
+
 // once lists the objects or waits for a change of them. It returns the version
 // to go on from, 0 to list.
 func (w *watch) once(ctx context.Context, version uint64) (next uint64, ok bool) {
 	call := core.ObjectCall{Op: core.ObjectList, Key: w.kind}
 	if version != 0 {
-		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: w.wait}
+		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: w.wait()}
+	}
+	reading, end := w.gateway.reread.with(ctx)
+	result := w.gateway.carriers.Store.Do(reading, call)
+	interrupted := reading.Err() != nil
+	end()
+	if interrupted {
+		return 0, true // read again
 	}
-	result := w.gateway.carriers.Store.Do(ctx, call)
 	w.gateway.storeAnswered(result.Status)
 	switch {
 	case result.Status == core.ObjectHistoryGone:
@@ -214,3 +247,38 @@
 	}
 	return ctx.Err()
 }
+
+// interrupts ends calls that wait when documents are to be read again.
+type interrupts struct {
+	mu      sync.Mutex
+	next    int
+	cancels map[int]context.CancelFunc
+}
+
+// with returns a context that call ends, and the function that gives it back.
+func (i *interrupts) with(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cancels == nil {
+		i.cancels = map[int]context.CancelFunc{}
+	}
+	i.next++
+	id := i.next
+	i.cancels[id] = cancel
+	return ctx, func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.cancels, id)
+		cancel()
+	}
+}
+
+// call ends all calls under way.
+func (i *interrupts) call() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, cancel := range i.cancels {
+		cancel()
+	}
+}
