--- a/cmd/gentiancroft/relay.go
+++ b/cmd/gentiancroft/relay.go
@@ -4,11 +4,12 @@
 	"context"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/apex/log"
-	apexjson "github.com/apex/log/handlers/json"
 	"github.com/spf13/cobra"
 
+	"gentiancroft/internal/logs"
 	"gentiancroft/internal/settings"
 	"gentiancroft/internal/wiring"
 	"gentiancroft/platform"
@@ -46,7 +47,14 @@
 }
 
 func runRelay(leave context.Context, s *settings.Relay) error {
-	log.SetHandler(apexjson.New(os.Stdout))
+	sink := logs.New(os.Stdout, time.Now)
+	log.SetHandler(sink)
+	go func() {
+		if err := sink.Run(context.Background()); err != nil {
+			log.WithError(err).Error("log lines are written no more")
+		}
+	}()
+	defer sink.Flush()
 	if s.Log != "" {
 		log.SetLevelFromString(s.Log)
 	}
--- a/internal/core/direct/admit.go
+++ b/internal/core/direct/admit.go
@@ -19,7 +19,7 @@
 func (m *Machine) arrive(e Arrive) {
 	r, refusal := m.admit(e)
 	if refusal != nil {
-		m.emit(Note{Name: "admission", Reason: string(refusal.Code), ID: e.ID, Detail: e.Path})
+		m.emit(Note{Name: "admission", Reason: string(refusal.Code), ID: e.ID, Detail: refusal.Message + "; " + e.Path + " under version " + utoa(m.configVersion())})
 		m.emit(Refuse{ID: e.ID, Refusal: refusal})
 		return
 	}
--- /dev/null
+++ b/internal/core/direct/catalog_test.go
@@ -0,0 +1,22 @@
+package direct
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write docs/logs.md")
+
+func TestLogsPageIsCurrent(t *testing.T) {
+	is := is.New(t)
+	const file = "../../../docs/logs.md"
+	if *update {
+		is.NoErr(os.WriteFile(file, []byte(Page()), 0o644))
+	}
+	b, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(string(b), Page()) // go test ./internal/core/direct -run TestLogsPageIsCurrent -update
+}
--- a/internal/core/direct/host_test.go
+++ b/internal/core/direct/host_test.go
@@ -71,7 +71,15 @@
 	return h
 }
 
-func (h *host) step(e Event) { h.out = h.m.Step(core.Instant(h.now), e) }
+func (h *host) step(e Event) {
+	h.is.Helper()
+	h.out = h.m.Step(core.Instant(h.now), e)
+	for _, effect := range h.out {
+		if n, ok := effect.(Note); ok && !Known(n) {
+			h.is.Equal(n, Note{}) // it is missing in the catalog
+		}
+	}
+}
 
 // after lets time pass.
 func (h *host) after(d time.Duration) {
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,119 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+)
+
+func entry(message string, fields log.Fields) *log.Entry {
+	return &log.Entry{Message: message, Level: log.InfoLevel, Fields: fields}
+}
+
+func lines(t *testing.T, b []byte) []map[string]any {
+	var all []map[string]any
+	for line := range strings.Lines(string(b)) {
+		var v map[string]any
+		if err := json.Unmarshal([]byte(line), &v); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
+func clock() time.Time { return time.Unix(100, 0) }
+
+func TestALineIsOneJSONObject(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := New(&out, clock)
+	is.NoErr(s.HandleLog(entry("decided", log.Fields{"request": "r1", "error": errors.New("bad\nline")})))
+	s.Flush()
+	all := lines(t, out.Bytes())
+	is.Equal(len(all), 1)
+	is.Equal(all[0]["message"], "decided")
+	is.Equal(all[0]["request"], "r1")
+	is.Equal(all[0]["error"], "bad\nline")
+	is.Equal(all[0]["level"], "info")
+}
+
+func TestLinesOfOneKindAreSummedUp(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	now := time.Unix(100, 0)
+	s := New(&out, func() time.Time { return now })
+	for range kindLines + 30 {
+		is.NoErr(s.HandleLog(entry("decided", log.Fields{"decision": "refusal", "reason": "overloaded"})))
+	}
+	is.NoErr(s.HandleLog(entry("decided", log.Fields{"decision": "refusal", "reason": "deadline"})))
+	now = now.Add(window)
+	is.NoErr(s.HandleLog(entry("next", nil)))
+	s.Flush()
+	all := lines(t, out.Bytes())
+	is.Equal(len(all), kindLines+3)
+	sum := all[kindLines+1]
+	is.Equal(sum["message"], "lines summed up")
+	is.Equal(sum["kind"], "decided refusal overloaded")
+	is.Equal(sum["count"], 30.0)
+}
+
+func TestAnErrorIsNeverSummedUp(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := New(&out, clock)
+	for range kindLines + 5 {
+		e := entry("broken", nil)
+		e.Level = log.ErrorLevel
+		is.NoErr(s.HandleLog(e))
+	}
+	s.Flush()
+	is.Equal(len(lines(t, out.Bytes())), kindLines+5)
+}
+
+// A reader that takes nothing: the pipe fills, the ring fills, and logging goes
+// on without waiting. What was lost is told once there is room.
+func TestAFullPipeHoldsNobodyUp(t *testing.T) {
+	is := is.New(t)
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	s := New(writer, time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { _ = s.Run(ctx); close(ended) }()
+	long := strings.Repeat("x", 2<<10)
+	for i := range 10 * ringLines { // far more than pipe and ring hold; would hang if it waited
+		e := entry("kept", log.Fields{"n": i, "text": long})
+		e.Level = log.ErrorLevel
+		is.NoErr(s.HandleLog(e))
+	}
+	is.True(s.Dropped() > 0)
+	read := make(chan []byte)
+	go func() { b, _ := io.ReadAll(reader); read <- b }()
+	cancel()
+	<-ended
+	is.NoErr(writer.Close())
+	is.True(strings.Contains(string(<-read), `"message":"lines dropped"`))
+}
+
+func BenchmarkLine(b *testing.B) {
+	s := New(io.Discard, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.Run(ctx) }()
+	e := entry("decided", log.Fields{"decision": "dispatch", "reason": "least_occupied", "request": "9c41d07be2a35f68", "upstream": "i-7f3a91c2", "detail": "load 3", "age_ms": 17})
+	e.Level = log.ErrorLevel // never summed up
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = s.HandleLog(e)
+	}
+}
