Adapters: the coldest goes first; a new version is loaded where the old one is not in use

A popular adapter whose version was named anew was replaced in place: the replica waited 4.2 s for its runs and took no other order; 107 requests waited for it. Change: least heat (requests, half-life 10 s) is unloaded first; one home; wants expire after 0.7 s; fetches follow the replicas ordered; a new version is asked for at the next home while the old one serves, and takes the old one's place once that was quiet for 0.4 s. Tests with the patterns named.

--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -183,3 +183,18 @@
 	h.arrive(Arrive{Path: "/stream/x", Model: model})
 	h.is.Equal(h.refusal().Code, core.CodeNoUpstream)
 }
+
+// The pattern of a popular adapter whose version is named anew: the new one is
+// loaded at another home while the old one still serves.
+func TestANewVersionIsAskedForAtAnotherHomeWhileTheOldOneServes(t *testing.T) {
+	h := newHost(t)
+	h.step(LeasesListed{})
+	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
+	h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: 1, Ready: true}}}})
+	h.lease("b")
+	h.step(ReplicaListed{Entry: replica("e3", engines)}) // lacks the adapter
+	h.step(VersionNamed{Model: model, Adapter: core.AdapterRef{ID: "x", Version: 2}})
+	h.arrive(Arrive{Path: "/stream/x", Model: model, Adapter: "x"})
+	h.is.True(h.dispatch().Upstream != "e3")
+	h.is.True(h.wanted("e3", 2))
+}
--- a/internal/core/direct/host_test.go
+++ b/internal/core/direct/host_test.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/shard"
 	"gentiancroft/internal/core/table"
 )
 
@@ -132,3 +135,31 @@
 func (h *host) end(d Dispatch, kind EndKind) {
 	h.step(Ended{ID: d.ID, Attempt: d.Attempt, Kind: kind})
 }
+
+// lease gives all shards to a host, as if it had written so.
+func (h *host) lease(holder core.HostID) {
+	value, err := json.Marshal(shard.Record{Holder: holder, Fence: 1})
+	h.is.NoErr(err)
+	var objects []core.Object
+	for i := range shard.DefaultCount {
+		objects = append(objects, core.Object{Key: shard.Prefix + strconv.Itoa(i), Value: value, Version: 1})
+	}
+	h.step(LeasesListed{Objects: objects})
+}
+
+// wanted reports whether the last step told another host that the adapter x is
+// wanted at a replica, at a version.
+func (h *host) wanted(replica core.UpstreamID, version int) bool {
+	for _, e := range h.out {
+		p, ok := e.(ToPeers)
+		if !ok {
+			continue
+		}
+		for _, w := range p.Message.Wants {
+			if w.Replica == replica && w.Adapter == (core.AdapterRef{ID: "x", Version: version}) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -100,6 +100,7 @@
 	versionSum uint64 // of the adapters' newest versions
 	wanters    wanters
 	untold     map[core.UpstreamID]replicas.Stock // changed, and not told to all hosts yet
+	begunUses  map[use]int                        // requests sent since the last beat
 	due        due
 	leaving    core.Instant // 0: not leaving
 	left       bool
@@ -140,7 +141,9 @@
 		loads:    map[core.HostID][]Load{},
 		gossip:   gossip{known: map[core.HostID]Beat{}},
 		wanters:  wanters{},
-		untold:   map[core.UpstreamID]replicas.Stock{},
+
+		begunUses: map[use]int{},
+		untold:    map[core.UpstreamID]replicas.Stock{},
 	}
 }
 
@@ -323,8 +326,6 @@
 		at = at.Add(-m.settings.VersionGrace)
 	}
 	m.versions[e.Adapter.ID] = named{version: e.Adapter.Version, at: at}
-	m.stock.Newest(m.now, e.Model, e.Adapter)
-	m.order()
 }
 
 func (m *Machine) hostsListed(hosts []fleet.Registration) {
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -7,6 +7,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/stock"
 )
 
@@ -87,22 +88,36 @@
 	}
 }
 
-// uses counts the requests of this host at replicas by adapter.
-func (m *Machine) uses() []stock.Use {
-	type place struct {
-		replica core.UpstreamID
-		adapter core.AdapterID
+// use is an adapter at a replica.
+type use struct {
+	replica core.UpstreamID
+	adapter core.AdapterID
+}
+
+// sent counts a request for its adapter's popularity.
+func (m *Machine) sent(r *request, x *replicas.Replica) {
+	if r.arrive.Adapter != "" {
+		m.begunUses[use{x.ID, r.arrive.Adapter}]++
 	}
-	count := map[place]int{}
+}
+
+// uses counts the requests of this host at replicas by adapter, and those sent
+// since the last call.
+func (m *Machine) uses() []stock.Use {
+	running := map[use]int{}
 	for _, r := range m.requests.byID {
 		if r.stage == stageRunning && r.arrive.Adapter != "" {
-			count[place{r.upstream, r.arrive.Adapter}]++
+			running[use{r.upstream, r.arrive.Adapter}]++
 		}
 	}
-	uses := make([]stock.Use, 0, len(count))
-	for p, n := range count {
-		uses = append(uses, stock.Use{Replica: p.replica, Adapter: p.adapter, Running: n})
+	for u := range m.begunUses {
+		running[u] += 0 // one that has ended already is told as well
+	}
+	uses := make([]stock.Use, 0, len(running))
+	for u, n := range running {
+		uses = append(uses, stock.Use{Replica: u.replica, Adapter: u.adapter, Running: n, Begun: m.begunUses[u]})
 	}
+	clear(m.begunUses)
 	slices.SortFunc(uses, func(a, b stock.Use) int {
 		return cmp.Or(cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Adapter, b.Adapter))
 	})
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -15,9 +15,6 @@
 	homeKind = 23
 	// askAgain is how long after asking for an adapter it is asked for again.
 	askAgain = 400 * time.Millisecond
-	// widenAfter is how long an adapter is awaited from one home before its next
-	// home is asked as well.
-	widenAfter = 1200 * time.Millisecond
 	// waitObjectives is how long a request waits for its adapter at most, in
 	// objectives of its route.
 	waitObjectives = 3
@@ -37,6 +34,7 @@
 	failureWeight = 3.0  // of the failures at a replica, against its occupancy
 	abroadWeight  = 0.08 // added occupancy of a replica in another failure domain
 	triedWeight   = 10.0 // added where the request has already failed
+	olderWeight   = 1.0  // added where the adapter is of an older version
 )
 
 // place sends a request to a replica, or lets it wait for its adapter.
@@ -44,6 +42,7 @@
 	holders, full := m.candidates(r)
 	if len(holders) > 0 {
 		best := m.choose(r, holders)
+		m.askNewer(r, best)
 		m.spread(r, best)
 		m.dispatch(r, best)
 		return
@@ -121,6 +120,9 @@
 		if slices.Contains(r.tried, x.ID) {
 			s += triedWeight
 		}
+		if version, ok := x.Holds(r.arrive.Adapter); ok && version < m.versions[r.arrive.Adapter].version {
+			s += olderWeight
+		}
 		return s
 	}
 	first := m.rng.IntN(len(from)) // ties are broken evenly
@@ -156,24 +158,39 @@
 	return homes
 }
 
-// ask asks the owner of a home of the request's adapter to load it, and after a
-// while that of the next home too.
+// ask asks the owner of the home of the request's adapter to load it: of the
+// first that somebody orders now.
 func (m *Machine) ask(r *request) {
 	if r.asked != 0 && m.now.Sub(r.asked) < askAgain {
 		return
 	}
 	r.asked = m.now
-	wanted := 1 + int(m.now.Sub(r.since)/widenAfter)
+	m.askHomes(r)
+}
+
+// askHomes asks at the first home that somebody orders now. One that holds an
+// older version takes the new one only once the old one is not in use: the next
+// home is asked as well.
+func (m *Machine) askHomes(r *request) {
 	for _, x := range m.homes(r) {
-		if m.want(r, x) {
-			wanted--
-		}
-		if wanted == 0 {
+		_, older := x.Holds(r.arrive.Adapter)
+		if m.want(r, x) && !older {
 			return
 		}
 	}
 }
 
+// askNewer asks for an adapter's newest version while an older one still serves.
+func (m *Machine) askNewer(r *request, x *replicas.Replica) {
+	a := r.arrive.Adapter
+	version, ok := x.Holds(a)
+	if !ok || version >= m.versions[a].version || m.copies[a] != 0 && m.now.Sub(m.copies[a]) < askAgain {
+		return
+	}
+	m.copies[a] = m.now
+	m.askHomes(r)
+}
+
 // want tells the host that orders a replica that an adapter is wanted there. It
 // returns false where nobody orders the replica now.
 func (m *Machine) want(r *request, x *replicas.Replica) bool {
@@ -234,6 +251,7 @@
 	r.stage, r.since = stageRunning, m.now
 	r.begun, r.moving = false, false
 	x.Mine++
+	m.sent(r, x)
 	if r.attempt == 1 {
 		m.budget(r.service.ID).First(m.now)
 	}
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -67,6 +69,7 @@
 	wishes   map[core.AdapterID]*wish
 	uses     map[core.AdapterID]map[core.HostID]use
 	copies   map[core.AdapterID]bool // adapters that the replica has held
+	heats    map[core.AdapterID]heat // how often requests have named them
 	order    *Order                  // without an answer yet
 	checks   bool                    // the order repeats one, to learn whether it is done
 	probing  bool
@@ -81,6 +84,7 @@
 	shelves  map[core.UpstreamID]*shelf
 	sorted   []*shelf // the same by replica; nil: to be made
 	services map[table.ServiceID]limits
+	fetches  int    // adapters that may be on their way from the weight store
 	next     uint64 // id of the next order
 	byOrder  map[uint64]*shelf
 }
@@ -90,8 +94,8 @@
 	if s.InTransit <= 0 {
 		s.InTransit = DefaultInTransit
 	}
-	if s.AllInTransit <= 0 {
-		s.AllInTransit = DefaultAllInTransit
+	if s.Fetches <= 0 {
+		s.Fetches = DefaultFetches
 	}
 	if s.WantFor <= 0 {
 		s.WantFor = DefaultWantFor
@@ -129,6 +133,7 @@
 			wishes:  map[core.AdapterID]*wish{},
 			uses:    map[core.AdapterID]map[core.HostID]use{},
 			copies:  map[core.AdapterID]bool{},
+			heats:   map[core.AdapterID]heat{},
 		}
 		m.shelves[e.ID] = s
 		m.sorted = nil
@@ -215,6 +220,9 @@
 	if i := s.items[u.Adapter]; i != nil {
 		i.used = now
 	}
+	if u.Begun > 0 {
+		s.warm(now, u.Adapter, u.Begun)
+	}
 	if u.Running == 0 {
 		delete(s.uses[u.Adapter], from)
 		return
@@ -225,6 +233,30 @@
 	s.uses[u.Adapter][from] = use{running: u.Running, at: now}
 }
 
+// heat is a count of requests in which older ones count less.
+type heat struct {
+	value float64
+	at    core.Instant
+}
+
+const (
+	heatHalf  = 10 * time.Second // after which a request counts half
+	heatsMost = 1024             // adapters whose heat a replica's owner remembers
+	heatLeast = 0.1              // below which it is forgotten
+)
+
+func (h heat) now(t core.Instant) float64 {
+	return h.value * math.Exp2(-float64(max(t.Sub(h.at), 0))/float64(heatHalf))
+}
+
+// warm counts requests that name an adapter.
+func (s *shelf) warm(now core.Instant, a core.AdapterID, requests int) {
+	if len(s.heats) >= heatsMost {
+		maps.DeleteFunc(s.heats, func(_ core.AdapterID, h heat) bool { return h.now(now) < heatLeast })
+	}
+	s.heats[a] = heat{value: s.heats[a].now(now) + float64(requests), at: now}
+}
+
 // running is how many requests use an adapter at a replica, as last told.
 func (s *shelf) running(now core.Instant, a core.AdapterID) int {
 	total := 0
@@ -241,15 +273,6 @@
 	return total
 }
 
-// Newest orders a version that has been named anew wherever an older one is held.
-func (m *Machine) Newest(now core.Instant, model core.BaseModel, a core.AdapterRef) {
-	for _, s := range m.shelves {
-		if i := s.items[a.ID]; i != nil && i.version < a.Version {
-			m.Wanted(now, Want{Replica: s.id, Model: model, Adapter: a, Weight: 1})
-		}
-	}
-}
-
 // Output is what the machine wants done.
 type Output struct {
 	Orders []Order
@@ -265,6 +288,7 @@
 // Tick returns the orders and probes that are due.
 func (m *Machine) Tick(now core.Instant, act Actor) Output {
 	var out Output
+	m.allot(act)
 	for _, s := range m.all() {
 		fence, ok := act(s.id)
 		if !ok {
@@ -275,6 +299,21 @@
 	return out
 }
 
+// leastFetches is how many adapters may be on their way however few replicas
+// this host orders.
+const leastFetches = 2
+
+// allot sets how many adapters may be on their way from the weight store.
+func (m *Machine) allot(act Actor) {
+	ordered := 0
+	for _, s := range m.all() {
+		if _, ok := act(s.id); ok && m.services[s.service].slots > 0 {
+			ordered++
+		}
+	}
+	m.fetches = max(int(m.settings.Fetches*float64(ordered)+0.5), leastFetches)
+}
+
 // all returns the shelves by replica.
 func (m *Machine) all() []*shelf {
 	if m.sorted != nil {
@@ -347,7 +386,7 @@
 	if o, ok := s.check(now); ok {
 		return o, true, true
 	}
-	w := s.topWish()
+	w := s.topWish(now)
 	if w == nil {
 		return Order{}, false, false
 	}
@@ -359,7 +398,7 @@
 		o, ok := m.makeRoom(now, s, w.want.Model)
 		return o, false, ok
 	}
-	if s.transit() >= m.settings.InTransit || !s.copies[w.want.Adapter.ID] && m.fetching() >= m.settings.AllInTransit {
+	if s.transit() >= m.settings.InTransit || !s.copies[w.want.Adapter.ID] && m.fetching() >= m.fetches {
 		return Order{}, false, false
 	}
 	return Order{Load: true, Model: w.want.Model, Adapter: w.want.Adapter}, false, true
@@ -402,12 +441,21 @@
 	return Order{Load: true, Model: limit.models[0].Name}, true
 }
 
-// topWish is the most wanted adapter that is neither held nor on its way.
-func (s *shelf) topWish() *wish {
+// quietFor is how long nobody may have used an adapter before another version
+// takes its place: a replica finishes all runs of the old one first, and until
+// then takes no request that names the adapter, and no other order.
+const quietFor = 400 * time.Millisecond
+
+// topWish is the most wanted adapter that is neither held nor on its way, nor
+// held at an older version that is in use.
+func (s *shelf) topWish(now core.Instant) *wish {
 	var best *wish
 	for a, w := range s.wishes {
-		if i := s.items[a]; i != nil && (i.state != ready || i.version >= w.want.Adapter.Version) {
-			continue
+		if i := s.items[a]; i != nil {
+			newer := i.state == ready && i.version < w.want.Adapter.Version
+			if !newer || s.running(now, a) > 0 || now.Sub(i.used) < quietFor {
+				continue
+			}
 		}
 		if best == nil || better(w, best) {
 			best = w
@@ -426,11 +474,13 @@
 	return a.want.Adapter.ID < b.want.Adapter.ID
 }
 
-// makeRoom unloads the adapter that nobody has used for longest. Keeps: an
-// adapter that a request is known to use is not unloaded.
+// makeRoom unloads the adapter that requests have named least, older requests
+// counting less. Keeps: an adapter that a request is known to use is not
+// unloaded.
 func (m *Machine) makeRoom(now core.Instant, s *shelf, model core.BaseModel) (Order, bool) {
 	var victim core.AdapterID
-	var oldest *item
+	var coldest *item
+	least := 0.0
 	for a, i := range s.items {
 		if i.state == unloading {
 			return Order{}, false // room is on its way
@@ -438,14 +488,20 @@
 		if i.state != ready || now.Sub(i.since) < keepAtLeast || s.running(now, a) > 0 {
 			continue
 		}
-		if oldest == nil || i.used < oldest.used || i.used == oldest.used && a < victim {
-			victim, oldest = a, i
+		h := s.heats[a].now(now)
+		if coldest == nil || colder(h, i, a, least, coldest, victim) {
+			victim, coldest, least = a, i, h
 		}
 	}
-	if oldest == nil {
+	if coldest == nil {
 		return Order{}, false
 	}
-	return Order{Model: model, Adapter: core.AdapterRef{ID: victim, Version: oldest.version}}, true
+	return Order{Model: model, Adapter: core.AdapterRef{ID: victim, Version: coldest.version}}, true
+}
+
+// colder orders adapters by heat, then by their last use, then by name.
+func colder(h float64, i *item, a core.AdapterID, than float64, other *item, b core.AdapterID) bool {
+	return cmp.Or(cmp.Compare(h, than), cmp.Compare(i.used, other.used), cmp.Compare(a, b)) < 0
 }
 
 // transit is how many adapters are on their way to a replica.
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -128,7 +128,7 @@
 	is.Equal(held(m), []core.AdapterID{"x"})
 }
 
-func TestTheLeastRecentlyUsedAdapterMakesRoomUnlessItIsInUse(t *testing.T) {
+func TestTheColdestAdapterMakesRoomUnlessItIsInUse(t *testing.T) {
 	is := is.New(t)
 	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
@@ -141,6 +141,24 @@
 	is.Equal(held(m), []core.AdapterID{"x", "z"})
 }
 
+// The pattern of a burst of rare adapters: it must not push out the popular ones.
+func TestRareAdaptersMakeRoomForEachOther(t *testing.T) {
+	is := is.New(t)
+	m, e := newMachine(2), newEngine(2)
+	run(m, e, 0, 0)
+	m.Wanted(0, want("popular"))
+	run(m, e, 0, time.Second)
+	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "popular", Begun: 20})
+	for i := range 5 {
+		now := time.Duration(i+1) * time.Second
+		rare := core.AdapterID("rare" + strconv.Itoa(i))
+		m.Wanted(at(now), want(rare))
+		run(m, e, now, now+900*time.Millisecond)
+		m.Used(at(now+900*time.Millisecond), "h", Use{Replica: "r", Adapter: rare, Begun: 1})
+		is.Equal(held(m), []core.AdapterID{"popular", rare})
+	}
+}
+
 func TestACopyLoadsWithoutWaitingForFetches(t *testing.T) {
 	is := is.New(t)
 	m, e := newMachine(1), newEngine(1)
@@ -154,14 +172,23 @@
 	is.Equal(held(m), []core.AdapterID{"x"})
 }
 
-func TestANewerVersionReplacesAnOlderOne(t *testing.T) {
+// Found on a day with a popular adapter (trouble-3): a replica that was ordered
+// to replace it waited four seconds for its runs, and refused it meanwhile.
+func TestANewerVersionWaitsUntilTheOldOneIsNotUsed(t *testing.T) {
 	is := is.New(t)
-	m, e := newMachine(1), newEngine(1)
+	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
 	m.Wanted(0, want("x"))
 	run(m, e, 0, time.Second)
-	m.Newest(at(time.Second), base, core.AdapterRef{ID: "x", Version: 5})
-	out := m.Tick(at(time.Second), act)
+	newer := want("x")
+	newer.Adapter.Version = 5
+	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "x", Running: 1})
+	m.Wanted(at(time.Second), newer)
+	is.Equal(len(m.Tick(at(time.Second), act).Orders), 0)
+	m.Used(at(1100*time.Millisecond), "h", Use{Replica: "r", Adapter: "x"})
+	m.Wanted(at(1100*time.Millisecond), newer)
+	is.Equal(len(m.Tick(at(1200*time.Millisecond), act).Orders), 0)
+	out := m.Tick(at(1100*time.Millisecond+quietFor), act)
 	is.Equal(len(out.Orders), 1)
 	is.Equal(out.Orders[0].Adapter, core.AdapterRef{ID: "x", Version: 5})
 	is.True(out.Orders[0].Load)
--- a/internal/core/stock/types.go
+++ b/internal/core/stock/types.go
@@ -76,26 +76,28 @@
 	Weight  int             // requests that wait for it
 }
 
-// Use tells how many requests a host has at a replica that name an adapter.
+// Use tells how many requests a host has at a replica that name an adapter, and
+// how many it has sent there since it last told.
 type Use struct {
 	Replica core.UpstreamID
 	Adapter core.AdapterID
 	Running int
+	Begun   int
 }
 
 // Settings of the decisions.
 type Settings struct {
-	Self         core.HostID
-	InTransit    int           // adapters on their way to one replica
-	AllInTransit int           // adapters on their way to all replicas of this host
-	WantFor      time.Duration // a want that is not repeated is dropped after it
+	Self      core.HostID
+	InTransit int           // adapters on their way to one replica
+	Fetches   float64       // adapters on their way from the weight store, for each replica that this host orders
+	WantFor   time.Duration // a want that is not repeated is dropped after it
 }
 
 // Defaults of Settings.
 const (
-	DefaultInTransit    = 4
-	DefaultAllInTransit = 6
-	DefaultWantFor      = 1500 * time.Millisecond
+	DefaultInTransit = 4
+	DefaultFetches   = 0.75
+	DefaultWantFor   = 700 * time.Millisecond
 )
 
 // Actor tells under which number this host may order a replica now.
