Rates after a restart: leases carry how full the buckets were

Change: renewals of the shards' leases carry the buckets' levels; a host that starts restores 0.6 of what was left, at least 0.15 of a burst. Refusals tell the workspace, its level and the part of the fleet heard.

--- a/internal/core/direct/admit.go
+++ b/internal/core/direct/admit.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -103,7 +104,8 @@
 	r.cost = cost(r.workspace, r.arrive.Tokens)
 	ok, retryAfter := m.quota.Take(m.now, r.workspace.ID, r.cost)
 	if !ok {
-		return core.Refuse(core.CodeRateLimited, retryAfter, "the workspace is over its rate")
+		level, part := m.quota.Level(m.now, r.workspace.ID)
+		return core.Refuse(core.CodeRateLimited, retryAfter, fmt.Sprintf("workspace %s is over its rate: %d tokens left, %.2f of the fleet heard", r.workspace.ID, level, part))
 	}
 	return nil
 }
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -123,7 +123,7 @@
 // New returns the machine of a host that has no configuration.
 func New(s Settings) *Machine {
 	s.fill()
-	return &Machine{
+	m := &Machine{
 		settings: s,
 		rng:      core.NewRand(s.Seed),
 		replicas: replicas.NewSet(health.Settings{}),
@@ -145,6 +145,8 @@
 		begunUses: map[use]int{},
 		untold:    map[core.UpstreamID]replicas.Stock{},
 	}
+	m.shards.Carry(func() map[core.WorkspaceID]float64 { return m.quota.Levels(m.now) })
+	return m
 }
 
 // Step handles one event and returns what to do.
@@ -181,6 +183,7 @@
 		m.fleet.Unlisted(e.Name)
 	case LeasesListed:
 		m.shards.Read(m.now, e.Objects)
+		m.restore()
 	case StoreLost:
 		m.replicas.StoreLost(m.now)
 	case StoreReached:
@@ -240,6 +243,7 @@
 	}
 	m.table = t
 	m.quota.Configure(m.now, t.Workspaces)
+	m.restore()
 	m.stock.Configure(t.Services)
 	m.emit(Note{Name: "configuration", Reason: "in_force", Detail: "version " + utoa(t.Version)})
 	m.withdrawKeys()
@@ -392,6 +396,17 @@
 	})
 }
 
+// restore takes from the leases how full the workspaces' buckets were before
+// this host started.
+func (m *Machine) restore() {
+	if m.table == nil {
+		return
+	}
+	if levels := m.shards.Levels(); levels != nil {
+		m.quota.Restore(levels)
+	}
+}
+
 // leases renews and takes the shards' leases.
 func (m *Machine) leases() {
 	for _, c := range m.shards.Tick(m.now, func() []core.HostID { return m.fleet.Members(m.now) }) {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -14,6 +14,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -26,6 +27,11 @@
 // retryMost is the longest.
 const retryMost = 2 * time.Second
 
+// joinLevel is how full the buckets of a host are that joins a fleet at work, as
+// a part of the burst: all hosts of a fleet may have restarted at once, so it is
+// little.
+const joinLevel = 0.15
+
 // Totals are what one host has admitted since it started, by workspace.
 type Totals map[core.WorkspaceID]int64
 
@@ -39,15 +45,17 @@
 
 // Machine is one host's view of all workspaces' rates.
 type Machine struct {
-	buckets map[core.WorkspaceID]*bucket
-	mine    Totals
-	heard   map[core.HostID]Totals
-	part    float64 // share of the fleet that this host hears, itself included
-	fresh   bool    // nothing admitted or heard yet: buckets start empty
+	buckets  map[core.WorkspaceID]*bucket
+	mine     Totals
+	heard    map[core.HostID]Totals
+	part     float64 // share of the fleet that this host hears, itself included
+	restored bool    // nothing is to be restored any more
+	fresh    bool    // the whole deployment starts: the first buckets are full
 }
 
 // New returns a machine without workspaces. A host that joins a fleet at work
-// starts with empty buckets, for it can't know what was spent before it came.
+// starts with little in its buckets, for it can't know what was spent before it
+// came.
 func New(joining bool) *Machine {
 	return &Machine{
 		buckets: map[core.WorkspaceID]*bucket{},
@@ -55,6 +63,8 @@
 		heard:   map[core.HostID]Totals{},
 		part:    1,
 		fresh:   !joining,
+
+		restored: !joining,
 	}
 }
 
@@ -71,7 +81,7 @@
 		case b == nil && m.fresh:
 			b = &bucket{level: w.Burst, at: now}
 		case b == nil:
-			b = &bucket{at: now}
+			b = &bucket{level: joinLevel * w.Burst, at: now}
 		default:
 			m.fill(now, b)
 		}
@@ -85,6 +95,37 @@
 	}
 }
 
+// restoredPart is how much of what was in a bucket before a start is put back:
+// some of it may have been spent after it was told.
+const restoredPart = 0.6
+
+// Restore takes how full the buckets were a moment ago, as parts of their
+// bursts, where this host has just started and knows nothing better.
+func (m *Machine) Restore(levels map[core.WorkspaceID]float64) {
+	if m.restored {
+		return
+	}
+	m.restored = true
+	for id, part := range levels {
+		if b := m.buckets[id]; b != nil {
+			b.level += max(restoredPart*min(part, 1)-joinLevel, 0) * b.burst
+		}
+	}
+}
+
+// Levels are how full the buckets are, as parts of their bursts.
+func (m *Machine) Levels(now core.Instant) map[core.WorkspaceID]float64 {
+	const precision = 100
+	levels := make(map[core.WorkspaceID]float64, len(m.buckets))
+	for id, b := range m.buckets {
+		m.fill(now, b)
+		if b.burst > 0 {
+			levels[id] = math.Round(max(b.level/b.burst, -1)*precision) / precision
+		}
+	}
+	return levels
+}
+
 // Hears sets how much of the fleet this host hears, itself included, in (0, 1].
 func (m *Machine) Hears(now core.Instant, part float64) {
 	if part == m.part {
@@ -118,6 +159,17 @@
 	return true, 0
 }
 
+// Level is what is left in a workspace's bucket, and the part of the fleet that
+// this host hears.
+func (m *Machine) Level(now core.Instant, id core.WorkspaceID) (tokens int64, part float64) {
+	b := m.buckets[id]
+	if b == nil {
+		return 0, m.part
+	}
+	m.fill(now, b)
+	return int64(b.level), m.part
+}
+
 // Return gives back the tokens of a request that was not run after all.
 func (m *Machine) Return(now core.Instant, id core.WorkspaceID, cost core.Tokens) {
 	m.mine[id] -= int64(cost)
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -52,6 +52,10 @@
 	Fence    core.Fence  `json:"fence"` // rises with each holder
 	Renewals uint64      `json:"renewals"`
 	Released bool        `json:"released"`
+
+	// Levels are how full the workspaces' buckets were at the renewal, as parts of
+	// their bursts, for hosts that start.
+	Levels map[core.WorkspaceID]float64 `json:"levels,omitempty"`
 }
 
 type lease struct {
@@ -77,6 +81,7 @@
 	leases   []lease
 	listed   bool // the leases have been read at least once
 	leaving  bool
+	levels   func() map[core.WorkspaceID]float64 // nil: writes carry none
 }
 
 // New returns a machine that holds nothing.
@@ -147,6 +152,23 @@
 	l.record, l.version, l.seen = r, o.Version, now
 }
 
+// Carry sets what gives the levels that writes carry.
+func (m *Machine) Carry(levels func() map[core.WorkspaceID]float64) { m.levels = levels }
+
+// Levels are those of the lease that was written last, as far as can be told.
+func (m *Machine) Levels() map[core.WorkspaceID]float64 {
+	var latest *lease
+	for i := range m.leases {
+		if l := &m.leases[i]; l.record.Levels != nil && (latest == nil || l.version > latest.version) {
+			latest = l
+		}
+	}
+	if latest == nil {
+		return nil
+	}
+	return latest.record.Levels
+}
+
 // Leave gives all leases up and takes none any more.
 func (m *Machine) Leave() { m.leaving = true }
 
@@ -225,6 +247,9 @@
 }
 
 func (m *Machine) write(now core.Instant, i int, l *lease, r Record) Call {
+	if m.levels != nil {
+		r.Levels = m.levels()
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // a struct of strings and numbers
