Beats are short: replicas and workspaces by number, fewer beats in a message; newest versions in use are loaded unasked

A version named anew was loaded only once a request asked for it after its grace (found by the test of fleets). Change: 32-bit hashes stand for names, 16 beats in a message each 250 ms; owners reload quiet adapters in use.

--- a/internal/core/direct/beats.go
+++ b/internal/core/direct/beats.go
@@ -5,6 +5,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/quota"
 	"gentiancroft/internal/core/replicas"
 )
 
@@ -14,10 +15,10 @@
 const (
 	meshMost    = 12                     // hosts up to which each tells all others
 	beatPerHost = 10 * time.Millisecond  // added to the time between two beats for each host told
-	spreadEvery = 200 * time.Millisecond // between two beats in a larger fleet
+	spreadEvery = 250 * time.Millisecond // between two beats in a larger fleet
 	spreadNear  = 2                      // hosts of the own failure domain that are told
 	spreadFar   = 1                      // hosts of other failure domains
-	spreadBeats = 32                     // beats of others in one message
+	spreadBeats = 16                     // beats of others in one message
 )
 
 // stockEvery is how often the whole stock of the replicas that this host orders
@@ -59,7 +60,7 @@
 		Ready:    m.Ready(),
 		Leaving:  m.leaving != 0,
 		Uptime:   time.Duration(m.now),
-		Spent:    m.quota.Mine(),
+		Spent:    m.spent(),
 		Loads:    m.ownLoads(),
 		Crashes:  m.ownCrashes(),
 		Config:   m.configVersion(),
@@ -69,6 +70,27 @@
 	}
 }
 
+// spent is what this host has admitted, by workspace.
+func (m *Machine) spent() map[uint32]int64 {
+	spent := make(map[uint32]int64, len(m.quota.Mine()))
+	for id, tokens := range m.quota.Mine() {
+		spent[core.Short(string(id))] = tokens
+	}
+	return spent
+}
+
+// totals are what another host has admitted, of the workspaces that this one
+// knows.
+func (m *Machine) totals(spent map[uint32]int64) quota.Totals {
+	totals := quota.Totals{}
+	for short, tokens := range spent {
+		if id, ok := m.workspaces[short]; ok {
+			totals[id] = tokens
+		}
+	}
+	return totals
+}
+
 // freshBeats are the beats of others that have been learned since the last call.
 func (m *Machine) freshBeats() []Beat {
 	fresh := m.gossip.fresh
@@ -116,9 +138,9 @@
 		m.gossip.fresh = append(m.gossip.fresh, b.Host)
 	}
 	if !m.quota.Knows(b.Host) && b.Uptime > time.Duration(m.now)+time.Second {
-		m.quota.Join(b.Host, b.Spent) // spent before this host was there
+		m.quota.Join(b.Host, m.totals(b.Spent)) // spent before this host was there
 	}
-	m.quota.Heard(m.now, b.Host, b.Spent)
+	m.quota.Heard(m.now, b.Host, m.totals(b.Spent))
 	m.takeLoads(b.Host, b.Loads)
 	m.heardCrashes(b.Host, b.Crashes)
 	m.compare(b)
--- /dev/null
+++ b/internal/core/direct/bench_test.go
@@ -0,0 +1,80 @@
+package direct
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/replicas"
+)
+
+// BenchmarkHost measures what one host does in a second of a fleet of a size:
+// beats of the others as they reach it, ticks, and its share of the requests.
+func BenchmarkHost(b *testing.B) {
+	for _, hosts := range []int{8, 75, 350} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) { benchmarkHost(b, hosts) })
+	}
+}
+
+func benchmarkHost(b *testing.B, hosts int) {
+	m := New(Settings{Self: fleet.Registration{Name: "self", Host: "self/1", Domain: "a"}, FirstStart: true})
+	now := core.Instant(0)
+	m.Step(now, Configured{Table: testTable()})
+	var entries []replicas.Entry
+	var loads []Load
+	for i := range 2 * hosts {
+		id := core.UpstreamID(fmt.Sprintf("i-%d", i))
+		entries = append(entries, replica(id, engines, core.AdapterRef{ID: "x", Version: 1}))
+		if i < 8 {
+			loads = append(loads, Load{Replica: core.Short(string(id)), Running: 2})
+		}
+	}
+	m.Step(now, ReplicasListed{Entries: entries})
+	beats := make([]Beat, hosts-1)
+	for i := range beats {
+		name := fmt.Sprintf("host-%d", i)
+		beats[i] = Beat{Host: core.HostID(name), Ready: true, Loads: loads, Spent: map[uint32]int64{core.Short("w"): 0}}
+		m.Step(now, HostListed{Host: fleet.Registration{Name: name, Host: beats[i].Host, Domain: "a"}})
+	}
+	sent, bytes, n := 0, 0, uint64(0)
+	count := func(effects []Effect) {
+		for _, e := range effects {
+			if p, ok := e.(ToPeers); ok {
+				payload, err := cbor.Marshal(p.Message)
+				if err != nil {
+					b.Fatal(err)
+				}
+				sent += len(p.To)
+				bytes += len(p.To) * len(payload)
+			}
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		for tick := range 50 {
+			now = now.Add(20 * time.Millisecond)
+			if tick%12 == 0 { // each host's beat reaches this one about four times a second
+				n++
+				for i := range beats {
+					beats[i].Number = n
+				}
+				for first := 0; first < len(beats); first += spreadBeats {
+					count(m.Step(now, FromPeer{From: "host-0", Message: Message{Beats: beats[first:min(first+spreadBeats, len(beats))]}}))
+				}
+			}
+			count(m.Step(now, Tick{}))
+			if tick%2 == 0 {
+				id := core.RequestID(fmt.Sprintf("%d-%d", n, tick))
+				count(m.Step(now, Arrive{ID: id, Host: "h", Path: "/stream/x", Model: model, Adapter: "x", Patience: time.Second}))
+				count(m.Step(now, Ended{ID: id, Attempt: 1, Kind: EndOK}))
+			}
+		}
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "messages/s")
+	b.ReportMetric(float64(bytes)/float64(b.N), "sent-B/s")
+}
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -165,7 +165,7 @@
 func TestAPeersLoadCounts(t *testing.T) {
 	h := newHost(t)
 	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
-	h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: 1, Ready: true, Loads: []Load{{Replica: "s1", Running: 5}}}}}})
+	h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: 1, Ready: true, Loads: []Load{{Replica: core.Short("s1"), Running: 5}}}}}})
 	for range 4 {
 		h.arrive(Arrive{Path: "/act/x"})
 		h.is.Equal(h.dispatch().Upstream, core.UpstreamID("s2"))
--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -10,7 +10,6 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
-	"gentiancroft/internal/core/quota"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/stock"
 	"gentiancroft/internal/core/table"
@@ -166,7 +165,7 @@
 	Ready    bool             `cbor:"3,keyasint,omitempty"`
 	Leaving  bool             `cbor:"4,keyasint,omitempty"`
 	Uptime   time.Duration    `cbor:"5,keyasint,omitempty"`
-	Spent    quota.Totals     `cbor:"6,keyasint,omitempty"`
+	Spent    map[uint32]int64 `cbor:"6,keyasint,omitempty"` // tokens admitted since the start, by core.Short of the workspace
 	Loads    []Load           `cbor:"7,keyasint,omitempty"`
 	Crashes  map[uint64]uint8 `cbor:"8,keyasint,omitempty"`  // replicas lost, by request fingerprint
 	Config   uint64           `cbor:"9,keyasint,omitempty"`  // version of the configuration in force
@@ -177,8 +176,9 @@
 
 // Load is how many requests a host has at a replica.
 type Load struct {
-	Replica core.UpstreamID `cbor:"1,keyasint"`
-	Running int             `cbor:"2,keyasint"`
+	_       struct{} `cbor:",toarray"`
+	Replica uint32   // core.Short of its id
+	Running int
 }
 
 // Effect is something that the machine wants done.
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -96,8 +96,9 @@
 	loads      map[core.HostID][]Load
 	gossip     gossip
 	cover      cover
-	rereads    uint64 // times that documents are to be read again
-	versionSum uint64 // of the adapters' newest versions
+	rereads    uint64                      // times that documents are to be read again
+	versionSum uint64                      // of the adapters' newest versions
+	workspaces map[uint32]core.WorkspaceID // by core.Short
 	wanters    wanters
 	untold     map[core.UpstreamID]replicas.Stock // changed, and not told to all hosts yet
 	begunUses  map[use]int                        // requests sent since the last beat
@@ -245,6 +246,10 @@
 	m.quota.Configure(m.now, t.Workspaces)
 	m.restore()
 	m.stock.Configure(t.Services)
+	m.workspaces = make(map[uint32]core.WorkspaceID, len(t.Workspaces))
+	for id := range t.Workspaces {
+		m.workspaces[core.Short(string(id))] = id
+	}
 	m.emit(Note{Name: "configuration", Reason: "in_force", Detail: "version " + utoa(t.Version)})
 	m.withdrawKeys()
 }
@@ -330,6 +335,7 @@
 		at = at.Add(-m.settings.VersionGrace)
 	}
 	m.versions[e.Adapter.ID] = named{version: e.Adapter.Version, at: at}
+	m.stock.Newest(e.Model, e.Adapter)
 }
 
 func (m *Machine) hostsListed(hosts []fleet.Registration) {
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -37,7 +37,7 @@
 	var loads []Load
 	for _, x := range m.replicas.All() {
 		if x.Mine > 0 {
-			loads = append(loads, Load{Replica: x.ID, Running: x.Mine})
+			loads = append(loads, Load{Replica: core.Short(string(x.ID)), Running: x.Mine})
 		}
 	}
 	return loads
@@ -55,12 +55,12 @@
 // takeLoads puts what a host has at the replicas in the place of what it had.
 func (m *Machine) takeLoads(from core.HostID, loads []Load) {
 	for _, l := range m.loads[from] {
-		if x := m.replicas.Get(l.Replica); x != nil {
+		if x := m.replicas.Short(l.Replica); x != nil {
 			x.Others = max(x.Others-l.Running, 0)
 		}
 	}
 	for _, l := range loads {
-		if x := m.replicas.Get(l.Replica); x != nil {
+		if x := m.replicas.Short(l.Replica); x != nil {
 			x.Others += l.Running
 		}
 	}
--- a/internal/core/hash.go
+++ b/internal/core/hash.go
@@ -59,6 +59,10 @@
 	return out
 }
 
+// Short is a number that stands for a name where messages are many. Two names of
+// one kind hardly ever share theirs.
+func Short(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 // Fingerprint hashes the parts of a request that decide what an upstream runs,
 // mixed with a deployment-wide key.
 func Fingerprint(key uint64, parts ...string) uint64 {
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -87,6 +87,7 @@
 	byID   map[core.UpstreamID]*Replica
 	sorted []*Replica                     // all, by id; nil: to be made
 	of     map[table.ServiceID][]*Replica // the same by service
+	short  map[uint32]*Replica            // the same by core.Short of their ids
 	digest uint64                         // 0: to be made
 	health health.Settings
 	lost   core.Instant // when the store was last out of reach; 0: never
@@ -101,8 +102,13 @@
 // Get returns a replica, or nil.
 func (s *Set) Get(id core.UpstreamID) *Replica { return s.byID[id] }
 
-// Len is how many replicas are known.
-func (s *Set) Len() int { return len(s.byID) }
+// Short returns the replica whose id has a short number, or nil.
+func (s *Set) Short(n uint32) *Replica {
+	if s.sorted == nil {
+		s.sort()
+	}
+	return s.short[n]
+}
 
 // All returns every replica, sorted. The slice is not the caller's to change.
 func (s *Set) All() []*Replica {
@@ -128,8 +134,10 @@
 	}
 	slices.SortFunc(s.sorted, func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) })
 	s.of = map[table.ServiceID][]*Replica{}
+	s.short = map[uint32]*Replica{}
 	for _, r := range s.sorted {
 		s.of[r.Service] = append(s.of[r.Service], r)
+		s.short[core.Short(string(r.ID))] = r
 	}
 }
 
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -84,6 +84,7 @@
 	shelves  map[core.UpstreamID]*shelf
 	sorted   []*shelf // the same by replica; nil: to be made
 	services map[table.ServiceID]limits
+	newest   map[core.AdapterID]newest
 	fetches  int    // adapters that may be on their way from the weight store
 	next     uint64 // id of the next order
 	byOrder  map[uint64]*shelf
@@ -105,6 +106,7 @@
 		shelves:  map[core.UpstreamID]*shelf{},
 		services: map[table.ServiceID]limits{},
 		byOrder:  map[uint64]*shelf{},
+		newest:   map[core.AdapterID]newest{},
 	}
 }
 
@@ -273,6 +275,17 @@
 	return total
 }
 
+// Newest takes an adapter's newest version: replicas that hold an older one load
+// it once the old one is quiet, if requests have named the adapter lately.
+func (m *Machine) Newest(model core.BaseModel, a core.AdapterRef) {
+	m.newest[a.ID] = newest{model: model, version: a.Version}
+}
+
+type newest struct {
+	model   core.BaseModel
+	version int
+}
+
 // Output is what the machine wants done.
 type Output struct {
 	Orders []Order
@@ -387,6 +400,9 @@
 		return o, true, true
 	}
 	w := s.topWish(now)
+	if w == nil {
+		w = m.renewal(now, s)
+	}
 	if w == nil {
 		return Order{}, false, false
 	}
@@ -464,6 +480,30 @@
 	return best
 }
 
+// renewHeat is how much an adapter must be in use for its newest version to be
+// loaded unasked.
+const renewHeat = 0.5
+
+// renewal is a wish of the owner's own: for the newest version of an adapter that
+// the replica holds at an older one.
+func (m *Machine) renewal(now core.Instant, s *shelf) *wish {
+	var best *wish
+	for a, n := range m.newest {
+		i := s.items[a]
+		if i == nil || i.state != ready || i.version >= n.version || s.running(now, a) > 0 || now.Sub(i.used) < quietFor {
+			continue
+		}
+		if s.heats[a].now(now) < renewHeat {
+			continue
+		}
+		w := &wish{want: Want{Replica: s.id, Model: n.model, Adapter: core.AdapterRef{ID: a, Version: n.version}}}
+		if best == nil || better(w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
 func better(a, b *wish) bool {
 	if a.want.Weight != b.want.Weight {
 		return a.want.Weight > b.want.Weight
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -194,6 +194,22 @@
 	is.True(out.Orders[0].Load)
 }
 
+func TestTheNewestVersionOfAnAdapterInUseIsLoadedUnasked(t *testing.T) {
+	is := is.New(t)
+	m, e := newMachine(2), newEngine(2)
+	run(m, e, 0, 0)
+	m.Wanted(0, want("used"))
+	m.Wanted(0, want("idle"))
+	run(m, e, 0, time.Second)
+	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "used", Begun: 1})
+	m.Newest(base, core.AdapterRef{ID: "used", Version: 2})
+	m.Newest(base, core.AdapterRef{ID: "idle", Version: 2})
+	is.Equal(len(m.Tick(at(time.Second), act).Orders), 0) // used a moment ago
+	out := m.Tick(at(time.Second+quietFor), act)
+	is.Equal(len(out.Orders), 1)
+	is.Equal(out.Orders[0].Adapter, core.AdapterRef{ID: "used", Version: 2})
+}
+
 func TestAnEmptyReplicaLoadsItsModelFirst(t *testing.T) {
 	is := is.New(t)
 	m := newMachine(1)
