--- a/cmd/gentiancroft/relay.go
+++ b/cmd/gentiancroft/relay.go
@@ -19,7 +19,7 @@
 // how much garbage it lets grow between two collections.
 const (
 	memoryPart     = 0.6
-	garbagePercent = 60
+	garbagePercent = 25
 )
 
 func relayCommand() *cobra.Command {
