Adapters: fetches go to the best wishes of all replicas, those that can be on time first

And while more is wanted than can be loaded, first come first served made everybody late. Change: one choice over all replicas of the owner: on time first, then more waiting requests, then the replica that has fetched nothing for longest. Copies, which cost the weight store nothing, go at once. Tests name both patterns and fail without it.

--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -15,6 +15,8 @@
 	homeKind = 23
 	// askAgain is how long after asking for an adapter it is asked for again.
 	askAgain = 400 * time.Millisecond
+	// beginTime is what a request needs from its dispatch to its first event.
+	beginTime = 60 * time.Millisecond
 	// waitObjectives is how long a request waits for its adapter at most, in
 	// objectives of its route.
 	waitObjectives = 3
@@ -199,6 +201,7 @@
 		Model:   r.arrive.Model,
 		Adapter: core.AdapterRef{ID: r.arrive.Adapter, Version: m.versions[r.arrive.Adapter].version},
 		Weight:  m.waitingFor(r.arrive.Adapter),
+		Left:    r.came.Add(r.route.Objective).Sub(m.now) - beginTime,
 	}
 	if _, ok := m.acting(x.ID); ok {
 		m.stock.Wanted(m.now, w)
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -46,9 +46,10 @@
 }
 
 type wish struct {
-	want Want
-	at   core.Instant // last repeated
-	from core.Instant // first asked
+	want  Want
+	at    core.Instant // last repeated
+	from  core.Instant // first asked
+	until core.Instant // when the adapter must be there for a request to be on time
 }
 
 type use struct {
@@ -75,6 +76,7 @@
 	probing  bool
 	probe    core.Instant // when the next report is due; 0: none is
 	busy     core.Instant // a model is on its way since; 0: none is
+	fetched  core.Instant // when it was last ordered to fetch an adapter
 	changed  bool
 }
 
@@ -206,11 +208,12 @@
 	}
 	if x := s.wishes[w.Adapter.ID]; x != nil {
 		x.at = now
+		x.until = max(x.until, now.Add(w.Left))
 		x.want.Weight = max(x.want.Weight, w.Weight)
 		x.want.Adapter.Version = max(x.want.Adapter.Version, w.Adapter.Version)
 		return
 	}
-	s.wishes[w.Adapter.ID] = &wish{want: w, at: now, from: now}
+	s.wishes[w.Adapter.ID] = &wish{want: w, at: now, from: now, until: now.Add(w.Left)}
 }
 
 // Used takes what a host has running.
@@ -302,16 +305,45 @@
 func (m *Machine) Tick(now core.Instant, act Actor) Output {
 	var out Output
 	m.allot(act)
+	var fetches []candidate
 	for _, s := range m.all() {
 		fence, ok := act(s.id)
 		if !ok {
 			continue
 		}
-		m.advance(now, s, fence, &out)
+		if w := m.advance(now, s, fence, &out); w != nil {
+			fetches = append(fetches, candidate{shelf: s, fence: fence, wish: w})
+		}
 	}
+	m.fetch(now, fetches, &out)
 	return out
 }
 
+// candidate is an adapter that a replica would have to load from the weight store.
+type candidate struct {
+	shelf *shelf
+	fence core.Fence
+	wish  *wish
+}
+
+// fetch orders, of what the replicas wait for, as much as may be on its way, the
+// best wishes of all replicas first.
+func (m *Machine) fetch(now core.Instant, all []candidate, out *Output) {
+	slices.SortStableFunc(all, func(a, b candidate) int {
+		if better(now, a.shelf, a.wish, b.shelf, b.wish) {
+			return -1
+		}
+		return 1
+	})
+	free := m.fetches - m.fetching()
+	for _, f := range all[:min(max(free, 0), len(all))] {
+		if o, ok := m.load(now, f.shelf, f.wish); ok {
+			f.shelf.fetched = now
+			m.give(f.shelf, o, f.fence, out)
+		}
+	}
+}
+
 // leastFetches is how many adapters may be on their way however few replicas
 // this host orders.
 const leastFetches = 2
@@ -340,10 +372,12 @@
 	return m.sorted
 }
 
-func (m *Machine) advance(now core.Instant, s *shelf, fence core.Fence, out *Output) {
+// advance does what is due at a replica. It returns the wish that the replica
+// would have to fetch an adapter for, nil where there is none.
+func (m *Machine) advance(now core.Instant, s *shelf, fence core.Fence, out *Output) *wish {
 	limit, ok := m.services[s.service]
 	if !ok {
-		return
+		return nil
 	}
 	s.expire(now, m.settings.WantFor)
 	if !s.probing && (!s.synced && s.probe == 0 || s.probe != 0 && now >= s.probe) {
@@ -351,14 +385,32 @@
 		s.probe = 0
 		out.Probes = append(out.Probes, Probe{Replica: s.id, Address: s.address})
 	}
-	if s.order != nil || !s.synced {
-		return
+	if s.order != nil || !s.synced || s.busy != 0 {
+		return nil
 	}
-	o, checks, ok := m.choose(now, s, limit)
-	if !ok {
-		return
+	if o, ok := m.loadModel(s, limit); ok {
+		m.give(s, o, fence, out)
+		return nil
+	}
+	if o, ok := s.check(now); ok {
+		s.checks = true
+		m.give(s, o, fence, out)
+		return nil
+	}
+	if s.transit() >= m.settings.InTransit {
+		return nil
 	}
-	s.checks = checks
+	if w := m.topWish(now, s, true); w != nil {
+		if o, ok := m.load(now, s, w); ok {
+			m.give(s, o, fence, out)
+			return nil
+		}
+	}
+	return m.topWish(now, s, false)
+}
+
+// give sends an order to a replica.
+func (m *Machine) give(s *shelf, o Order, fence core.Fence, out *Output) {
 	m.next++
 	o.ID, o.Replica, o.Address = m.next, s.id, s.address
 	o.Expected, o.Holder, o.Fence = s.sequence, m.settings.Self, fence
@@ -367,6 +419,15 @@
 	out.Orders = append(out.Orders, o)
 }
 
+// load orders what a wish asks for, or makes room for it.
+func (m *Machine) load(now core.Instant, s *shelf, w *wish) (Order, bool) {
+	replaces := s.items[w.want.Adapter.ID] != nil
+	if len(s.items) >= m.services[s.service].slots && !replaces {
+		return m.makeRoom(now, s, w.want.Model)
+	}
+	return Order{Load: true, Model: w.want.Model, Adapter: w.want.Adapter}, true
+}
+
 func (s *shelf) expire(now core.Instant, wantFor time.Duration) {
 	for a, w := range s.wishes {
 		i := s.items[a]
@@ -387,39 +448,6 @@
 	}
 }
 
-// choose picks the next order for a replica. It may be one that was given
-// before: a replica that is asked again says whether it has carried it out.
-func (m *Machine) choose(now core.Instant, s *shelf, limit limits) (o Order, checks, ok bool) {
-	if s.busy != 0 {
-		return Order{}, false, false
-	}
-	if o, ok := m.loadModel(s, limit); ok {
-		return o, false, true
-	}
-	if o, ok := s.check(now); ok {
-		return o, true, true
-	}
-	w := s.topWish(now)
-	if w == nil {
-		w = m.renewal(now, s)
-	}
-	if w == nil {
-		return Order{}, false, false
-	}
-	if _, there := s.models[w.want.Model]; !there {
-		return Order{}, false, false
-	}
-	replaces := s.items[w.want.Adapter.ID] != nil
-	if len(s.items) >= limit.slots && !replaces {
-		o, ok := m.makeRoom(now, s, w.want.Model)
-		return o, false, ok
-	}
-	if s.transit() >= m.settings.InTransit || !s.copies[w.want.Adapter.ID] && m.fetching() >= m.fetches {
-		return Order{}, false, false
-	}
-	return Order{Load: true, Model: w.want.Model, Adapter: w.want.Adapter}, false, true
-}
-
 // check asks again for what should have been carried out by now.
 func (s *shelf) check(now core.Instant) (Order, bool) {
 	var due core.AdapterID
@@ -462,21 +490,37 @@
 // then takes no request that names the adapter, and no other order.
 const quietFor = 400 * time.Millisecond
 
-// topWish is the most wanted adapter that is neither held nor on its way, nor
-// held at an older version that is in use.
-func (s *shelf) topWish(now core.Instant) *wish {
+// topWish is the best wish for an adapter that is neither held nor on its way, nor
+// held at an older version that is in use: of those that load from a copy, or of
+// those that have to be fetched.
+func (m *Machine) topWish(now core.Instant, s *shelf, copied bool) *wish {
 	var best *wish
-	for a, w := range s.wishes {
+	take := func(a core.AdapterID, w *wish) {
+		_, there := s.models[w.want.Model]
+		if !there || s.copies[a] != copied {
+			return
+		}
 		if i := s.items[a]; i != nil {
 			newer := i.state == ready && i.version < w.want.Adapter.Version
 			if !newer || s.running(now, a) > 0 || now.Sub(i.used) < quietFor {
-				continue
+				return
 			}
 		}
-		if best == nil || better(w, best) {
+		if best == nil || better(now, s, w, s, best) {
 			best = w
 		}
 	}
+	for a, w := range s.wishes {
+		take(a, w)
+	}
+	if best != nil {
+		return best
+	}
+	for a, n := range m.newest {
+		if s.items[a] != nil && s.heats[a].now(now) >= renewHeat {
+			take(a, &wish{want: Want{Replica: s.id, Model: n.model, Adapter: core.AdapterRef{ID: a, Version: n.version}}})
+		}
+	}
 	return best
 }
 
@@ -484,36 +528,35 @@
 // loaded unasked.
 const renewHeat = 0.5
 
-// renewal is a wish of the owner's own: for the newest version of an adapter that
-// the replica holds at an older one.
-func (m *Machine) renewal(now core.Instant, s *shelf) *wish {
-	var best *wish
-	for a, n := range m.newest {
-		i := s.items[a]
-		if i == nil || i.state != ready || i.version >= n.version || s.running(now, a) > 0 || now.Sub(i.used) < quietFor {
-			continue
-		}
-		if s.heats[a].now(now) < renewHeat {
-			continue
-		}
-		w := &wish{want: Want{Replica: s.id, Model: n.model, Adapter: core.AdapterRef{ID: a, Version: n.version}}}
-		if best == nil || better(w, best) {
-			best = w
-		}
+// better reports whether a wish goes before another: those for which a request
+// can still be on time first, then those that more requests wait for, then those
+// of the replica that has fetched nothing for longest, then the older ones. While more is wanted than can be loaded, this serves as many as can
+// be on time, instead of all of them late.
+func better(now core.Instant, sa *shelf, a *wish, sb *shelf, b *wish) bool {
+	if x, y := sa.onTime(now, a), sb.onTime(now, b); x != y {
+		return x
 	}
-	return best
-}
-
-func better(a, b *wish) bool {
 	if a.want.Weight != b.want.Weight {
 		return a.want.Weight > b.want.Weight
 	}
+	if sa.fetched != sb.fetched {
+		return sa.fetched < sb.fetched
+	}
 	if a.from != b.from {
 		return a.from < b.from
 	}
 	return a.want.Adapter.ID < b.want.Adapter.ID
 }
 
+// onTime reports whether a wish that is met next is met in time.
+func (s *shelf) onTime(now core.Instant, w *wish) bool {
+	takes := fetchTime
+	if s.copies[w.want.Adapter.ID] {
+		takes = copyTime
+	}
+	return now.Add(takes) <= w.until
+}
+
 // makeRoom unloads the adapter that requests have named least, older requests
 // counting less. Keeps: an adapter that a request is known to use is not
 // unloaded.
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -159,6 +159,76 @@
 	}
 }
 
+// The pattern of rare adapters that are asked for faster than the weight store
+// gives them: most of what is loaded is in time, where first come first served
+// would soon be late for everybody.
+func TestUnderMoreWantsThanLoadsMostLoadsAreOnTime(t *testing.T) {
+	is := is.New(t)
+	const every, objective = 60 * time.Millisecond, 440 * time.Millisecond // against 2 loads in 256 ms
+	m, e := newMachine(100), newEngine(100)
+	run(m, e, 0, 0)
+	asked := map[core.AdapterID]time.Duration{}
+	met, onTime := 0, 0
+	seen := map[core.AdapterID]bool{}
+	for now := time.Duration(0); now < 6*time.Second; now += every {
+		id := core.AdapterID(strconv.Itoa(int(now / every)))
+		asked[id] = now
+		for a, since := range asked {
+			if now-since < 1200*time.Millisecond && !seen[a] { // callers leave after it
+				w := want(a)
+				w.Left = objective - (now - since)
+				m.Wanted(at(now), w)
+			}
+		}
+		run(m, e, now, now+every-5*time.Millisecond)
+		for _, a := range held(m) {
+			if seen[a] {
+				continue
+			}
+			seen[a] = true
+			met++
+			if now+every-asked[a] <= objective+every {
+				onTime++
+			}
+		}
+	}
+	is.True(met >= 40) // of 46 that can be loaded
+	is.True(onTime >= met*3/4)
+}
+
+// Found in an incident: the places on the way went to the replicas in their
+// order, and the last one's adapters were never loaded.
+func TestNoReplicaIsStarvedOfFetches(t *testing.T) {
+	is := is.New(t)
+	m := New(Settings{Self: "a"})
+	m.Configure(map[table.ServiceID]*table.Service{"s": {ID: "s", Engine: &table.Engine{AdapterSlots: 100, Models: []table.Model{{Name: base}}}}})
+	names := []core.UpstreamID{"r1", "r2", "r3"}
+	engines := map[core.UpstreamID]*engine{}
+	for _, n := range names {
+		m.Put(replicas.Entry{ID: n, Service: "s", Started: 1})
+		engines[n] = newEngine(100)
+	}
+	n := 0
+	for now := at(0); now < at(4*time.Second); now = now.Add(5 * time.Millisecond) {
+		for _, id := range names { // far more than can be loaded, at all of them
+			n++
+			m.Wanted(now, Want{Replica: id, Model: base, Adapter: core.AdapterRef{ID: core.AdapterID(strconv.Itoa(n))}, Weight: 1, Left: 400 * time.Millisecond})
+		}
+		out := m.Tick(now, act)
+		for _, p := range out.Probes {
+			r := engines[p.Replica].report(now)
+			r.Replica = p.Replica
+			m.Reported(now, r)
+		}
+		for _, o := range out.Orders {
+			m.Done(now, OrderDone{ID: o.ID, Outcome: engines[o.Replica].order(now, o)})
+		}
+	}
+	for _, id := range names {
+		is.True(engines[id].loads >= 6) // of some 30 in all
+	}
+}
+
 func TestACopyLoadsWithoutWaitingForFetches(t *testing.T) {
 	is := is.New(t)
 	m, e := newMachine(1), newEngine(1)
--- a/internal/core/stock/types.go
+++ b/internal/core/stock/types.go
@@ -74,6 +74,7 @@
 	Model   core.BaseModel
 	Adapter core.AdapterRef // the version is the newest known, 0 where none is
 	Weight  int             // requests that wait for it
+	Left    time.Duration   // in which the first of them must begin to be on time; 0 or less: it is late
 }
 
 // Use tells how many requests a host has at a replica that name an adapter, and
