After an outage of the store everything is read again

No other host knew better to tell. Change: the first answer after a failed call has the documents and lists read again; what comes within a second of the last time is made up for after it.

--- a/internal/core/direct/catalog.go
+++ b/internal/core/direct/catalog.go
@@ -76,7 +76,8 @@
 		{Name: "configuration", About: "a version of the configuration", Detail: "the version", Reasons: []Reason{
 			{Name: "in_force", Meaning: "it decides from now on"}}},
 		{Name: "reread", About: "whether documents are read again", Detail: "the host that knows more", Reasons: []Reason{
-			{Name: "newer_elsewhere", Meaning: "another host knows a newer configuration or adapter version"}}},
+			{Name: "newer_elsewhere", Meaning: "another host knows a newer configuration or adapter version"},
+			{Name: "store_back", Meaning: "the store answers again after an outage"}}},
 		{Name: "shard", About: "who orders the replicas of a shard", Detail: "shard and holder", Reasons: []Reason{
 			{Name: "holder", Meaning: "the holder has changed"}}},
 		{Name: "leave", About: "a graceful shutdown", Detail: "requests left", Reasons: []Reason{
--- a/internal/core/direct/cover.go
+++ b/internal/core/direct/cover.go
@@ -26,6 +26,8 @@
 	older    core.Instant // since when another host has a newer document; 0: none has
 	read     core.Instant // when documents were last read again
 	answered core.Instant // when the store last answered this host
+	lost     bool         // the last call to it failed
+	again    bool         // documents are to be read again as soon as that is allowed
 }
 
 // Wants are the readings of the store that the machine asks for.
@@ -64,6 +66,31 @@
 	return false
 }
 
+// storeReached notes an answer of the store. After an outage everything is read
+// again: calls that wait since before it may never be answered.
+func (m *Machine) storeReached() {
+	m.cover.answered = m.now
+	m.replicas.StoreReached(m.now)
+	if !m.cover.lost {
+		return
+	}
+	m.cover.lost = false
+	m.reread("store_back", "")
+}
+
+// reread has the configuration, versions and lists read again, a little later if
+// they were a moment ago.
+func (m *Machine) reread(reason, detail string) {
+	if m.cover.read != 0 && m.now.Sub(m.cover.read) < readAgain {
+		m.cover.again = true
+		return
+	}
+	m.cover.again = false
+	m.cover.read = m.now
+	m.rereads++
+	m.emit(Note{Name: "reread", Reason: reason, Detail: detail})
+}
+
 func (m *Machine) storeAnswers() bool {
 	return m.cover.answered != 0 && m.now.Sub(m.cover.answered) < storeFresh
 }
@@ -91,11 +118,9 @@
 	if m.cover.older == 0 {
 		m.cover.older = m.now
 	}
-	if m.now.Sub(m.cover.older) >= olderFor && m.now.Sub(m.cover.read) >= readAgain {
+	if m.now.Sub(m.cover.older) >= olderFor {
 		m.cover.older = 0
-		m.cover.read = m.now
-		m.rereads++
-		m.emit(Note{Name: "reread", Reason: "newer_elsewhere", Detail: string(b.Host)})
+		m.reread("newer_elsewhere", string(b.Host))
 	}
 }
 
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -198,3 +198,62 @@
 	h.is.True(h.dispatch().Upstream != "e3")
 	h.is.True(h.wanted("e3", 2))
 }
+
+// Found by a hunt (CONFIG): the store fell silent and came back, and the watch
+// that waited since before it was never answered.
+func TestEverythingIsReadAgainOnceTheStoreIsBack(t *testing.T) {
+	h := newHost(t)
+	h.step(StoreReached{})
+	before := h.m.Wants().Reread
+	h.step(StoreReached{})
+	h.is.Equal(h.m.Wants().Reread, before)
+	h.step(StoreLost{})
+	h.is.Equal(h.m.Wants().Reread, before)
+	h.step(StoreReached{})
+	h.is.Equal(h.m.Wants().Reread, before+1)
+	h.step(StoreLost{})
+	h.step(StoreReached{}) // at once again: calls may fail one by one
+	h.is.Equal(h.m.Wants().Reread, before+1)
+	h.after(readAgain) // but what was lost in between is made up for
+	h.is.Equal(h.m.Wants().Reread, before+2)
+	h.after(readAgain)
+	h.is.Equal(h.m.Wants().Reread, before+2)
+}
+
+func TestANewerConfigurationElsewhereIsRead(t *testing.T) {
+	h := newHost(t)
+	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
+	before := h.m.Wants().Reread
+	for n := range uint64(3) {
+		h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: n + 1, Ready: true, Config: 2}}}})
+		h.after(olderFor / 2)
+	}
+	h.is.Equal(h.m.Wants().Reread, before+1)
+}
+
+func TestAWatcherKeepsTheOthersListCurrent(t *testing.T) {
+	h := newHost(t)
+	h.is.True(h.m.Wants().Watch) // alone: it watches itself
+	digest := h.m.replicas.Digest()
+	var n uint64
+	beat := func(list uint64) {
+		n++
+		var beats []Beat
+		for _, name := range []core.HostID{"b", "c", "d", "e", "f"} {
+			beats = append(beats, Beat{Host: name + "/1", Number: n, Ready: true, Watches: true, List: list})
+		}
+		h.step(FromPeer{From: "b/1", Message: Message{Beats: beats}})
+	}
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		h.step(HostListed{Host: fleet.Registration{Name: name, Host: core.HostID(name + "/1")}})
+	}
+	beat(digest)
+	h.is.True(!h.m.watching()) // by its name
+	h.is.True(!h.m.Wants().Watch)
+	h.step(FromPeer{From: "b/1", Message: Message{Gone: []core.UpstreamID{"s1"}}})
+	h.is.True(h.m.replicas.Get("s1") == nil)
+	beat(digest) // now the lists differ
+	h.after(differFor)
+	beat(digest)
+	h.is.True(h.m.Wants().Watch)
+}
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -186,10 +186,10 @@
 		m.shards.Read(m.now, e.Objects)
 		m.restore()
 	case StoreLost:
+		m.cover.lost = true
 		m.replicas.StoreLost(m.now)
 	case StoreReached:
-		m.cover.answered = m.now
-		m.replicas.StoreReached(m.now)
+		m.storeReached()
 	case ObjectDone:
 		m.writes.done(e.Result)
 	case OrderDone:
@@ -219,6 +219,9 @@
 		m.tellList(nil, gone)
 	}
 	m.quota.Hears(m.now, m.fleet.Part(m.now))
+	if m.cover.again {
+		m.reread("store_back", "")
+	}
 	m.register()
 	m.leases()
 	m.order()
