--- a/internal/core/direct/bench_test.go
+++ b/internal/core/direct/bench_test.go
@@ -13,7 +13,7 @@
 )
 
 // BenchmarkHost measures what one host does in a second of a fleet of a size:
-// beats of the others as they reach it, ticks, and its share of the requests.
+// heartbeats of the others as they reach it, ticks, and its share of the requests.
 func BenchmarkHost(b *testing.B) {
 	for _, hosts := range []int{8, 75, 350} {
 		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) { benchmarkHost(b, hosts) })
@@ -34,11 +34,11 @@
 		}
 	}
 	m.Step(now, ReplicasListed{Entries: entries})
-	beats := make([]Beat, hosts-1)
-	for i := range beats {
+	heartbeats := make([]Heartbeat, hosts-1)
+	for i := range heartbeats {
 		name := fmt.Sprintf("host-%d", i)
-		beats[i] = Beat{Host: core.HostID(name), Ready: true, Loads: loads, Spent: map[uint32]int64{core.Short("w"): 0}}
-		m.Step(now, HostListed{Host: fleet.Registration{Name: name, Host: beats[i].Host, Domain: "a"}})
+		heartbeats[i] = Heartbeat{Host: core.HostID(name), Ready: true, Loads: loads, Spent: map[uint32]int64{core.Short("w"): 0}}
+		m.Step(now, HostListed{Host: fleet.Registration{Name: name, Host: heartbeats[i].Host, Domain: "a"}})
 	}
 	sent, bytes, n := 0, 0, uint64(0)
 	count := func(effects []Effect) {
@@ -58,13 +58,13 @@
 	for range b.N {
 		for tick := range 50 {
 			now = now.Add(20 * time.Millisecond)
-			if tick%12 == 0 { // each host's beat reaches this one about four times a second
+			if tick%12 == 0 { // each host's heartbeat reaches this one about four times a second
 				n++
-				for i := range beats {
-					beats[i].Number = n
+				for i := range heartbeats {
+					heartbeats[i].Number = n
 				}
-				for first := 0; first < len(beats); first += spreadBeats {
-					count(m.Step(now, FromPeer{From: "host-0", Message: Message{Beats: beats[first:min(first+spreadBeats, len(beats))]}}))
+				for first := 0; first < len(heartbeats); first += spreadHeartbeats {
+					count(m.Step(now, FromPeer{From: "host-0", Message: Message{Heartbeats: heartbeats[first:min(first+spreadHeartbeats, len(heartbeats))]}}))
 				}
 			}
 			count(m.Step(now, Tick{}))
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -165,7 +165,7 @@
 func TestAPeersLoadCounts(t *testing.T) {
 	h := newHost(t)
 	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
-	h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: 1, Ready: true, Loads: []Load{{Replica: core.Short("s1"), Running: 5}}}}}})
+	h.step(FromPeer{From: "b/1", Message: Message{Heartbeats: []Heartbeat{{Host: "b/1", Number: 1, Ready: true, Loads: []Load{{Replica: core.Short("s1"), Running: 5}}}}}})
 	for range 4 {
 		h.arrive(Arrive{Path: "/act/x"})
 		h.is.Equal(h.dispatch().Upstream, core.UpstreamID("s2"))
@@ -190,7 +190,7 @@
 	h := newHost(t)
 	h.step(LeasesListed{})
 	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
-	h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: 1, Ready: true}}}})
+	h.step(FromPeer{From: "b/1", Message: Message{Heartbeats: []Heartbeat{{Host: "b/1", Number: 1, Ready: true}}}})
 	h.lease("b")
 	h.step(ReplicaListed{Entry: replica("e3", engines)}) // lacks the adapter
 	h.step(VersionNamed{Model: model, Adapter: core.AdapterRef{ID: "x", Version: 2}})
@@ -204,56 +204,56 @@
 func TestEverythingIsReadAgainOnceTheStoreIsBack(t *testing.T) {
 	h := newHost(t)
 	h.step(StoreReached{})
-	before := h.m.Wants().Reread
+	before := h.m.Reading().Reread
 	h.step(StoreReached{})
-	h.is.Equal(h.m.Wants().Reread, before)
+	h.is.Equal(h.m.Reading().Reread, before)
 	h.step(StoreLost{})
-	h.is.Equal(h.m.Wants().Reread, before)
+	h.is.Equal(h.m.Reading().Reread, before)
 	h.step(StoreReached{})
-	h.is.Equal(h.m.Wants().Reread, before+1)
+	h.is.Equal(h.m.Reading().Reread, before+1)
 	h.step(StoreLost{})
 	h.step(StoreReached{}) // at once again: calls may fail one by one
-	h.is.Equal(h.m.Wants().Reread, before+1)
+	h.is.Equal(h.m.Reading().Reread, before+1)
 	h.after(readAgain) // but what was lost in between is made up for
-	h.is.Equal(h.m.Wants().Reread, before+2)
+	h.is.Equal(h.m.Reading().Reread, before+2)
 	h.after(readAgain)
-	h.is.Equal(h.m.Wants().Reread, before+2)
+	h.is.Equal(h.m.Reading().Reread, before+2)
 }
 
 func TestANewerConfigurationElsewhereIsRead(t *testing.T) {
 	h := newHost(t)
 	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
-	before := h.m.Wants().Reread
+	before := h.m.Reading().Reread
 	for n := range uint64(3) {
-		h.step(FromPeer{From: "b/1", Message: Message{Beats: []Beat{{Host: "b/1", Number: n + 1, Ready: true, Config: 2}}}})
+		h.step(FromPeer{From: "b/1", Message: Message{Heartbeats: []Heartbeat{{Host: "b/1", Number: n + 1, Ready: true, Config: 2}}}})
 		h.after(olderFor / 2)
 	}
-	h.is.Equal(h.m.Wants().Reread, before+1)
+	h.is.Equal(h.m.Reading().Reread, before+1)
 }
 
 func TestAWatcherKeepsTheOthersListCurrent(t *testing.T) {
 	h := newHost(t)
-	h.is.True(h.m.Wants().Watch) // alone: it watches itself
+	h.is.True(h.m.Reading().Watch) // alone: it watches itself
 	digest := h.m.replicas.Digest()
 	var n uint64
-	beat := func(list uint64) {
+	heartbeat := func(list uint64) {
 		n++
-		var beats []Beat
+		var heartbeats []Heartbeat
 		for _, name := range []core.HostID{"b", "c", "d", "e", "f"} {
-			beats = append(beats, Beat{Host: name + "/1", Number: n, Ready: true, Watches: true, List: list})
+			heartbeats = append(heartbeats, Heartbeat{Host: name + "/1", Number: n, Ready: true, Watches: true, List: list})
 		}
-		h.step(FromPeer{From: "b/1", Message: Message{Beats: beats}})
+		h.step(FromPeer{From: "b/1", Message: Message{Heartbeats: heartbeats}})
 	}
 	for _, name := range []string{"b", "c", "d", "e", "f"} {
 		h.step(HostListed{Host: fleet.Registration{Name: name, Host: core.HostID(name + "/1")}})
 	}
-	beat(digest)
+	heartbeat(digest)
 	h.is.True(!h.m.watching()) // by its name
-	h.is.True(!h.m.Wants().Watch)
+	h.is.True(!h.m.Reading().Watch)
 	h.step(FromPeer{From: "b/1", Message: Message{Gone: []core.UpstreamID{"s1"}}})
 	h.is.True(h.m.replicas.Get("s1") == nil)
-	beat(digest) // now the lists differ
+	heartbeat(digest) // now the lists differ
 	h.after(differFor)
-	beat(digest)
-	h.is.True(h.m.Wants().Watch)
+	heartbeat(digest)
+	h.is.True(h.m.Reading().Watch)
 }
--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -11,7 +11,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicas"
-	"gentiancroft/internal/core/stock"
+	"gentiancroft/internal/core/residency"
 	"gentiancroft/internal/core/table"
 )
 
@@ -109,10 +109,10 @@
 type ObjectDone struct{ Result core.ObjectResult }
 
 // OrderDone is the end of an order.
-type OrderDone struct{ stock.OrderDone }
+type OrderDone struct{ residency.OrderDone }
 
 // Reported is a replica's report.
-type Reported struct{ stock.Report }
+type Reported struct{ residency.Report }
 
 // FromPeer is a message of another host.
 type FromPeer struct {
@@ -150,18 +150,18 @@
 
 // Message is what hosts tell each other. It may be lost, doubled or late.
 type Message struct {
-	Beats    []Beat            `cbor:"1,keyasint,omitempty"` // the sender's own first, then those of others
-	Wants    []stock.Want      `cbor:"2,keyasint,omitempty"`
-	Stocks   []replicas.Stock  `cbor:"3,keyasint,omitempty"`
-	Uses     []stock.Use       `cbor:"4,keyasint,omitempty"`
-	Replicas []replicas.Entry  `cbor:"5,keyasint,omitempty"` // entries of the platform's list that have changed
-	Gone     []core.UpstreamID `cbor:"6,keyasint,omitempty"` // entries that it lacks now
+	Heartbeats  []Heartbeat          `cbor:"1,keyasint,omitempty"` // the sender's own first, then those of others
+	Demands     []residency.Demand   `cbor:"2,keyasint,omitempty"`
+	Residencies []replicas.Residency `cbor:"3,keyasint,omitempty"`
+	Uses        []residency.Use      `cbor:"4,keyasint,omitempty"`
+	Replicas    []replicas.Entry     `cbor:"5,keyasint,omitempty"` // entries of the platform's list that have changed
+	Gone        []core.UpstreamID    `cbor:"6,keyasint,omitempty"` // entries that it lacks now
 }
 
-// Beat is what a host tells all others regularly.
-type Beat struct {
+// Heartbeat is what a host tells all others regularly.
+type Heartbeat struct {
 	Host     core.HostID      `cbor:"1,keyasint"`
-	Number   uint64           `cbor:"2,keyasint"` // rises with each beat of the host
+	Number   uint64           `cbor:"2,keyasint"` // rises with each heartbeat of the host
 	Ready    bool             `cbor:"3,keyasint,omitempty"`
 	Leaving  bool             `cbor:"4,keyasint,omitempty"`
 	Uptime   time.Duration    `cbor:"5,keyasint,omitempty"`
@@ -220,10 +220,10 @@
 }
 
 // Order sends an order to a replica.
-type Order struct{ stock.Order }
+type Order struct{ residency.Order }
 
 // Probe asks a replica for its report.
-type Probe struct{ stock.Probe }
+type Probe struct{ residency.Probe }
 
 // Object is a write to the store.
 type Object struct{ Call core.ObjectCall }
--- a/internal/core/direct/host_test.go
+++ b/internal/core/direct/host_test.go
@@ -155,7 +155,7 @@
 		if !ok {
 			continue
 		}
-		for _, w := range p.Message.Wants {
+		for _, w := range p.Message.Demands {
 			if w.Replica == replica && w.Adapter == (core.AdapterRef{ID: "x", Version: version}) {
 				return true
 			}
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -8,7 +8,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicas"
-	"gentiancroft/internal/core/stock"
+	"gentiancroft/internal/core/residency"
 )
 
 // tellAll sends a message to all hosts that may be there.
@@ -73,10 +73,10 @@
 
 // tellUses tells the hosts that order replicas which adapters are in use there.
 func (m *Machine) tellUses() {
-	byShard := map[int][]stock.Use{}
+	byShard := map[int][]residency.Use{}
 	for _, u := range m.uses() {
 		if _, ok := m.acting(u.Replica); ok {
-			m.stock.Used(m.now, core.HostID(m.settings.Self.Name), u)
+			m.residency.Used(m.now, core.HostID(m.settings.Self.Name), u)
 			continue
 		}
 		shard := m.shards.Of(u.Replica)
@@ -103,7 +103,7 @@
 
 // uses counts the requests of this host at replicas by adapter, and those sent
 // since the last call.
-func (m *Machine) uses() []stock.Use {
+func (m *Machine) uses() []residency.Use {
 	running := map[use]int{}
 	for _, r := range m.requests.byID {
 		if r.stage == stageRunning && r.arrive.Adapter != "" {
@@ -113,12 +113,12 @@
 	for u := range m.begunUses {
 		running[u] += 0 // one that has ended already is told as well
 	}
-	uses := make([]stock.Use, 0, len(running))
+	uses := make([]residency.Use, 0, len(running))
 	for u, n := range running {
-		uses = append(uses, stock.Use{Replica: u.replica, Adapter: u.adapter, Running: n, Begun: m.begunUses[u]})
+		uses = append(uses, residency.Use{Replica: u.replica, Adapter: u.adapter, Running: n, Begun: m.begunUses[u]})
 	}
 	clear(m.begunUses)
-	slices.SortFunc(uses, func(a, b stock.Use) int {
+	slices.SortFunc(uses, func(a, b residency.Use) int {
 		return cmp.Or(cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	return uses
@@ -126,60 +126,28 @@
 
 // fromPeer takes another host's message.
 func (m *Machine) fromPeer(e FromPeer) {
-	for i := range e.Message.Beats {
-		m.heard(&e.Message.Beats[i])
+	for i := range e.Message.Heartbeats {
+		m.heard(&e.Message.Heartbeats[i])
 	}
 	m.takeList(e.Message)
-	for _, w := range e.Message.Wants {
-		m.stock.Wanted(m.now, w)
-		m.wanters.add(w.Replica, e.From)
+	for _, w := range e.Message.Demands {
+		m.residency.Demanded(m.now, w)
+		m.awaiting.add(w.Replica, e.From)
 	}
 	for _, u := range e.Message.Uses {
-		m.stock.Used(m.now, e.From, u)
+		m.residency.Used(m.now, e.From, u)
 	}
-	for _, s := range e.Message.Stocks {
+	for _, s := range e.Message.Residencies {
 		if _, ok := m.acting(s.Replica); ok {
 			continue // this host knows better
 		}
-		m.replicas.TakeStock(m.now, s)
-		m.stock.Yield(s.Replica)
+		m.replicas.TakeResidency(m.now, s)
+		m.residency.Yield(s.Replica)
 	}
-	if len(e.Message.Wants) > 0 {
+	if len(e.Message.Demands) > 0 {
 		m.order()
 	}
-	if len(e.Message.Stocks) > 0 {
+	if len(e.Message.Residencies) > 0 {
 		m.placeWaiting()
 	}
 }
-
-// leave begins a graceful shutdown: the host is named to callers no more, hands
-// its shards over, and serves those who still come for a while.
-func (m *Machine) leave() {
-	if m.leaving != 0 {
-		return
-	}
-	m.leaving = m.now
-	m.fleet.Leave()
-	m.shards.Leave()
-	m.due.register = m.now
-	m.due.beat = m.now
-	m.emit(Note{Name: "leave", Reason: "begun"})
-	m.tick()
-}
-
-// leaveOn ends a graceful shutdown once nothing is left to do.
-func (m *Machine) leaveOn() {
-	if m.leaving == 0 || m.left {
-		return
-	}
-	passed := m.now.Sub(m.leaving)
-	idle := len(m.requests.byID) == 0 && passed >= m.settings.LeaveAfter
-	if idle || passed >= m.settings.LeaveBy {
-		m.left = true
-		m.emit(Note{Name: "leave", Reason: "ended", Detail: utoa(uint64(len(m.requests.byID))) + " requests left"})
-		m.emit(Left{})
-	}
-}
-
-// Leaving reports whether the host is shutting down.
-func (m *Machine) Leaving() bool { return m.leaving != 0 }
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -7,7 +7,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/replicas"
-	"gentiancroft/internal/core/stock"
+	"gentiancroft/internal/core/residency"
 )
 
 const (
@@ -196,7 +196,7 @@
 // want tells the host that orders a replica that an adapter is wanted there. It
 // returns false where nobody orders the replica now.
 func (m *Machine) want(r *request, x *replicas.Replica) bool {
-	w := stock.Want{
+	w := residency.Demand{
 		Replica: x.ID,
 		Model:   r.arrive.Model,
 		Adapter: core.AdapterRef{ID: r.arrive.Adapter, Version: m.versions[r.arrive.Adapter].version},
@@ -204,11 +204,11 @@
 		Left:    r.came.Add(r.route.Objective).Sub(m.now) - beginTime,
 	}
 	if _, ok := m.acting(x.ID); ok {
-		m.stock.Wanted(m.now, w)
+		m.residency.Demanded(m.now, w)
 		m.order()
 		return true
 	}
-	return m.tellOwner(x.ID, Message{Wants: []stock.Want{w}})
+	return m.tellOwner(x.ID, Message{Demands: []residency.Demand{w}})
 }
 
 // waitingFor is how many requests of this host wait for an adapter.
--- /dev/null
+++ b/internal/core/direct/settings.go
@@ -0,0 +1,66 @@
+package direct
+
+import (
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/residency"
+	"gentiancroft/internal/core/shard"
+)
+
+// HostsPrefix begins the keys of the hosts' registrations.
+const HostsPrefix = "gentiancroft-hosts/"
+
+// Settings of a host.
+type Settings struct {
+	Self         fleet.Registration
+	Seed         uint64
+	FirstStart   bool // the whole deployment starts, not this host alone
+	Shard        shard.Settings
+	Stock        residency.Settings
+	RetryShare   float64       // retries a first attempt, over the fleet
+	RetrySlack   float64       // further retries in RetryWindow, over the fleet
+	RetryWindow  time.Duration // of RetrySlack
+	VersionGrace time.Duration // how long a version may still be used after a newer one is named
+	Heartbeat    time.Duration // between two messages to the other hosts
+	LeaveStreams time.Duration // from Leave to the refusal of new streams
+	LeaveAfter   time.Duration // from Leave to the refusal of new requests
+	LeaveBy      time.Duration // from Leave to the end, with or without requests in flight
+}
+
+// Defaults of Settings.
+const (
+	DefaultRetryShare   = 0.2
+	DefaultRetrySlack   = 50
+	DefaultRetryWindow  = 10 * time.Second
+	DefaultVersionGrace = 3 * time.Second
+	DefaultHeartbeat    = 100 * time.Millisecond
+	DefaultLeaveStreams = 2800 * time.Millisecond
+	DefaultLeaveAfter   = 5500 * time.Millisecond
+	DefaultLeaveBy      = 7500 * time.Millisecond
+)
+
+// meetTime is how long the hosts of a new deployment take to find each other.
+const meetTime = 600 * time.Millisecond
+
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (s *Settings) fill() {
+	orDefault(&s.RetryShare, DefaultRetryShare)
+	orDefault(&s.RetrySlack, DefaultRetrySlack)
+	orDefault(&s.RetryWindow, DefaultRetryWindow)
+	orDefault(&s.VersionGrace, DefaultVersionGrace)
+	orDefault(&s.Heartbeat, DefaultHeartbeat)
+	orDefault(&s.LeaveStreams, DefaultLeaveStreams)
+	orDefault(&s.LeaveAfter, DefaultLeaveAfter)
+	orDefault(&s.LeaveBy, DefaultLeaveBy)
+	s.Shard.Self = core.HostID(s.Self.Name)
+	s.Stock.Self = core.HostID(s.Self.Name)
+	orDefault(&s.Shard.Meet, meetTime)
+}
--- a/internal/core/direct/cover.go
+++ b/internal/core/direct/watchers.go
@@ -20,8 +20,8 @@
 	readAgain    = time.Second            // between two readings for the same reason
 )
 
-// cover is what a host knows of the others' view of the store.
-type cover struct {
+// watchState is what a host knows of the others' view of the store.
+type watchState struct {
 	differs  core.Instant // since when a watcher's list differs; 0: it does not
 	older    core.Instant // since when another host has a newer document; 0: none has
 	read     core.Instant // when documents were last read again
@@ -30,16 +30,16 @@
 	again    bool         // documents are to be read again as soon as that is allowed
 }
 
-// Wants are the readings of the store that the machine asks for.
-type Wants struct {
+// Reading is how the machine wants the store to be read.
+type Reading struct {
 	Watch  bool   // follow the list of replicas, instead of being told of its changes
 	Reread uint64 // rises each time that the configuration and versions are to be read again
 	Alone  bool   // no other host is heard: only this host's own calls show a change
 }
 
-// Wants tells how the store is to be read now.
-func (m *Machine) Wants() Wants {
-	return Wants{
+// Reading tells how the store is to be read now.
+func (m *Machine) Reading() Reading {
+	return Reading{
 		Watch:  m.watching() || !m.covered(),
 		Reread: m.rereads,
 		Alone:  len(m.fleet.Members(m.now)) <= 1,
@@ -54,7 +54,7 @@
 
 // covered reports whether a watcher keeps this host's list current.
 func (m *Machine) covered() bool {
-	if !m.listed || m.cover.differs != 0 && m.now.Sub(m.cover.differs) >= differFor {
+	if !m.listed || m.watch.differs != 0 && m.now.Sub(m.watch.differs) >= differFor {
 		return false
 	}
 	for _, name := range core.RendezvousN(m.fleet.Members(m.now), watchersKind, "replicas", watchers) {
@@ -69,30 +69,30 @@
 // storeReached notes an answer of the store. After an outage everything is read
 // again: calls that wait since before it may never be answered.
 func (m *Machine) storeReached() {
-	m.cover.answered = m.now
+	m.watch.answered = m.now
 	m.replicas.StoreReached(m.now)
-	if !m.cover.lost {
+	if !m.watch.lost {
 		return
 	}
-	m.cover.lost = false
+	m.watch.lost = false
 	m.reread("store_back", "")
 }
 
 // reread has the configuration, versions and lists read again, a little later if
 // they were a moment ago.
 func (m *Machine) reread(reason, detail string) {
-	if m.cover.read != 0 && m.now.Sub(m.cover.read) < readAgain {
-		m.cover.again = true
+	if m.watch.read != 0 && m.now.Sub(m.watch.read) < readAgain {
+		m.watch.again = true
 		return
 	}
-	m.cover.again = false
-	m.cover.read = m.now
+	m.watch.again = false
+	m.watch.read = m.now
 	m.rereads++
 	m.emit(Note{Name: "reread", Reason: reason, Detail: detail})
 }
 
 func (m *Machine) storeAnswers() bool {
-	return m.cover.answered != 0 && m.now.Sub(m.cover.answered) < storeFresh
+	return m.watch.answered != 0 && m.now.Sub(m.watch.answered) < storeFresh
 }
 
 func (m *Machine) configVersion() uint64 {
@@ -103,23 +103,23 @@
 }
 
 // compare looks for what another host knows and this one does not.
-func (m *Machine) compare(b *Beat) {
+func (m *Machine) compare(b *Heartbeat) {
 	if b.Watches {
 		switch {
 		case b.List == m.replicas.Digest():
-			m.cover.differs = 0
-		case m.cover.differs == 0:
-			m.cover.differs = m.now
+			m.watch.differs = 0
+		case m.watch.differs == 0:
+			m.watch.differs = m.now
 		}
 	}
 	if b.Config <= m.configVersion() && b.Versions <= m.versionSum {
 		return
 	}
-	if m.cover.older == 0 {
-		m.cover.older = m.now
+	if m.watch.older == 0 {
+		m.watch.older = m.now
 	}
-	if m.now.Sub(m.cover.older) >= olderFor {
-		m.cover.older = 0
+	if m.now.Sub(m.watch.older) >= olderFor {
+		m.watch.older = 0
 		m.reread("newer_elsewhere", string(b.Host))
 	}
 }
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"gentiancroft/internal/core"
-	"gentiancroft/internal/core/dispatch/health"
 	"gentiancroft/internal/core/table"
 )
 
@@ -46,14 +45,12 @@
 // Replica is an entry and what this host adds to it.
 type Replica struct {
 	Entry
-	Mine    int // requests of this host that are there now
-	Others  int // requests of other hosts, as they last told
-	Health  *health.Tracker
-	Pace    time.Duration // smoothed time to an answer's first byte; 0: none seen
-	missing bool          // the platform's list lacks it, maybe for an outage alone
-	stock   map[core.AdapterID]int
+	Mine    int                    // requests of this host that are there now
+	Others  int                    // requests of other hosts, as they last told
+	missing bool                   // the platform's list lacks it, maybe for an outage alone
+	held    map[core.AdapterID]int // versions
 	base    map[core.BaseModel]bool
-	stockAt core.Instant // when the owner last told of the stock; 0: never
+	toldAt  core.Instant // when the owner last told what it holds; 0: never
 	orders  uint64       // that it had accepted then
 }
 
@@ -65,7 +62,7 @@
 
 // Holds returns the version of an adapter that the replica holds.
 func (r *Replica) Holds(a core.AdapterID) (version int, ok bool) {
-	version, ok = r.stock[a]
+	version, ok = r.held[a]
 	return version, ok
 }
 
@@ -77,9 +74,9 @@
 	// lapseGrace is how long after the store's return its list may still lack
 	// replicas that live: entries run out while the store is away, and come back.
 	lapseGrace = 2200 * time.Millisecond
-	// stockFresh is how long the owner's word on a replica's stock goes before
+	// ownerFresh is how long the owner's word on what a replica holds goes before
 	// the platform's list.
-	stockFresh = 3 * time.Second
+	ownerFresh = 3 * time.Second
 )
 
 // Set is all replicas that a host knows.
@@ -89,15 +86,12 @@
 	of     map[table.ServiceID][]*Replica // the same by service
 	short  map[uint32]*Replica            // the same by core.Short of their ids
 	digest uint64                         // 0: to be made
-	health health.Settings
-	lost   core.Instant // when the store was last out of reach; 0: never
-	back   core.Instant // when it was last reached after that
+	lost   core.Instant                   // when the store was last out of reach; 0: never
+	back   core.Instant                   // when it was last reached after that
 }
 
 // NewSet returns an empty set.
-func NewSet(h health.Settings) *Set {
-	return &Set{byID: map[core.UpstreamID]*Replica{}, health: h}
-}
+func NewSet() *Set { return &Set{byID: map[core.UpstreamID]*Replica{}} }
 
 // Get returns a replica, or nil.
 func (s *Set) Get(id core.UpstreamID) *Replica { return s.byID[id] }
@@ -174,14 +168,10 @@
 	s.digest = 0
 	r := s.byID[e.ID]
 	if r == nil || r.Started != e.Started && e.Started != 0 {
-		known := r != nil
-		r = &Replica{Entry: e, Health: health.NewTracker(s.health)}
+		r = &Replica{Entry: e}
 		s.byID[e.ID] = r
 		s.sorted = nil
-		if known {
-			r.Health.Restarted(now)
-		}
-		r.restock(e.Models)
+		r.hold(e.Models)
 		return true
 	}
 	r.missing = false
@@ -195,47 +185,47 @@
 	}
 	r.Entry = e
 	r.Leaving = leaving
-	if r.stockAt == 0 || now.Sub(r.stockAt) >= stockFresh {
-		r.restock(e.Models)
+	if r.toldAt == 0 || now.Sub(r.toldAt) >= ownerFresh {
+		r.hold(e.Models)
 	}
 	return false
 }
 
-// restock takes a replica's stock from its entry.
-func (r *Replica) restock(models []Model) {
-	r.stock = map[core.AdapterID]int{}
+// hold takes what a replica holds.
+func (r *Replica) hold(models []Model) {
+	r.held = map[core.AdapterID]int{}
 	r.base = map[core.BaseModel]bool{}
 	for _, m := range models {
 		r.base[m.Name] = true
 		for _, a := range m.Adapters {
-			r.stock[a.ID] = a.Version
+			r.held[a.ID] = a.Version
 		}
 	}
 }
 
-// Stock is what a replica holds by the word of the host that orders it.
-type Stock struct {
+// Residency is what a replica holds by the word of the host that orders it.
+type Residency struct {
 	Replica core.UpstreamID
 	Started int64
 	Orders  uint64 // that the replica has accepted
 	Models  []Model
 }
 
-// TakeStock takes the word of the host that orders a replica. An older word
+// TakeResidency takes the word of the host that orders a replica. An older word
 // than the last changes nothing.
-func (s *Set) TakeStock(now core.Instant, k Stock) {
+func (s *Set) TakeResidency(now core.Instant, k Residency) {
 	r := s.byID[k.Replica]
 	if r == nil || r.Started != k.Started || k.Orders < r.orders {
 		return
 	}
-	r.stockAt, r.orders = now, k.Orders
-	r.restock(k.Models)
+	r.toldAt, r.orders = now, k.Orders
+	r.hold(k.Models)
 }
 
 // Lacks notes that a replica has just said that it does not hold an adapter.
 func (s *Set) Lacks(id core.UpstreamID, a core.AdapterID) {
 	if r := s.byID[id]; r != nil {
-		delete(r.stock, a)
+		delete(r.held, a)
 	}
 }
 
--- a/internal/core/replicas/replicas_test.go
+++ b/internal/core/replicas/replicas_test.go
@@ -7,7 +7,6 @@
 	"github.com/matryer/is"
 
 	"gentiancroft/internal/core"
-	"gentiancroft/internal/core/dispatch/health"
 )
 
 func at(d time.Duration) core.Instant { return core.Instant(d) }
@@ -18,7 +17,7 @@
 
 func TestWithoutAnOutageAnUnlistedReplicaIsGoneAtOnce(t *testing.T) {
 	is := is.New(t)
-	s := NewSet(health.Settings{})
+	s := NewSet()
 	s.Put(at(time.Second), entry("a", 1, 1))
 	s.Remove(at(2*time.Second), "a")
 	is.True(s.Get("a") == nil)
@@ -26,7 +25,7 @@
 
 func TestAnEntryThatLapsedInAnOutageIsKeptUntilItCouldBeBack(t *testing.T) {
 	is := is.New(t)
-	s := NewSet(health.Settings{})
+	s := NewSet()
 	s.Put(at(time.Second), entry("a", 1, 1))
 	s.Put(at(time.Second), entry("b", 1, 1))
 	s.StoreLost(at(5 * time.Second))
@@ -44,7 +43,7 @@
 // taken for a lapsed one and used for 2.5 s more.
 func TestARemovalAfterTheGraceCountsAtOnce(t *testing.T) {
 	is := is.New(t)
-	s := NewSet(health.Settings{})
+	s := NewSet()
 	s.Put(at(time.Second), entry("a", 1, 1))
 	s.StoreLost(at(5 * time.Second))
 	s.StoreReached(at(10 * time.Second))
@@ -54,7 +53,7 @@
 
 func TestALeavingReplicaNeverComesBackUnderTheSameStart(t *testing.T) {
 	is := is.New(t)
-	s := NewSet(health.Settings{})
+	s := NewSet()
 	leaving := entry("a", 1, 5)
 	leaving.Leaving = true
 	s.Put(0, entry("a", 1, 4))
@@ -67,10 +66,10 @@
 
 func TestTheOwnersWordOnTheStockGoesBeforeTheList(t *testing.T) {
 	is := is.New(t)
-	s := NewSet(health.Settings{})
+	s := NewSet()
 	s.Put(0, entry("a", 1, 1))
-	s.TakeStock(at(time.Second), Stock{Replica: "a", Started: 1, Orders: 3, Models: []Model{{Name: "m", Adapters: []core.AdapterRef{{ID: "x", Version: 2}}}}})
-	s.TakeStock(at(time.Second), Stock{Replica: "a", Started: 1, Orders: 2})
+	s.TakeResidency(at(time.Second), Residency{Replica: "a", Started: 1, Orders: 3, Models: []Model{{Name: "m", Adapters: []core.AdapterRef{{ID: "x", Version: 2}}}}})
+	s.TakeResidency(at(time.Second), Residency{Replica: "a", Started: 1, Orders: 2})
 	s.Put(at(2*time.Second), entry("a", 1, 2))
 	version, ok := s.Get("a").Holds("x")
 	is.True(ok)
--- /dev/null
+++ b/internal/core/residency/machine.go
@@ -0,0 +1,181 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/table"
+)
+
+// Times of the decisions.
+const (
+	probeEvery   = 100 * time.Millisecond // after a report that tells of an earlier state
+	probeModel   = 250 * time.Millisecond // while a model is being loaded
+	probeFailed  = 500 * time.Millisecond // after a report that did not come
+	settle       = 150 * time.Millisecond // after an order without an answer
+	unloadAgain  = 100 * time.Millisecond // between two questions whether an adapter is gone
+	loadAgain    = 25 * time.Millisecond  // between two questions whether an adapter is there
+	copyTime     = 28 * time.Millisecond  // to load an adapter that the replica has a copy of
+	fetchTime    = 256 * time.Millisecond // to load one that it has not
+	loadPatience = 8 * time.Second        // for what is on its way; then the replica is asked anew
+	useFor       = 2 * time.Second        // a use that is not repeated is dropped after it
+	keepAtLeast  = 300 * time.Millisecond // from an adapter's arrival to its unloading
+)
+
+// Machine decides what the replicas hold that this host orders.
+type Machine struct {
+	settings Settings
+	known    map[core.UpstreamID]*replica
+	sorted   []*replica // the same by replica; nil: to be made
+	services map[table.ServiceID]limits
+	newest   map[core.AdapterID]newest
+	fetches  int    // adapters that may be on their way from the weight store
+	next     uint64 // id of the next order
+	byOrder  map[uint64]*replica
+}
+
+// New returns a machine without replicas.
+func New(s Settings) *Machine {
+	if s.InTransit <= 0 {
+		s.InTransit = DefaultInTransit
+	}
+	if s.Fetches <= 0 {
+		s.Fetches = DefaultFetches
+	}
+	if s.DemandFor <= 0 {
+		s.DemandFor = DefaultDemandFor
+	}
+	return &Machine{
+		settings: s,
+		known:    map[core.UpstreamID]*replica{},
+		services: map[table.ServiceID]limits{},
+		byOrder:  map[uint64]*replica{},
+		newest:   map[core.AdapterID]newest{},
+	}
+}
+
+// Configure takes the engines of a configuration.
+func (m *Machine) Configure(services map[table.ServiceID]*table.Service) {
+	m.services = map[table.ServiceID]limits{}
+	for id, s := range services {
+		if s.Engine != nil {
+			m.services[id] = limits{slots: s.Engine.AdapterSlots, models: s.Engine.Models}
+		}
+	}
+}
+
+// Put takes a replica's entry. Only replicas of engines are kept.
+func (m *Machine) Put(e replicas.Entry) {
+	s := m.known[e.ID]
+	if s == nil || s.started != e.Started {
+		if s != nil {
+			m.drop(s)
+		}
+		s = &replica{
+			id:           e.ID,
+			started:      e.Started,
+			models:       map[core.BaseModel]int{},
+			residents:    map[core.AdapterID]*resident{},
+			demands:      map[core.AdapterID]*demand{},
+			uses:         map[core.AdapterID]map[core.HostID]use{},
+			copies:       map[core.AdapterID]bool{},
+			popularities: map[core.AdapterID]popularity{},
+		}
+		m.known[e.ID] = s
+		m.sorted = nil
+	}
+	s.address, s.service = e.Address, e.Service
+}
+
+// Remove forgets a replica.
+func (m *Machine) Remove(id core.UpstreamID) {
+	if s := m.known[id]; s != nil {
+		m.drop(s)
+	}
+}
+
+func (m *Machine) drop(s *replica) {
+	if s.order != nil {
+		delete(m.byOrder, s.order.ID)
+	}
+	delete(m.known, s.id)
+	m.sorted = nil
+}
+
+// Yield forgets what is known of a replica that another host orders now.
+func (m *Machine) Yield(id core.UpstreamID) {
+	if s := m.known[id]; s != nil {
+		s.synced = false
+		s.probe = 0
+		s.demands = map[core.AdapterID]*demand{}
+	}
+}
+
+// Output is what the machine wants done.
+type Output struct {
+	Orders []Order
+	Probes []Probe
+}
+
+// Probe asks a replica for its report.
+type Probe struct {
+	Replica core.UpstreamID
+	Address string
+}
+
+// Tick returns the orders and probes that are due.
+func (m *Machine) Tick(now core.Instant, act Actor) Output {
+	var out Output
+	m.allot(act)
+	var fetches []candidate
+	for _, s := range m.all() {
+		fence, ok := act(s.id)
+		if !ok {
+			continue
+		}
+		if w := m.advance(now, s, fence, &out); w != nil {
+			fetches = append(fetches, candidate{replica: s, fence: fence, demand: w})
+		}
+	}
+	m.fetch(now, fetches, &out)
+	return out
+}
+
+// all returns the known by replica.
+func (m *Machine) all() []*replica {
+	if m.sorted != nil {
+		return m.sorted
+	}
+	m.sorted = make([]*replica, 0, len(m.known))
+	for _, s := range m.known {
+		m.sorted = append(m.sorted, s)
+	}
+	slices.SortFunc(m.sorted, func(a, b *replica) int { return cmp.Compare(a.id, b.id) })
+	return m.sorted
+}
+
+// Changed returns what the replicas hold that act reports as this host's:
+// of all, or of those where that has changed since the last call.
+func (m *Machine) Changed(act Actor, all bool) []replicas.Residency {
+	var changed []replicas.Residency
+	for _, s := range m.all() {
+		if _, ok := act(s.id); !ok || !s.synced || !s.changed && !all {
+			continue
+		}
+		s.changed = false
+		changed = append(changed, s.residency())
+	}
+	return changed
+}
+
+// Replicas returns the replicas that the machine knows, sorted.
+func (m *Machine) Replicas() []core.UpstreamID {
+	var ids []core.UpstreamID
+	for _, s := range m.all() {
+		ids = append(ids, s.id)
+	}
+	return ids
+}
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/residency/machine_test.go
@@ -1,4 +1,4 @@
-package stock
+package residency
 
 import (
 	"slices"
@@ -115,15 +115,15 @@
 	return ids
 }
 
-func want(a core.AdapterID) Want {
-	return Want{Replica: "r", Model: base, Adapter: core.AdapterRef{ID: a}, Weight: 1}
+func want(a core.AdapterID) Demand {
+	return Demand{Replica: "r", Model: base, Adapter: core.AdapterRef{ID: a}, Weight: 1}
 }
 
 func TestAWantedAdapterIsThereAsSoonAsTheReplicaHasIt(t *testing.T) {
 	is := is.New(t)
 	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
-	m.Wanted(at(5*time.Millisecond), want("x"))
+	m.Demanded(at(5*time.Millisecond), want("x"))
 	run(m, e, 5*time.Millisecond, fetch+15*time.Millisecond)
 	is.Equal(held(m), []core.AdapterID{"x"})
 }
@@ -132,11 +132,11 @@
 	is := is.New(t)
 	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
-	m.Wanted(0, want("x"))
-	m.Wanted(0, want("y"))
+	m.Demanded(0, want("x"))
+	m.Demanded(0, want("y"))
 	run(m, e, 0, time.Second)
 	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "x", Running: 1}) // x stays, though y is younger
-	m.Wanted(at(time.Second), want("z"))
+	m.Demanded(at(time.Second), want("z"))
 	run(m, e, time.Second, 1500*time.Millisecond)
 	is.Equal(held(m), []core.AdapterID{"x", "z"})
 }
@@ -146,13 +146,13 @@
 	is := is.New(t)
 	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
-	m.Wanted(0, want("popular"))
+	m.Demanded(0, want("popular"))
 	run(m, e, 0, time.Second)
 	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "popular", Begun: 20})
 	for i := range 5 {
 		now := time.Duration(i+1) * time.Second
 		rare := core.AdapterID("rare" + strconv.Itoa(i))
-		m.Wanted(at(now), want(rare))
+		m.Demanded(at(now), want(rare))
 		run(m, e, now, now+900*time.Millisecond)
 		m.Used(at(now+900*time.Millisecond), "h", Use{Replica: "r", Adapter: rare, Begun: 1})
 		is.Equal(held(m), []core.AdapterID{"popular", rare})
@@ -177,7 +177,7 @@
 			if now-since < 1200*time.Millisecond && !seen[a] { // callers leave after it
 				w := want(a)
 				w.Left = objective - (now - since)
-				m.Wanted(at(now), w)
+				m.Demanded(at(now), w)
 			}
 		}
 		run(m, e, now, now+every-5*time.Millisecond)
@@ -212,7 +212,7 @@
 	for now := at(0); now < at(4*time.Second); now = now.Add(5 * time.Millisecond) {
 		for _, id := range names { // far more than can be loaded, at all of them
 			n++
-			m.Wanted(now, Want{Replica: id, Model: base, Adapter: core.AdapterRef{ID: core.AdapterID(strconv.Itoa(n))}, Weight: 1, Left: 400 * time.Millisecond})
+			m.Demanded(now, Demand{Replica: id, Model: base, Adapter: core.AdapterRef{ID: core.AdapterID(strconv.Itoa(n))}, Weight: 1, Left: 400 * time.Millisecond})
 		}
 		out := m.Tick(now, act)
 		for _, p := range out.Probes {
@@ -233,11 +233,11 @@
 	is := is.New(t)
 	m, e := newMachine(1), newEngine(1)
 	run(m, e, 0, 0)
-	m.Wanted(0, want("x"))
+	m.Demanded(0, want("x"))
 	run(m, e, 0, 700*time.Millisecond)
-	m.Wanted(at(700*time.Millisecond), want("y"))
+	m.Demanded(at(700*time.Millisecond), want("y"))
 	run(m, e, 700*time.Millisecond, 1500*time.Millisecond)
-	m.Wanted(at(1500*time.Millisecond), want("x"))
+	m.Demanded(at(1500*time.Millisecond), want("x"))
 	run(m, e, 1500*time.Millisecond, 1500*time.Millisecond+copied+20*time.Millisecond)
 	is.Equal(held(m), []core.AdapterID{"x"})
 }
@@ -248,15 +248,15 @@
 	is := is.New(t)
 	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
-	m.Wanted(0, want("x"))
+	m.Demanded(0, want("x"))
 	run(m, e, 0, time.Second)
 	newer := want("x")
 	newer.Adapter.Version = 5
 	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "x", Running: 1})
-	m.Wanted(at(time.Second), newer)
+	m.Demanded(at(time.Second), newer)
 	is.Equal(len(m.Tick(at(time.Second), act).Orders), 0)
 	m.Used(at(1100*time.Millisecond), "h", Use{Replica: "r", Adapter: "x"})
-	m.Wanted(at(1100*time.Millisecond), newer)
+	m.Demanded(at(1100*time.Millisecond), newer)
 	is.Equal(len(m.Tick(at(1200*time.Millisecond), act).Orders), 0)
 	out := m.Tick(at(1100*time.Millisecond+quietFor), act)
 	is.Equal(len(out.Orders), 1)
@@ -268,8 +268,8 @@
 	is := is.New(t)
 	m, e := newMachine(2), newEngine(2)
 	run(m, e, 0, 0)
-	m.Wanted(0, want("used"))
-	m.Wanted(0, want("idle"))
+	m.Demanded(0, want("used"))
+	m.Demanded(0, want("idle"))
 	run(m, e, 0, time.Second)
 	m.Used(at(time.Second), "h", Use{Replica: "r", Adapter: "used", Begun: 1})
 	m.Newest(base, core.AdapterRef{ID: "used", Version: 2})
@@ -285,7 +285,7 @@
 	m := newMachine(1)
 	m.Tick(0, act)
 	m.Reported(0, Report{Replica: "r", OK: true, Started: 1})
-	m.Wanted(0, want("x"))
+	m.Demanded(0, want("x"))
 	out := m.Tick(0, act)
 	is.Equal(len(out.Orders), 1)
 	is.Equal(out.Orders[0].Model, base)
@@ -295,7 +295,7 @@
 func TestNobodyOrdersWithoutTheRight(t *testing.T) {
 	is := is.New(t)
 	m := newMachine(1)
-	m.Wanted(0, want("x"))
+	m.Demanded(0, want("x"))
 	out := m.Tick(0, func(core.UpstreamID) (core.Fence, bool) { return 0, false })
 	is.Equal(len(out.Orders)+len(out.Probes), 0)
 }
@@ -323,7 +323,7 @@
 				return true
 			})
 			if rapid.IntRange(0, 4).Draw(rt, "want") == 0 {
-				m.Wanted(now, want(core.AdapterID(strconv.Itoa(rapid.IntRange(0, 8).Draw(rt, "adapter")))))
+				m.Demanded(now, want(core.AdapterID(strconv.Itoa(rapid.IntRange(0, 8).Draw(rt, "adapter")))))
 			}
 			lagging = append(lagging, e.report(now))
 			out := m.Tick(now, act)
@@ -351,9 +351,9 @@
 				rt.Fatalf("step %d: ordered beyond %d places", step, slots)
 			}
 		}
-		m.Wanted(at(6*time.Second), want("last"))
+		m.Demanded(at(6*time.Second), want("last"))
 		run(m, e, 6*time.Second, 7*time.Second)
-		m.Wanted(at(7*time.Second), want("last")) // hosts repeat what they want
+		m.Demanded(at(7*time.Second), want("last")) // hosts repeat what they want
 		run(m, e, 7*time.Second, 8*time.Second)
 		if !slices.Contains(held(m), "last") {
 			rt.Fatalf("the last want was not met: %v", held(m))
--- a/internal/core/stock/types.go
+++ b/internal/core/residency/types.go
@@ -1,7 +1,7 @@
-// Package stock decides which adapters a replica holds: what to load, in which
+// Package residency decides which adapters a replica holds: what to load, in which
 // order, and what to unload for it. It runs on the one host that may order the
 // replica; other hosts send it their wants and what they have running.
-package stock
+package residency
 
 import (
 	"time"
@@ -68,8 +68,8 @@
 	Pending  []core.AdapterRef // adapters on their way
 }
 
-// Want asks for an adapter at a replica.
-type Want struct {
+// Demand asks for an adapter at a replica.
+type Demand struct {
 	Replica core.UpstreamID
 	Model   core.BaseModel
 	Adapter core.AdapterRef // the version is the newest known, 0 where none is
@@ -91,14 +91,14 @@
 	Self      core.HostID
 	InTransit int           // adapters on their way to one replica
 	Fetches   float64       // adapters on their way from the weight store, for each replica that this host orders
-	WantFor   time.Duration // a want that is not repeated is dropped after it
+	DemandFor time.Duration // a want that is not repeated is dropped after it
 }
 
 // Defaults of Settings.
 const (
 	DefaultInTransit = 4
 	DefaultFetches   = 0.75
-	DefaultWantFor   = 700 * time.Millisecond
+	DefaultDemandFor = 700 * time.Millisecond
 )
 
 // Actor tells under which number this host may order a replica now.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,14 +11,10 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/direct"
-	"gentiancroft/internal/core/replicas"
-	"gentiancroft/internal/core/stock"
-	"gentiancroft/internal/core/table"
 	"gentiancroft/internal/relay"
 	"gentiancroft/internal/supervise"
 )
@@ -30,40 +26,6 @@
 	overloaded   = time.Second
 )
 
-// Store carries calls to the object API.
-type Store interface {
-	Do(ctx context.Context, c core.ObjectCall) core.ObjectResult
-}
-
-// Replicas carries orders to replicas and reads their reports.
-type Replicas interface {
-	Order(ctx context.Context, o stock.Order) stock.OrderDone
-	Report(ctx context.Context, p stock.Probe) stock.Report
-}
-
-// Links carries payloads to other hosts. A payload may be lost.
-type Links interface {
-	Send(to core.HostID, address string, payload []byte) bool
-}
-
-// Documents reads the objects that others write into the store.
-type Documents struct {
-	Configuration string // kind of the object that holds the configuration
-	Replicas      string // kind of the replicas' entries
-	Versions      string // kind of the adapters' newest versions
-	DecodeTable   func([]byte) (*table.Table, error)
-	DecodeReplica func(id string, value []byte) (replicas.Entry, error)
-	DecodeVersion func([]byte) (core.BaseModel, core.AdapterRef, error)
-}
-
-// Carriers are the ways out of a gateway.
-type Carriers struct {
-	Store     Store
-	Replicas  Replicas
-	Links     Links
-	Documents Documents
-}
-
 // Clock is a host's clock. It goes on while the host is suspended, so that what
 // was valid before is not taken for valid after.
 type Clock func() core.Instant
@@ -90,7 +52,7 @@
 	ready     bool
 	leaving   bool
 	addresses []string
-	wants     direct.Wants
+	reading   direct.Reading
 }
 
 // New returns a gateway whose duties are not running yet.
@@ -187,10 +149,10 @@
 		ready:     g.machine.Ready(),
 		leaving:   g.machine.Leaving(),
 		addresses: g.machine.Addresses(),
-		wants:     g.machine.Wants(),
+		reading:   g.machine.Reading(),
 	}
 	last := g.view.Swap(next)
-	if last.wants.Reread != next.wants.Reread {
+	if last.reading.Reread != next.reading.Reread {
 		g.reread.call()
 	}
 }
@@ -239,64 +201,6 @@
 	}
 }
 
-func (g *Gateway) order(ctx context.Context, o stock.Order) {
-	done := g.carriers.Replicas.Order(ctx, o)
-	if done.Err != nil {
-		log.WithField("upstream", string(o.Replica)).WithError(done.Err).Warn("order without an answer")
-	}
-	g.Tell(direct.OrderDone{OrderDone: done})
-}
-
-func (g *Gateway) probe(ctx context.Context, p stock.Probe) {
-	report := g.carriers.Replicas.Report(ctx, p)
-	if report.Err != nil {
-		log.WithField("upstream", string(p.Replica)).WithError(report.Err).Warn("report not read")
-	}
-	g.Tell(direct.Reported{Report: report})
-}
-
-func (g *Gateway) object(ctx context.Context, c core.ObjectCall) {
-	result := g.carriers.Store.Do(ctx, c)
-	result.Tag = c.Tag
-	g.storeAnswered(result.Status)
-	g.Tell(direct.ObjectDone{Result: result})
-}
-
-// storeAnswered tells the machine when the store is lost or back.
-func (g *Gateway) storeAnswered(s core.ObjectStatus) {
-	g.count("store.calls." + storeOutcomes[s])
-	reached := s != core.ObjectUnavailable && s != core.ObjectUnknown
-	if reached {
-		g.Tell(direct.StoreReached{})
-	} else {
-		g.Tell(direct.StoreLost{})
-	}
-	if g.reached.Swap(reached) != reached {
-		log.WithField("dependency", "store").WithField("reached", reached).Warn("dependency changed")
-	}
-}
-
-var storeOutcomes = map[core.ObjectStatus]string{
-	core.ObjectOK:          "ok",
-	core.ObjectNotFound:    "not_found",
-	core.ObjectConflict:    "conflict",
-	core.ObjectUnavailable: "unavailable",
-	core.ObjectUnknown:     "unknown",
-	core.ObjectHistoryGone: "history_gone",
-}
-
-// toPeers encodes a message once for all that it goes to.
-func (g *Gateway) toPeers(x direct.ToPeers) {
-	payload, err := cbor.Marshal(x.Message)
-	if err != nil {
-		log.WithError(err).Error("peer message not encoded")
-		return
-	}
-	for _, p := range x.To {
-		g.carriers.Links.Send(p.Host, p.Link, payload)
-	}
-}
-
 // note counts a decision and logs it.
 func (g *Gateway) note(n direct.Note) {
 	name := "decision." + n.Name + "." + n.Reason
@@ -325,80 +229,3 @@
 	}
 	log.WithFields(fields).Info("decided")
 }
-
-// Begin implements relay.Node.
-func (g *Gateway) Begin(a direct.Arrive) relay.Exchange {
-	x := &exchange{id: a.ID, gateway: g, decisions: make(chan direct.Effect, decisionRing)}
-	g.mu.Lock()
-	g.exchanges[a.ID] = x
-	g.mu.Unlock()
-	if !g.events.TryPush(a) {
-		x.decisions <- direct.Refuse{ID: a.ID, Refusal: core.Refuse(core.CodeOverloaded, overloaded, "the host is overloaded")}
-	}
-	return x
-}
-
-func (g *Gateway) exchange(id core.RequestID) *exchange {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.exchanges[id]
-}
-
-func (g *Gateway) decide(id core.RequestID, e direct.Effect) {
-	if x := g.exchange(id); x != nil {
-		select {
-		case x.decisions <- e:
-		default: // more decisions than a request can have: a fault of the machine
-			log.WithField("request", string(id)).Error("decision dropped")
-		}
-	}
-}
-
-func (g *Gateway) cancel(c direct.Cancel) {
-	if x := g.exchange(c.ID); x != nil {
-		x.cancelAttempt(c.Attempt)
-	}
-}
-
-// exchange is the handler's side of one request.
-type exchange struct {
-	id        core.RequestID
-	gateway   *Gateway
-	decisions chan direct.Effect
-
-	mu        sync.Mutex
-	attempt   int
-	cancel    context.CancelFunc
-	cancelled int // attempts up to this one are cancelled
-}
-
-// Decisions implements relay.Exchange.
-func (x *exchange) Decisions() <-chan direct.Effect { return x.decisions }
-
-// Attempt implements relay.Exchange.
-func (x *exchange) Attempt(parent context.Context, attempt int) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.attempt, x.cancel = attempt, cancel
-	if attempt <= x.cancelled {
-		cancel()
-	}
-	return ctx, cancel
-}
-
-func (x *exchange) cancelAttempt(attempt int) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.cancelled = max(x.cancelled, attempt)
-	if x.cancel != nil && x.attempt <= attempt {
-		x.cancel()
-	}
-}
-
-// Close implements relay.Exchange.
-func (x *exchange) Close() {
-	x.gateway.mu.Lock()
-	defer x.gateway.mu.Unlock()
-	delete(x.gateway.exchanges, x.id)
-}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -73,7 +73,7 @@
 	version := uint64(0)
 	again := againFirst
 	for ctx.Err() == nil {
-		if w.others && version != 0 && !w.gateway.view.Load().wants.Watch {
+		if w.others && version != 0 && !w.gateway.view.Load().reading.Watch {
 			w.rest(ctx)
 			version = 0
 			continue
@@ -97,14 +97,14 @@
 // rest waits while another host follows the objects.
 func (w *watch) rest(ctx context.Context) {
 	since := time.Now()
-	for ctx.Err() == nil && time.Since(since) < listEvery && !w.gateway.view.Load().wants.Watch {
+	for ctx.Err() == nil && time.Since(since) < listEvery && !w.gateway.view.Load().reading.Watch {
 		pause(ctx, coveredLook)
 	}
 }
 
 // wait is how long a watch waits for a change.
 func (w *watch) wait() time.Duration {
-	if w.urgent || w.gateway.view.Load().wants.Alone {
+	if w.urgent || w.gateway.view.Load().reading.Alone {
 		return waitAlone
 	}
 	return waitLong
