--- a/internal/gateway/carriers.go
+++ b/internal/gateway/carriers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/direct"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/direct"
-	"gentiancroft/internal/relay"
 	"gentiancroft/internal/supervise"
 )
 
