Settings are read again at SIGHUP and when the file changes

Change: SIGHUP is taken; the file is also looked at each second; retries, the versions' grace, the log's level and the time that callers keep addresses change under way, other changes are told and wait for the next start. A reader of the log that goes away no longer ends the host.

--- a/cmd/gentiancroft/relay.go
+++ b/cmd/gentiancroft/relay.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -30,7 +33,8 @@
 		Long: `Run one host that passes requests through until it is told to leave.
 
 The first SIGTERM or SIGINT begins a graceful shutdown: callers are no longer told of the host, it serves
-those who still come, finishes what is in flight, hands over and exits.`,
+those who still come, finishes what is in flight, hands over and exits. SIGHUP, or a change of the file, has the
+settings read again.`,
 		Example: "  gentiancroft relay --settings relay.yaml",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -38,7 +42,7 @@
 			if err != nil {
 				return err
 			}
-			return runRelay(c.Context(), s)
+			return runRelay(c.Context(), file, s)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "file with the host's settings")
@@ -46,7 +50,7 @@
 	return c
 }
 
-func runRelay(leave context.Context, s *settings.Relay) error {
+func runRelay(leave context.Context, file string, s *settings.Relay) error {
 	sink := logs.New(os.Stdout, time.Now)
 	log.SetHandler(sink)
 	go func() {
@@ -62,6 +66,9 @@
 	if memory := s.Memory.Value(); memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a reader of the log that goes away must not end the host
 	r, err := wiring.NewRelay(s, wiring.Adapter{
 		Carriers:    platform.Carriers,
 		Dialect:     platform.Headers{},
@@ -75,7 +82,45 @@
 	log.WithField("host", s.Host.Name).Info("started")
 	stop := context.AfterFunc(leave, r.Leave)
 	defer stop()
+	go reload(leave, hangups, file, r)
 	err = r.Run(context.Background())
 	log.WithField("host", s.Host.Name).Info("stopped")
 	return err
 }
+
+// reloadEvery is how often the settings file is looked at for a change.
+const reloadEvery = time.Second
+
+// reload reads the settings again at SIGHUP, and when the file has changed.
+// Settings that can't be used change nothing.
+func reload(ctx context.Context, hangups <-chan os.Signal, file string, r *wiring.Relaying) {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	last, err := os.ReadFile(file)
+	if err != nil {
+		log.WithError(err).Warn("settings not read")
+	}
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			// The signal is still taken while the host leaves: it must not end it.
+			<-hangups
+			continue
+		case <-hangups:
+			asked = true
+		case <-ticker.C:
+		}
+		now, err := os.ReadFile(file)
+		if err != nil || !asked && bytes.Equal(now, last) {
+			continue // a file that is being replaced is there the next time
+		}
+		last = now
+		s, err := settings.LoadRelay(file)
+		if err != nil {
+			log.WithError(err).Warn("settings not usable; the former ones stay")
+			continue
+		}
+		log.WithField("later", r.Apply(s)).Info("settings reloaded")
+	}
+}
--- a/internal/core/direct/catalog.go
+++ b/internal/core/direct/catalog.go
@@ -75,6 +75,8 @@
 			{Name: "gone", Meaning: "its entry is gone"}}},
 		{Name: "configuration", About: "a version of the configuration", Detail: "the version", Reasons: []Reason{
 			{Name: "in_force", Meaning: "it decides from now on"}}},
+		{Name: "settings", About: "settings that have changed under way", Reasons: []Reason{
+			{Name: "in_force", Meaning: "they decide from now on"}}},
 		{Name: "reread", About: "whether documents are read again", Detail: "the host that knows more", Reasons: []Reason{
 			{Name: "newer_elsewhere", Meaning: "another host knows a newer configuration or adapter version"},
 			{Name: "store_back", Meaning: "the store answers again after an outage"}}},
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -257,3 +257,16 @@
 	heartbeat(digest)
 	h.is.True(h.m.Reading().Watch)
 }
+
+func TestSettingsChangeUnderWay(t *testing.T) {
+	h := newHost(t)
+	h.step(Tuned{VersionGrace: time.Minute})
+	h.step(VersionNamed{Model: model, Adapter: core.AdapterRef{ID: "x", Version: 2}})
+	h.after(30 * time.Second)
+	h.arrive(Arrive{Path: "/stream/x", Model: model, Adapter: "x"})
+	h.is.Equal(h.dispatch().Version, 0) // still within the longer grace
+	h.step(Tuned{VersionGrace: time.Second})
+	h.arrive(Arrive{Path: "/stream/x", Model: model, Adapter: "x"})
+	_, sent := get[Dispatch](h)
+	h.is.True(!sent)
+}
--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -123,6 +123,14 @@
 // Tick says that time has passed.
 type Tick struct{}
 
+// Tuned changes settings of a running host; zero fields take their defaults.
+type Tuned struct {
+	RetryShare   float64
+	RetrySlack   float64
+	RetryWindow  time.Duration
+	VersionGrace time.Duration
+}
+
 // Leave begins a graceful shutdown.
 type Leave struct{}
 
@@ -147,6 +155,7 @@
 func (FromPeer) isEvent()        {}
 func (Tick) isEvent()            {}
 func (Leave) isEvent()           {}
+func (Tuned) isEvent()           {}
 
 // Message is what hosts tell each other. It may be lost, doubled or late.
 type Message struct {
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -65,7 +65,7 @@
 		fleet:     fleet.New(s.Self),
 		quota:     quota.New(!s.FirstStart),
 		shards:    shard.New(s.Shard),
-		residency: residency.New(s.Stock),
+		residency: residency.New(s.Residency),
 		versions:  map[core.AdapterID]named{},
 		retries:   map[table.ServiceID]*retry.Budget{},
 		crashes:   map[uint64]*crash{},
@@ -135,6 +135,8 @@
 		m.fromPeer(e)
 	case Tick:
 		m.tick()
+	case Tuned:
+		m.tune(e)
 	case Leave:
 		m.leave()
 	case Query:
@@ -164,6 +166,15 @@
 	m.leaveOn()
 }
 
+// tune takes changed settings.
+func (m *Machine) tune(e Tuned) {
+	s := &m.settings
+	s.RetryShare, s.RetrySlack, s.RetryWindow, s.VersionGrace = e.RetryShare, e.RetrySlack, e.RetryWindow, e.VersionGrace
+	s.fill()
+	clear(m.retries)
+	m.emit(Note{Name: "settings", Reason: "in_force"})
+}
+
 // Ready reports whether the host can serve callers.
 func (m *Machine) Ready() bool { return m.table != nil && m.listed && m.leaving == 0 }
 
--- a/internal/core/direct/settings.go
+++ b/internal/core/direct/settings.go
@@ -18,7 +18,7 @@
 	Seed         uint64
 	FirstStart   bool // the whole deployment starts, not this host alone
 	Shard        shard.Settings
-	Stock        residency.Settings
+	Residency    residency.Settings
 	RetryShare   float64       // retries a first attempt, over the fleet
 	RetrySlack   float64       // further retries in RetryWindow, over the fleet
 	RetryWindow  time.Duration // of RetrySlack
@@ -61,6 +61,6 @@
 	orDefault(&s.LeaveAfter, DefaultLeaveAfter)
 	orDefault(&s.LeaveBy, DefaultLeaveBy)
 	s.Shard.Self = core.HostID(s.Self.Name)
-	s.Stock.Self = core.HostID(s.Self.Name)
+	s.Residency.Self = core.HostID(s.Self.Name)
 	orDefault(&s.Shard.Meet, meetTime)
 }
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -35,7 +36,7 @@
 
 // Relaying is one relaying host that has been put together.
 type Relaying struct {
-	settings *settings.Relay
+	settings atomic.Pointer[settings.Relay]
 	adapter  Adapter
 	registry metrics.Registry
 	tree     *supervise.Tree
@@ -138,7 +139,7 @@
 		RetryShare:   s.Retry.Share,
 		RetrySlack:   s.Retry.Slack,
 		RetryWindow:  s.Retry.Window.Value(),
-		VersionGrace: time.Duration(versionMargin * float64(s.Version.Value())),
+		VersionGrace: versionGrace(s),
 		LeaveStreams: shutdown - streamsBefore,
 		LeaveAfter:   shutdown - refuseBefore,
 		LeaveBy:      shutdown,
@@ -184,7 +185,9 @@
 }
 
 func newRelaying(s *settings.Relay, a Adapter, r metrics.Registry, t *supervise.Tree, g *gateway.Gateway, l *peer.Links, server *relay.Server) *Relaying {
-	return &Relaying{settings: s, adapter: a, registry: r, tree: t, gateway: g, links: l, server: server}
+	running := &Relaying{adapter: a, registry: r, tree: t, gateway: g, links: l, server: server}
+	running.settings.Store(s)
+	return running
 }
 
 // Run serves until the host has left after Leave, or ctx ends.
@@ -219,7 +222,7 @@
 
 func (r *Relaying) listen() (relayListeners, error) {
 	var l relayListeners
-	s := r.settings.Listen
+	s := r.settings.Load().Listen
 	for _, x := range []struct {
 		address string
 		into    *net.Listener
@@ -263,7 +266,7 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	body, err := r.adapter.Resolved(addresses, r.settings.Keep.Value())
+	body, err := r.adapter.Resolved(addresses, r.settings.Load().Keep.Value())
 	if err != nil {
 		log.WithError(err).Error("directory answer not encoded")
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
