Leases of 5 s; a request that nobody can have loaded for is refused soon

Change: a lease lasts 5 s (a successor waits 8.3 s); where no replica can be ordered, such a request is refused after 0.3 s, to come back after a second.

--- a/internal/core/direct/admit.go
+++ b/internal/core/direct/admit.go
@@ -14,6 +14,7 @@
 	retryLeaving  = 50 * time.Millisecond // at another host
 	retrySuspect  = 2 * time.Second
 	retryNoRoom   = 400 * time.Millisecond
+	retryUnowned  = time.Second
 )
 
 // arrive checks a request against the configuration in force and begins it.
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -270,3 +270,22 @@
 	_, sent := get[Dispatch](h)
 	h.is.True(!sent)
 }
+
+// The pattern of an outage of the store that outlasts the leases: nobody may
+// order, so a request for an adapter that no replica holds is not kept waiting.
+func TestARequestThatNobodyCanLoadForIsRefusedSoon(t *testing.T) {
+	h := newHost(t)
+	h.arrive(Arrive{Path: "/stream/x", Model: model, Adapter: "absent"})
+	h.after(unaskedFor)
+	r := h.refusal()
+	h.is.Equal(r.Ran, core.RanNo)
+	h.is.True(r.RetryAfter > 0)
+
+	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
+	h.step(FromPeer{From: "b/1", Message: Message{Heartbeats: []Heartbeat{{Host: "b/1", Number: 1, Ready: true}}}})
+	h.lease("b")
+	h.arrive(Arrive{Path: "/stream/x", Model: model, Adapter: "absent"})
+	h.after(unaskedFor) // somebody was asked: it waits
+	_, refused := get[Refuse](h)
+	h.is.True(!refused)
+}
--- a/internal/core/direct/finish.go
+++ b/internal/core/direct/finish.go
@@ -237,6 +237,9 @@
 			m.noReplica(r)
 		case r.stage == stageWaiting:
 			m.ask(r)
+			if r.asked == 0 && m.now.Sub(r.since) >= unaskedFor {
+				m.refuse(r, core.Refuse(core.CodeNoUpstream, retryUnowned, "nobody can have its adapter loaded now"))
+			}
 		case m.silent(r):
 			m.move(r)
 		}
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -22,6 +22,9 @@
 	waitObjectives = 3
 	// waitLeast is the least of such a wait.
 	waitLeast = 1500 * time.Millisecond
+	// unaskedFor is how long a request waits while nobody orders any replica that
+	// could load its adapter.
+	unaskedFor = 300 * time.Millisecond
 	// crowded is the occupancy of the least busy holder from which a further
 	// replica is asked to hold an adapter.
 	crowded = 0.6
@@ -166,20 +169,27 @@
 	if r.asked != 0 && m.now.Sub(r.asked) < askAgain {
 		return
 	}
-	r.asked = m.now
-	m.askHomes(r)
+	if m.askHomes(r) {
+		r.asked = m.now
+	}
 }
 
-// askHomes asks at the first home that somebody orders now. One that holds an
+// askHomes asks at the first home that somebody orders now; false where nobody
+// orders any. One that holds an
 // older version takes the new one only once the old one is not in use: the next
 // home is asked as well.
-func (m *Machine) askHomes(r *request) {
+func (m *Machine) askHomes(r *request) (asked bool) {
 	for _, x := range m.homes(r) {
 		_, older := x.Holds(r.arrive.Adapter)
-		if m.want(r, x) && !older {
-			return
+		if !m.want(r, x) {
+			continue
+		}
+		asked = true
+		if !older {
+			return true
 		}
 	}
+	return asked
 }
 
 // askNewer asks for an adapter's newest version while an older one still serves.
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -37,7 +37,7 @@
 // Defaults of Settings.
 const (
 	DefaultCount = 4
-	DefaultTerm  = 2 * time.Second
+	DefaultTerm  = 5 * time.Second
 	DefaultRenew = 1100 * time.Millisecond
 	DefaultGap   = 3300 * time.Millisecond
 	DefaultTurn  = 700 * time.Millisecond
