--- a/cmd/gentiancroft/main.go
+++ b/cmd/gentiancroft/main.go
@@ -59,7 +59,9 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage.Wrap(err) })
 	root.AddCommand(
 		demoCommand(),
-		serveCommand(), relayCommand(),
+		serveCommand(),
+		relayCommand(),
+		explainCommand(),
 		standinCommand(),
 		loadCommand(),
 		configCommand(),
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,35 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const logs = `{"time":"3","decision":"refusal","reason":"no_upstream","request":"a","detail":"no replica can run it now","age_ms":1500}
+not a line of JSON
+{"time":"1","decision":"wait","reason":"adapter","request":"a","detail":"a7"}
+{"time":"2","decision":"dispatch","reason":"least_occupied","request":"b","upstream":"i1"}
+{"time":"4","decision":"attempt","reason":"broken","request":"b","upstream":"i1","age_ms":24}
+{"time":"5","decision":"refusal","reason":"upstream_failed","request":"b","upstream":"i1"}
+`
+
+func TestTheCauseOfEachRequest(t *testing.T) {
+	is := is.New(t)
+	for request, want := range map[string]Cause{"a": AdapterLate, "b": ReplicaBroke, "c": Unseen} {
+		lines, err := Read(strings.NewReader(logs), request)
+		is.NoErr(err)
+		is.Equal(Why(lines), want)
+	}
+}
+
+func TestLinesAreShownInTheirOrder(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(logs), "a")
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(Write(&out, lines))
+	is.True(strings.Index(out.String(), "wait") < strings.Index(out.String(), "refusal"))
+	is.True(strings.HasSuffix(out.String(), "cause: "+string(AdapterLate)+"\n"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,6 +145,7 @@
 // look publishes what other duties need to know, and has documents read again
 // where the machine wants it.
 func (g *Gateway) look() {
+	g.gauge()
 	next := &view{
 		ready:     g.machine.Ready(),
 		leaving:   g.machine.Leaving(),
@@ -157,6 +158,15 @@
 	}
 }
 
+// gauge publishes how much is under way.
+func (g *Gateway) gauge() {
+	g.mu.Lock()
+	open := len(g.exchanges)
+	g.mu.Unlock()
+	metrics.GetOrRegisterGauge("gateway.requests", g.registry).Update(int64(open))
+	metrics.GetOrRegisterGauge("gateway.queue", g.registry).Update(int64(g.events.Stats().Length))
+}
+
 func (g *Gateway) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
