--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,14 +2,13 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"math"
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"gentiancroft/internal/badrequest"
 	"gentiancroft/internal/core"
 )
 
@@ -85,20 +84,7 @@
 // unreadable answers a request that could not even be read.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	s.metrics.unreadable.Inc(1)
-	var small *fasthttp.ErrSmallBuffer
-	var network net.Error
-	status := 0
-	refusal := malformed("the request is not well-formed HTTP")
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		refusal = core.Refuse(core.CodeTooLarge, 0, "the body is too large")
-	case errors.As(err, &small):
-		refusal = core.Refuse(core.CodeTooLarge, 0, "the header is too large")
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &network) && network.Timeout():
-		refusal = core.Refuse(core.CodeBadRequest, 0, "the request did not arrive in time")
-		status = fasthttp.StatusRequestTimeout
-	}
+	refusal, status := badrequest.Classify(err)
 	refuse(ctx, refusal)
 	if status != 0 {
 		ctx.SetStatusCode(status)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"gentiancroft/internal/badrequest"
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/direct"
 	"gentiancroft/internal/core/table"
@@ -198,20 +198,7 @@
 
 // unreadable answers a request that could not even be read.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
-	var small *fasthttp.ErrSmallBuffer
-	var network net.Error
-	refusal := core.Refuse(core.CodeBadRequest, 0, "the request is not well-formed HTTP")
-	status := 0
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		refusal = core.Refuse(core.CodeTooLarge, 0, "the body is too large")
-	case errors.As(err, &small):
-		refusal = core.Refuse(core.CodeTooLarge, 0, "the header is too large")
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &network) && network.Timeout():
-		refusal = core.Refuse(core.CodeBadRequest, 0, "the request did not arrive in time")
-		status = fasthttp.StatusRequestTimeout
-	}
+	refusal, status := badrequest.Classify(err)
 	s.refuse(ctx, "", refusal)
 	if status != 0 {
 		ctx.SetStatusCode(status)
