--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiancroft/internal/core"
+)
+
+// start is when the tests' fleets find each other.
+const start = core.Instant(time.Second)
+
+func registration(name string) Registration {
+	return Registration{Name: name, Host: core.HostID(name + "/1"), Entry: name + ":80", Key: "key of " + name}
+}
+
+func newFleet(now core.Instant, names ...string) *Fleet {
+	f := New(registration("self"))
+	for _, n := range names {
+		f.Listed(now, registration(n))
+	}
+	return f
+}
+
+func TestCallersAreToldOfHostsThatWereHeardAndAreReady(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(start, "a", "b", "c", "d")
+	is.True(f.Heard(start, "a/1", true, false))
+	f.Heard(start, "b/1", false, false) // not ready
+	f.Heard(start, "c/1", true, true)   // leaving
+	is.Equal(f.Addresses(start, true), []string{"a:80", "self:80"})
+	is.Equal(f.Addresses(start.Add(HeardFor), true), []string{"self:80"})
+}
+
+func TestAHostThatIsNotReadyAndHearsNobodyNamesAllThatAreRegistered(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(start, "a", "b")
+	is.Equal(f.Addresses(start, false), []string{"a:80", "b:80"})
+}
+
+func TestALeavingHostNamesItselfNoMore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(start, "a")
+	f.Heard(start, "a/1", true, false)
+	f.Leave()
+	is.Equal(f.Addresses(start, true), []string{"a:80"})
+	is.Equal(f.Members(start), []core.HostID{"a"})
+}
+
+func TestThePartThatIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(start, "a", "b", "c")
+	is.Equal(f.Part(start), 0.25)
+	f.Heard(start, "a/1", true, false)
+	is.Equal(f.Part(start), 0.5)
+	is.Equal(f.Part(start.Add(forgetAfter)), 0.25)
+	is.Equal(f.Part(start.Add(forgetAfter+HeardFor)), 1.0) // the others have been silent so long that they are gone
+}
+
+func TestARestartedHostIsAnother(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(start, "a")
+	f.Heard(start, "a/1", true, false)
+	again := registration("a")
+	again.Host = "a/2"
+	again.Key = "another key"
+	f.Listed(start.Add(time.Second), again)
+	is.True(!f.Heard(start.Add(time.Second), "a/1", true, false))
+	is.True(!f.Trusted("a/1", "key of a"))
+	is.True(!f.Trusted("a/2", "key of a"))
+	is.True(f.Trusted("a/2", "another key"))
+	f.Unlisted("a")
+	is.True(!f.Trusted("a/2", "another key"))
+}
