A host is ready once it has read the adapters' newest versions too

Cause: a host that started while the list of versions could not be read would have run adapters on replaced versions. Change: readiness and admission need configuration, replicas and versions.

--- a/internal/core/direct/admit.go
+++ b/internal/core/direct/admit.go
@@ -31,7 +31,7 @@
 }
 
 func (m *Machine) admit(e Arrive) (*request, *core.Refusal) {
-	if m.table == nil || !m.listed {
+	if !m.informed() {
 		return nil, core.Refuse(core.CodeCutOff, retryStarting, "this host has no configuration yet")
 	}
 	route := m.table.Route(e.Host, e.Path)
--- a/internal/core/direct/bench_test.go
+++ b/internal/core/direct/bench_test.go
@@ -24,6 +24,7 @@
 	m := New(Settings{Self: fleet.Registration{Name: "self", Host: "self/1", Domain: "a"}, FirstStart: true})
 	now := core.Instant(0)
 	m.Step(now, Configured{Table: testTable()})
+	m.Step(now, VersionsRead{})
 	var entries []replicas.Entry
 	var loads []Load
 	for i := range 2 * hosts {
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -289,3 +289,16 @@
 	_, refused := get[Refuse](h)
 	h.is.True(!refused)
 }
+
+func TestAHostIsReadyOnceItHasReadAllThatItDecidesBy(t *testing.T) {
+	h := newHost(t)
+	h.is.True(h.m.Ready())
+	h.m = New(Settings{Self: fleet.Registration{Name: "a", Host: "a/1"}})
+	for _, e := range []Event{Configured{Table: testTable()}, ReplicasListed{}, VersionsRead{}} {
+		h.is.True(!h.m.Ready())
+		h.arrive(Arrive{Path: "/read/x"})
+		h.is.Equal(h.refusal().Code, core.CodeCutOff)
+		h.step(e)
+	}
+	h.is.True(h.m.Ready())
+}
--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -87,6 +87,9 @@
 	Listed  bool // it may have been named long ago: it was found in a list
 }
 
+// VersionsRead says that the list of the adapters' newest versions has been told.
+type VersionsRead struct{}
+
 // HostsListed is the list of registered hosts, as they wrote themselves.
 type HostsListed struct{ Hosts []fleet.Registration }
 
@@ -143,6 +146,7 @@
 func (ReplicaListed) isEvent()   {}
 func (ReplicaUnlisted) isEvent() {}
 func (VersionNamed) isEvent()    {}
+func (VersionsRead) isEvent()    {}
 func (HostsListed) isEvent()     {}
 func (HostListed) isEvent()      {}
 func (HostUnlisted) isEvent()    {}
--- a/internal/core/direct/host_test.go
+++ b/internal/core/direct/host_test.go
@@ -68,6 +68,7 @@
 	h.now = 10 * time.Second
 	x := core.AdapterRef{ID: "x", Version: 1}
 	h.step(Configured{Table: testTable()})
+	h.step(VersionsRead{})
 	h.step(ReplicasListed{Entries: []replicas.Entry{
 		replica("e1", engines, x), replica("e2", engines, x), replica("s1", services), replica("s2", services),
 	}})
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -18,18 +18,19 @@
 	now      core.Instant
 	out      []Effect
 
-	table     *table.Table
-	replicas  *replicas.Set
-	listed    bool // the replicas have been listed at least once
-	fleet     *fleet.Fleet
-	quota     *quota.Machine
-	shards    *shard.Machine
-	residency *residency.Machine
-	versions  map[core.AdapterID]named
-	retries   map[table.ServiceID]*retry.Budget
-	crashes   map[uint64]*crash
-	failures  map[core.UpstreamID]*decayed
-	copies    map[core.AdapterID]core.Instant // when a further copy was last asked for
+	table        *table.Table
+	replicas     *replicas.Set
+	listed       bool // the replicas have been listed at least once
+	versionsRead bool // so have the adapters' newest versions
+	fleet        *fleet.Fleet
+	quota        *quota.Machine
+	shards       *shard.Machine
+	residency    *residency.Machine
+	versions     map[core.AdapterID]named
+	retries      map[table.ServiceID]*retry.Budget
+	crashes      map[uint64]*crash
+	failures     map[core.UpstreamID]*decayed
+	copies       map[core.AdapterID]core.Instant // when a further copy was last asked for
 
 	requests   *requests
 	writes     writes
@@ -110,6 +111,8 @@
 		}
 	case VersionNamed:
 		m.versionNamed(e)
+	case VersionsRead:
+		m.versionsRead = true
 	case HostsListed:
 		m.hostsListed(e.Hosts)
 	case HostListed:
@@ -176,7 +179,11 @@
 }
 
 // Ready reports whether the host can serve callers.
-func (m *Machine) Ready() bool { return m.table != nil && m.listed && m.leaving == 0 }
+func (m *Machine) Ready() bool { return m.informed() && m.leaving == 0 }
+
+// informed reports whether the host has read all that it decides by. Keeps: a
+// host that has just started runs nothing on a version that was replaced before.
+func (m *Machine) informed() bool { return m.table != nil && m.listed && m.versionsRead }
 
 // Addresses are those that callers are told now.
 func (m *Machine) Addresses() []string { return m.fleet.Addresses(m.now, m.Ready()) }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -55,7 +55,7 @@
 	return []*watch{
 		{gateway: g, kind: d.Configuration, pace: paceConfiguration, listed: each(g.configuration), changed: g.configuration},
 		{gateway: g, kind: d.Replicas, pace: paceReplicas, urgent: true, others: true, listed: g.replicasListed, changed: g.replicaChanged},
-		{gateway: g, kind: d.Versions, pace: paceVersions, listed: each(g.versionListed), changed: g.versionChanged},
+		{gateway: g, kind: d.Versions, pace: paceVersions, listed: g.versionsListed, changed: g.versionChanged},
 		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, listed: each(g.host), changed: g.host},
 	}
 }
@@ -129,7 +129,8 @@
 	case result.Status == core.ObjectHistoryGone:
 		return 0, true
 	case result.Status == core.ObjectNotFound && version == 0:
-		return 0, false // nothing of this kind was ever written
+		w.listed(nil) // nothing of this kind was ever written
+		return 0, false
 	case result.Status != core.ObjectOK:
 		return version, false
 	case version == 0:
@@ -202,7 +203,12 @@
 	g.Tell(direct.ReplicaListed{Entry: e})
 }
 
-func (g *Gateway) versionListed(o core.Object) { g.version(o, true) }
+func (g *Gateway) versionsListed(all []core.Object) {
+	for _, o := range all {
+		g.version(o, true)
+	}
+	g.Tell(direct.VersionsRead{})
+}
 
 func (g *Gateway) versionChanged(o core.Object) { g.version(o, false) }
 
