--- a/internal/core/residency/demand.go
+++ b/internal/core/residency/demand.go
@@ -6,6 +6,7 @@
 	"gentiancroft/internal/core"
 )
 
+// demand is a Demand with its times.
 type demand struct {
 	want  Demand
 	at    core.Instant // last repeated
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// Put takes a replica's entry. Only replicas of engines are kept.
+// Put takes a replica's entry. Those of plain services are never ordered.
 func (m *Machine) Put(e replicas.Entry) {
 	s := m.known[e.ID]
 	if s == nil || s.started != e.Started {
--- a/internal/core/residency/types.go
+++ b/internal/core/residency/types.go
@@ -1,6 +1,6 @@
 // Package residency decides which adapters a replica holds: what to load, in which
 // order, and what to unload for it. It runs on the one host that may order the
-// replica; other hosts send it their wants and what they have running.
+// replica; other hosts send it their demands and what they have running.
 package residency
 
 import (
