--- a/internal/core/residency/demand.go
+++ b/internal/core/residency/demand.go
@@ -7,6 +7,7 @@
 )
 
 // demand is a Demand with its times.
+// demand is a Demand and its times.
 type demand struct {
 	want  Demand
 	at    core.Instant // last repeated
@@ -14,7 +15,7 @@
 	until core.Instant // when the adapter must be there for a request to be on time
 }
 
-// Demanded takes a want of this host or of another one.
+// Demanded takes a demand of this host or of another one.
 func (m *Machine) Demanded(now core.Instant, w Demand) {
 	s := m.known[w.Replica]
 	if s == nil {
--- a/internal/core/residency/types.go
+++ b/internal/core/residency/types.go
@@ -91,7 +91,7 @@
 	Self      core.HostID
 	InTransit int           // adapters on their way to one replica
 	Fetches   float64       // adapters on their way from the weight store, for each replica that this host orders
-	DemandFor time.Duration // a want that is not repeated is dropped after it
+	DemandFor time.Duration // a demand that is not repeated is dropped after it
 }
 
 // Defaults of Settings.
