The retry budget follows the size of the fleet

Cause (reading the diff): a host made its part of the retries at its first request, when it may know no other host yet; after a restart of all hosts each could have kept the whole fleet's slack for itself. Change: the part is adjusted at each use.

--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -302,3 +302,24 @@
 	}
 	h.is.True(h.m.Ready())
 }
+
+// The pattern of a fleet that restarts at once: each host sends a first request
+// before it knows the others, and must not keep the retries of all for itself.
+func TestTheRetryBudgetFollowsTheFleet(t *testing.T) {
+	h := newHost(t)
+	retries := func() int {
+		n := 0
+		for range 40 {
+			if h.m.budget(services).Retry(h.m.now) {
+				n++
+			}
+		}
+		return n
+	}
+	h.is.True(retries() >= 1) // alone: a second's worth of the whole slack
+	for _, name := range []string{"b", "c", "d", "e", "f", "g", "i"} {
+		h.step(HostListed{Host: fleet.Registration{Name: name, Host: core.HostID(name + "/1")}})
+	}
+	h.after(10 * time.Second)
+	h.is.True(retries() <= int(DefaultRetrySlack/8)) // an eighth of the fleet's
+}
--- a/internal/core/direct/finish.go
+++ b/internal/core/direct/finish.go
@@ -26,19 +26,24 @@
 	lateRetry = 30 * time.Millisecond
 )
 
-// budget is this host's part of the retries to a service.
+// budget is this host's part of the retries to a service. It follows the size of
+// the fleet: a host that has just started knows few others, but has to leave them
+// their part as soon as it learns of them.
 func (m *Machine) budget(s table.ServiceID) *retry.Budget {
+	hosts := float64(max(m.fleet.Size(m.now), 1))
+	slack := m.settings.RetrySlack * budgetPart / hosts
+	part := retry.Settings{
+		Share: m.settings.RetryShare * budgetPart,
+		Floor: slack / 2 / m.settings.RetryWindow.Seconds(),
+		Burst: max(slack/2, 1),
+	}
 	b := m.retries[s]
 	if b == nil {
-		hosts := float64(max(m.fleet.Size(m.now), 1))
-		slack := m.settings.RetrySlack * budgetPart / hosts
-		b = retry.NewBudget(retry.Settings{
-			Share: m.settings.RetryShare * budgetPart,
-			Floor: slack / 2 / m.settings.RetryWindow.Seconds(),
-			Burst: max(slack/2, 1),
-		})
+		b = retry.NewBudget(part)
 		m.retries[s] = b
+		return b
 	}
+	b.Adjust(part)
 	return b
 }
 
--- a/internal/core/dispatch/retry/budget.go
+++ b/internal/core/dispatch/retry/budget.go
@@ -31,6 +31,17 @@
 
 // NewBudget returns a budget that holds one second of its floor.
 func NewBudget(s Settings) *Budget {
+	s = s.withDefaults()
+	return &Budget{settings: s, saved: s.Floor}
+}
+
+// Adjust changes the settings; what is saved up stays, within the new burst.
+func (b *Budget) Adjust(s Settings) {
+	b.settings = s.withDefaults()
+	b.saved = min(b.saved, b.settings.Burst)
+}
+
+func (s Settings) withDefaults() Settings {
 	if s.Share <= 0 {
 		s.Share = defaultShare
 	}
@@ -40,7 +51,7 @@
 	if s.Burst <= 0 {
 		s.Burst = defaultBurst
 	}
-	return &Budget{settings: s, saved: s.Floor}
+	return s
 }
 
 // First records a first attempt.
