--- a/internal/core/residency/demand.go
+++ b/internal/core/residency/demand.go
@@ -17,40 +17,40 @@
 
 // Demanded takes a demand of this host or of another one.
 func (m *Machine) Demanded(now core.Instant, w Demand) {
-	s := m.known[w.Replica]
-	if s == nil {
+	r := m.known[w.Replica]
+	if r == nil {
 		return
 	}
-	if x := s.demands[w.Adapter.ID]; x != nil {
+	if x := r.demands[w.Adapter.ID]; x != nil {
 		x.at = now
 		x.until = max(x.until, now.Add(w.Left))
 		x.want.Weight = max(x.want.Weight, w.Weight)
 		x.want.Adapter.Version = max(x.want.Adapter.Version, w.Adapter.Version)
 		return
 	}
-	s.demands[w.Adapter.ID] = &demand{want: w, at: now, from: now, until: now.Add(w.Left)}
+	r.demands[w.Adapter.ID] = &demand{want: w, at: now, from: now, until: now.Add(w.Left)}
 }
 
 // Used takes what a host has running.
 func (m *Machine) Used(now core.Instant, from core.HostID, u Use) {
-	s := m.known[u.Replica]
-	if s == nil {
+	r := m.known[u.Replica]
+	if r == nil {
 		return
 	}
-	if i := s.residents[u.Adapter]; i != nil {
+	if i := r.residents[u.Adapter]; i != nil {
 		i.used = now
 	}
 	if u.Begun > 0 {
-		s.count(now, u.Adapter, u.Begun)
+		r.count(now, u.Adapter, u.Begun)
 	}
 	if u.Running == 0 {
-		delete(s.uses[u.Adapter], from)
+		delete(r.uses[u.Adapter], from)
 		return
 	}
-	if s.uses[u.Adapter] == nil {
-		s.uses[u.Adapter] = map[core.HostID]use{}
+	if r.uses[u.Adapter] == nil {
+		r.uses[u.Adapter] = map[core.HostID]use{}
 	}
-	s.uses[u.Adapter][from] = use{running: u.Running, at: now}
+	r.uses[u.Adapter][from] = use{running: u.Running, at: now}
 }
 
 // Newest takes an adapter's newest version: replicas that hold an older one load
@@ -72,32 +72,32 @@
 // topDemand is the best demand for an adapter that is neither held nor on its way, nor
 // held at an older version that is in use: of those that load from a copy, or of
 // those that have to be fetched.
-func (m *Machine) topDemand(now core.Instant, s *replica, copied bool) *demand {
+func (m *Machine) topDemand(now core.Instant, r *replica, copied bool) *demand {
 	var best *demand
 	take := func(a core.AdapterID, w *demand) {
-		_, there := s.models[w.want.Model]
-		if !there || s.copies[a] != copied {
+		_, there := r.models[w.want.Model]
+		if !there || r.copies[a] != copied {
 			return
 		}
-		if i := s.residents[a]; i != nil {
+		if i := r.residents[a]; i != nil {
 			newer := i.state == ready && i.version < w.want.Adapter.Version
-			if !newer || s.running(now, a) > 0 || now.Sub(i.used) < quietFor {
+			if !newer || r.running(now, a) > 0 || now.Sub(i.used) < quietFor {
 				return
 			}
 		}
-		if best == nil || better(now, s, w, s, best) {
+		if best == nil || better(now, r, w, r, best) {
 			best = w
 		}
 	}
-	for a, w := range s.demands {
+	for a, w := range r.demands {
 		take(a, w)
 	}
 	if best != nil {
 		return best
 	}
 	for a, n := range m.newest {
-		if s.residents[a] != nil && s.popularities[a].now(now) >= renewPopularity {
-			take(a, &demand{want: Demand{Replica: s.id, Model: n.model, Adapter: core.AdapterRef{ID: a, Version: n.version}}})
+		if r.residents[a] != nil && r.popularities[a].now(now) >= renewPopularity {
+			take(a, &demand{want: Demand{Replica: r.id, Model: n.model, Adapter: core.AdapterRef{ID: a, Version: n.version}}})
 		}
 	}
 	return best
@@ -128,9 +128,9 @@
 }
 
 // onTime reports whether a demand that is met next is met in time.
-func (s *replica) onTime(now core.Instant, w *demand) bool {
+func (r *replica) onTime(now core.Instant, w *demand) bool {
 	takes := fetchTime
-	if s.copies[w.want.Adapter.ID] {
+	if r.copies[w.want.Adapter.ID] {
 		takes = copyTime
 	}
 	return now.Add(takes) <= w.until
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -69,12 +69,12 @@
 
 // Put takes a replica's entry. Those of plain services are never ordered.
 func (m *Machine) Put(e replicas.Entry) {
-	s := m.known[e.ID]
-	if s == nil || s.started != e.Started {
-		if s != nil {
-			m.drop(s)
+	r := m.known[e.ID]
+	if r == nil || r.started != e.Started {
+		if r != nil {
+			m.drop(r)
 		}
-		s = &replica{
+		r = &replica{
 			id:           e.ID,
 			started:      e.Started,
 			models:       map[core.BaseModel]int{},
@@ -84,33 +84,33 @@
 			copies:       map[core.AdapterID]bool{},
 			popularities: map[core.AdapterID]popularity{},
 		}
-		m.known[e.ID] = s
+		m.known[e.ID] = r
 		m.sorted = nil
 	}
-	s.address, s.service = e.Address, e.Service
+	r.address, r.service = e.Address, e.Service
 }
 
 // Remove forgets a replica.
 func (m *Machine) Remove(id core.UpstreamID) {
-	if s := m.known[id]; s != nil {
-		m.drop(s)
+	if r := m.known[id]; r != nil {
+		m.drop(r)
 	}
 }
 
-func (m *Machine) drop(s *replica) {
-	if s.order != nil {
-		delete(m.byOrder, s.order.ID)
+func (m *Machine) drop(r *replica) {
+	if r.order != nil {
+		delete(m.byOrder, r.order.ID)
 	}
-	delete(m.known, s.id)
+	delete(m.known, r.id)
 	m.sorted = nil
 }
 
 // Yield forgets what is known of a replica that another host orders now.
 func (m *Machine) Yield(id core.UpstreamID) {
-	if s := m.known[id]; s != nil {
-		s.synced = false
-		s.probe = 0
-		s.demands = map[core.AdapterID]*demand{}
+	if r := m.known[id]; r != nil {
+		r.synced = false
+		r.probe = 0
+		r.demands = map[core.AdapterID]*demand{}
 	}
 }
 
@@ -131,13 +131,13 @@
 	var out Output
 	m.allot(act)
 	var fetches []candidate
-	for _, s := range m.all() {
-		fence, ok := act(s.id)
+	for _, r := range m.all() {
+		fence, ok := act(r.id)
 		if !ok {
 			continue
 		}
-		if w := m.advance(now, s, fence, &out); w != nil {
-			fetches = append(fetches, candidate{replica: s, fence: fence, demand: w})
+		if w := m.advance(now, r, fence, &out); w != nil {
+			fetches = append(fetches, candidate{replica: r, fence: fence, demand: w})
 		}
 	}
 	m.fetch(now, fetches, &out)
@@ -150,8 +150,8 @@
 		return m.sorted
 	}
 	m.sorted = make([]*replica, 0, len(m.known))
-	for _, s := range m.known {
-		m.sorted = append(m.sorted, s)
+	for _, r := range m.known {
+		m.sorted = append(m.sorted, r)
 	}
 	slices.SortFunc(m.sorted, func(a, b *replica) int { return cmp.Compare(a.id, b.id) })
 	return m.sorted
@@ -161,12 +161,12 @@
 // of all, or of those where that has changed since the last call.
 func (m *Machine) Changed(act Actor, all bool) []replicas.Residency {
 	var changed []replicas.Residency
-	for _, s := range m.all() {
-		if _, ok := act(s.id); !ok || !s.synced || !s.changed && !all {
+	for _, r := range m.all() {
+		if _, ok := act(r.id); !ok || !r.synced || !r.changed && !all {
 			continue
 		}
-		s.changed = false
-		changed = append(changed, s.residency())
+		r.changed = false
+		changed = append(changed, r.residency())
 	}
 	return changed
 }
@@ -174,8 +174,8 @@
 // Replicas returns the replicas that the machine knows, sorted.
 func (m *Machine) Replicas() []core.UpstreamID {
 	var ids []core.UpstreamID
-	for _, s := range m.all() {
-		ids = append(ids, s.id)
+	for _, r := range m.all() {
+		ids = append(ids, r.id)
 	}
 	return ids
 }
--- a/internal/core/residency/order.go
+++ b/internal/core/residency/order.go
@@ -38,8 +38,8 @@
 // allot sets how many adapters may be on their way from the weight store.
 func (m *Machine) allot(act Actor) {
 	ordered := 0
-	for _, s := range m.all() {
-		if _, ok := act(s.id); ok && m.services[s.service].slots > 0 {
+	for _, r := range m.all() {
+		if _, ok := act(r.id); ok && m.services[r.service].slots > 0 {
 			ordered++
 		}
 	}
@@ -48,63 +48,63 @@
 
 // advance does what is due at a replica. It returns the demand that the replica
 // would have to fetch an adapter for, nil where there is none.
-func (m *Machine) advance(now core.Instant, s *replica, fence core.Fence, out *Output) *demand {
-	limit, ok := m.services[s.service]
+func (m *Machine) advance(now core.Instant, r *replica, fence core.Fence, out *Output) *demand {
+	limit, ok := m.services[r.service]
 	if !ok {
 		return nil
 	}
-	s.expire(now, m.settings.DemandFor)
-	if !s.probing && (!s.synced && s.probe == 0 || s.probe != 0 && now >= s.probe) {
-		s.probing = true
-		s.probe = 0
-		out.Probes = append(out.Probes, Probe{Replica: s.id, Address: s.address})
+	r.expire(now, m.settings.DemandFor)
+	if !r.probing && (!r.synced && r.probe == 0 || r.probe != 0 && now >= r.probe) {
+		r.probing = true
+		r.probe = 0
+		out.Probes = append(out.Probes, Probe{Replica: r.id, Address: r.address})
 	}
-	if s.order != nil || !s.synced || s.busy != 0 {
+	if r.order != nil || !r.synced || r.busy != 0 {
 		return nil
 	}
-	if o, ok := m.loadModel(s, limit); ok {
-		m.give(s, o, fence, out)
+	if o, ok := m.loadModel(r, limit); ok {
+		m.give(r, o, fence, out)
 		return nil
 	}
-	if o, ok := s.check(now); ok {
-		s.checks = true
-		m.give(s, o, fence, out)
+	if o, ok := r.check(now); ok {
+		r.checks = true
+		m.give(r, o, fence, out)
 		return nil
 	}
-	if s.transit() >= m.settings.InTransit {
+	if r.transit() >= m.settings.InTransit {
 		return nil
 	}
-	if w := m.topDemand(now, s, true); w != nil {
-		if o, ok := m.load(now, s, w); ok {
-			m.give(s, o, fence, out)
+	if w := m.topDemand(now, r, true); w != nil {
+		if o, ok := m.load(now, r, w); ok {
+			m.give(r, o, fence, out)
 			return nil
 		}
 	}
-	return m.topDemand(now, s, false)
+	return m.topDemand(now, r, false)
 }
 
 // give sends an order to a replica.
-func (m *Machine) give(s *replica, o Order, fence core.Fence, out *Output) {
+func (m *Machine) give(r *replica, o Order, fence core.Fence, out *Output) {
 	m.next++
-	o.ID, o.Replica, o.Address = m.next, s.id, s.address
-	o.Expected, o.Holder, o.Fence = s.sequence, m.settings.Self, fence
-	s.order = &o
-	m.byOrder[o.ID] = s
+	o.ID, o.Replica, o.Address = m.next, r.id, r.address
+	o.Expected, o.Holder, o.Fence = r.sequence, m.settings.Self, fence
+	r.order = &o
+	m.byOrder[o.ID] = r
 	out.Orders = append(out.Orders, o)
 }
 
 // load orders what a demand asks for, or makes room for it.
-func (m *Machine) load(now core.Instant, s *replica, w *demand) (Order, bool) {
-	replaces := s.residents[w.want.Adapter.ID] != nil
-	if len(s.residents) >= m.services[s.service].slots && !replaces {
-		return m.makeRoom(now, s, w.want.Model)
+func (m *Machine) load(now core.Instant, r *replica, w *demand) (Order, bool) {
+	replaces := r.residents[w.want.Adapter.ID] != nil
+	if len(r.residents) >= m.services[r.service].slots && !replaces {
+		return m.makeRoom(now, r, w.want.Model)
 	}
 	return Order{Load: true, Model: w.want.Model, Adapter: w.want.Adapter}, true
 }
 
 // loadModel loads the service's model into a replica that has none.
-func (m *Machine) loadModel(s *replica, limit limits) (Order, bool) {
-	if len(s.models) > 0 || len(limit.models) == 0 {
+func (m *Machine) loadModel(r *replica, limit limits) (Order, bool) {
+	if len(r.models) > 0 || len(limit.models) == 0 {
 		return Order{}, false
 	}
 	return Order{Load: true, Model: limit.models[0].Name}, true
@@ -113,18 +113,18 @@
 // makeRoom unloads the adapter that requests have named least, older requests
 // counting less. Keeps: an adapter that a request is known to use is not
 // unloaded.
-func (m *Machine) makeRoom(now core.Instant, s *replica, model core.BaseModel) (Order, bool) {
+func (m *Machine) makeRoom(now core.Instant, r *replica, model core.BaseModel) (Order, bool) {
 	var victim core.AdapterID
 	var unpopular *resident
 	least := 0.0
-	for a, i := range s.residents {
+	for a, i := range r.residents {
 		if i.state == unloading {
 			return Order{}, false // room is on its way
 		}
-		if i.state != ready || now.Sub(i.since) < keepAtLeast || s.running(now, a) > 0 {
+		if i.state != ready || now.Sub(i.since) < keepAtLeast || r.running(now, a) > 0 {
 			continue
 		}
-		h := s.popularities[a].now(now)
+		h := r.popularities[a].now(now)
 		if unpopular == nil || lessPopular(h, i, a, least, unpopular, victim) {
 			victim, unpopular, least = a, i, h
 		}
@@ -139,11 +139,11 @@
 // replicas of this host.
 func (m *Machine) fetching() int {
 	n := 0
-	for _, s := range m.known {
-		if !s.synced {
+	for _, r := range m.known {
+		if !r.synced {
 			continue
 		}
-		for _, i := range s.residents {
+		for _, i := range r.residents {
 			if i.state == loading && !i.copied {
 				n++
 			}
--- a/internal/core/residency/outcome.go
+++ b/internal/core/residency/outcome.go
@@ -6,53 +6,53 @@
 
 // Open returns an order that has no end yet.
 func (m *Machine) Open(id uint64) (Order, bool) {
-	s := m.byOrder[id]
-	if s == nil || s.order == nil {
+	r := m.byOrder[id]
+	if r == nil || r.order == nil {
 		return Order{}, false
 	}
-	return *s.order, true
+	return *r.order, true
 }
 
 // Done takes the end of an order.
 func (m *Machine) Done(now core.Instant, d OrderDone) {
-	s := m.byOrder[d.ID]
-	if s == nil {
+	r := m.byOrder[d.ID]
+	if r == nil {
 		return
 	}
 	delete(m.byOrder, d.ID)
-	o := *s.order
-	s.order = nil
-	if !s.synced || s.sequence != o.Expected {
-		s.resync(now)
+	o := *r.order
+	r.order = nil
+	if !r.synced || r.sequence != o.Expected {
+		r.resync(now)
 		return
 	}
-	checks := s.checks
-	s.checks = false
+	checks := r.checks
+	r.checks = false
 	switch d.Outcome {
 	case Accepted:
 		if checks {
-			s.stillOnItsWay(now, o)
+			r.stillOnItsWay(now, o)
 			return
 		}
-		s.accepted(now, o)
+		r.accepted(now, o)
 	case Holds:
-		s.done(now, o, checks)
+		r.done(now, o, checks)
 	case Conflict, Elsewhere, Invalid:
-		s.resync(now)
+		r.resync(now)
 	case Unknown:
-		s.resync(now.Add(settle))
+		r.resync(now.Add(settle))
 	}
 }
 
 // resync asks the replica for its state before it is ordered again.
-func (s *replica) resync(at core.Instant) {
-	s.synced = false
-	s.probe = at
+func (r *replica) resync(at core.Instant) {
+	r.synced = false
+	r.probe = at
 }
 
 // stillOnItsWay takes the answer that an order is being carried out yet.
-func (s *replica) stillOnItsWay(now core.Instant, o Order) {
-	i := s.residents[o.Adapter.ID]
+func (r *replica) stillOnItsWay(now core.Instant, o Order) {
+	i := r.residents[o.Adapter.ID]
 	if i == nil {
 		return
 	}
@@ -68,16 +68,16 @@
 }
 
 // accepted takes the answer that an order has been begun.
-func (s *replica) accepted(now core.Instant, o Order) {
-	s.sequence++
-	s.changed = true
+func (r *replica) accepted(now core.Instant, o Order) {
+	r.sequence++
+	r.changed = true
 	switch {
 	case o.Adapter.ID == "":
-		s.busy = now
-		s.probe = now.Add(probeModel)
+		r.busy = now
+		r.probe = now.Add(probeModel)
 	case o.Load:
-		i := &resident{version: o.Adapter.Version, state: loading, since: now, used: now, copied: s.copies[o.Adapter.ID]}
-		if old := s.residents[o.Adapter.ID]; old != nil {
+		i := &resident{version: o.Adapter.Version, state: loading, since: now, used: now, copied: r.copies[o.Adapter.ID]}
+		if old := r.residents[o.Adapter.ID]; old != nil {
 			i.used = old.used
 			i.copied = false // another version of it
 		}
@@ -85,9 +85,9 @@
 		if i.copied {
 			i.check = now.Add(copyTime)
 		}
-		s.residents[o.Adapter.ID] = i
+		r.residents[o.Adapter.ID] = i
 	default:
-		if i := s.residents[o.Adapter.ID]; i != nil {
+		if i := r.residents[o.Adapter.ID]; i != nil {
 			i.state, i.since = unloading, now
 			i.check = now.Add(unloadAgain)
 		}
@@ -95,55 +95,55 @@
 }
 
 // done takes the answer that the replica is as ordered.
-func (s *replica) done(now core.Instant, o Order, checks bool) {
-	s.changed = true
+func (r *replica) done(now core.Instant, o Order, checks bool) {
+	r.changed = true
 	switch {
 	case o.Adapter.ID == "":
-		s.resync(now)
+		r.resync(now)
 	case o.Load:
 		i := &resident{version: o.Adapter.Version, state: ready, since: now, used: now}
-		if old := s.residents[o.Adapter.ID]; old != nil {
+		if old := r.residents[o.Adapter.ID]; old != nil {
 			i.used = max(old.used, old.since)
 		}
-		s.residents[o.Adapter.ID] = i
-		s.copies[o.Adapter.ID] = true
+		r.residents[o.Adapter.ID] = i
+		r.copies[o.Adapter.ID] = true
 	default:
-		delete(s.residents, o.Adapter.ID)
+		delete(r.residents, o.Adapter.ID)
 		if !checks {
-			s.sequence++ // an unused adapter goes at once, and that counts as an order
+			r.sequence++ // an unused adapter goes at once, and that counts as an order
 		}
 	}
 }
 
 // Reported takes a replica's report. One that tells of an earlier state than
 // this host knows is passed over.
-func (m *Machine) Reported(now core.Instant, r Report) {
-	s := m.known[r.Replica]
-	if s == nil {
+func (m *Machine) Reported(now core.Instant, report Report) {
+	r := m.known[report.Replica]
+	if r == nil {
 		return
 	}
-	s.probing = false
+	r.probing = false
 	switch {
-	case !r.OK:
-		s.probe = now.Add(probeFailed)
+	case !report.OK:
+		r.probe = now.Add(probeFailed)
 		return
-	case r.Started != s.started && r.Started != 0:
-		s.probe = now.Add(probeFailed) // the list tells of the new start
+	case report.Started != r.started && report.Started != 0:
+		r.probe = now.Add(probeFailed) // the list tells of the new start
 		return
-	case s.synced && r.Sequence < s.sequence:
-		s.probe = now.Add(probeEvery)
+	case r.synced && report.Sequence < r.sequence:
+		r.probe = now.Add(probeEvery)
 		return
-	case s.order != nil:
-		s.probe = now.Add(probeEvery) // the order under way changes what the report says
+	case r.order != nil:
+		r.probe = now.Add(probeEvery) // the order under way changes what the report says
 		return
 	}
-	s.adopt(now, r.Sequence, r.Models, r.Pending)
-	if r.Busy {
-		s.busy = max(s.busy, now)
-	} else if len(s.models) > 0 || s.busy != 0 && now.Sub(s.busy) > probeModel {
-		s.busy = 0
+	r.adopt(now, report.Sequence, report.Models, report.Pending)
+	if report.Busy {
+		r.busy = max(r.busy, now)
+	} else if len(r.models) > 0 || r.busy != 0 && now.Sub(r.busy) > probeModel {
+		r.busy = 0
 	}
-	if s.busy != 0 {
-		s.probe = now.Add(probeModel)
+	if r.busy != 0 {
+		r.probe = now.Add(probeModel)
 	}
 }
--- a/internal/core/residency/popularity.go
+++ b/internal/core/residency/popularity.go
@@ -26,11 +26,11 @@
 }
 
 // count counts requests that name an adapter.
-func (s *replica) count(now core.Instant, a core.AdapterID, requests int) {
-	if len(s.popularities) >= popularitiesMost {
-		maps.DeleteFunc(s.popularities, func(_ core.AdapterID, h popularity) bool { return h.now(now) < popularityLeast })
+func (r *replica) count(now core.Instant, a core.AdapterID, requests int) {
+	if len(r.popularities) >= popularitiesMost {
+		maps.DeleteFunc(r.popularities, func(_ core.AdapterID, h popularity) bool { return h.now(now) < popularityLeast })
 	}
-	s.popularities[a] = popularity{value: s.popularities[a].now(now) + float64(requests), at: now}
+	r.popularities[a] = popularity{value: r.popularities[a].now(now) + float64(requests), at: now}
 }
 
 // lessPopular orders adapters by popularity, then by their last use, then by name.
--- a/internal/core/residency/replica.go
+++ b/internal/core/residency/replica.go
@@ -57,11 +57,11 @@
 }
 
 // adopt takes a replica's state as of a sequence.
-func (s *replica) adopt(now core.Instant, sequence uint64, models []replicas.Model, pending []core.AdapterRef) {
-	old := s.residents
-	s.sequence, s.synced, s.changed = sequence, true, true
-	s.residents = map[core.AdapterID]*resident{}
-	s.models = map[core.BaseModel]int{}
+func (r *replica) adopt(now core.Instant, sequence uint64, models []replicas.Model, pending []core.AdapterRef) {
+	old := r.residents
+	r.sequence, r.synced, r.changed = sequence, true, true
+	r.residents = map[core.AdapterID]*resident{}
+	r.models = map[core.BaseModel]int{}
 	take := func(a core.AdapterRef, st state) {
 		i := &resident{version: a.Version, state: st, since: now, used: now}
 		if o := old[a.ID]; o != nil {
@@ -73,13 +73,13 @@
 				i.state = unloading
 			}
 		}
-		s.residents[a.ID] = i
+		r.residents[a.ID] = i
 	}
 	for _, model := range models {
-		s.models[model.Name] = model.Version
+		r.models[model.Name] = model.Version
 		for _, a := range model.Adapters {
 			take(a, ready)
-			s.copies[a.ID] = true
+			r.copies[a.ID] = true
 		}
 	}
 	for _, a := range pending {
@@ -88,46 +88,46 @@
 }
 
 // running is how many requests use an adapter at a replica, as last told.
-func (s *replica) running(now core.Instant, a core.AdapterID) int {
+func (r *replica) running(now core.Instant, a core.AdapterID) int {
 	total := 0
-	for host, u := range s.uses[a] {
+	for host, u := range r.uses[a] {
 		if now.Sub(u.at) > useFor {
-			delete(s.uses[a], host)
+			delete(r.uses[a], host)
 			continue
 		}
 		total += u.running
 	}
 	if total == 0 {
-		delete(s.uses, a)
+		delete(r.uses, a)
 	}
 	return total
 }
 
-func (s *replica) expire(now core.Instant, demandFor time.Duration) {
-	for a, w := range s.demands {
-		i := s.residents[a]
+func (r *replica) expire(now core.Instant, demandFor time.Duration) {
+	for a, w := range r.demands {
+		i := r.residents[a]
 		met := i != nil && i.state == ready && i.version >= w.want.Adapter.Version
 		if met || now.Sub(w.at) > demandFor {
-			delete(s.demands, a)
+			delete(r.demands, a)
 		}
 	}
-	for _, i := range s.residents {
+	for _, i := range r.residents {
 		if i.state != ready && now.Sub(i.since) > loadPatience {
-			s.synced = false
+			r.synced = false
 			i.since = now
 		}
 	}
-	if s.busy != 0 && now.Sub(s.busy) > loadPatience {
-		s.busy = 0
-		s.synced = false
+	if r.busy != 0 && now.Sub(r.busy) > loadPatience {
+		r.busy = 0
+		r.synced = false
 	}
 }
 
 // check asks again for what should have been carried out by now.
-func (s *replica) check(now core.Instant) (Order, bool) {
+func (r *replica) check(now core.Instant) (Order, bool) {
 	var due core.AdapterID
 	var first *resident
-	for a, i := range s.residents {
+	for a, i := range r.residents {
 		if i.state == ready || now < i.check {
 			continue
 		}
@@ -138,13 +138,13 @@
 	if first == nil {
 		return Order{}, false
 	}
-	return Order{Load: first.state == loading, Model: s.model(), Adapter: core.AdapterRef{ID: due, Version: first.version}}, true
+	return Order{Load: first.state == loading, Model: r.model(), Adapter: core.AdapterRef{ID: due, Version: first.version}}, true
 }
 
 // model is the base model that the replica holds.
-func (s *replica) model() core.BaseModel {
+func (r *replica) model() core.BaseModel {
 	var first core.BaseModel
-	for name := range s.models {
+	for name := range r.models {
 		if first == "" || name < first {
 			first = name
 		}
@@ -153,9 +153,9 @@
 }
 
 // transit is how many adapters are on their way to a replica.
-func (s *replica) transit() int {
+func (r *replica) transit() int {
 	n := 0
-	for _, i := range s.residents {
+	for _, i := range r.residents {
 		if i.state == loading {
 			n++
 		}
@@ -163,12 +163,12 @@
 	return n
 }
 
-func (s *replica) residency() replicas.Residency {
-	e := replicas.Residency{Replica: s.id, Started: s.started, Orders: s.sequence}
-	for name, version := range s.models {
+func (r *replica) residency() replicas.Residency {
+	e := replicas.Residency{Replica: r.id, Started: r.started, Orders: r.sequence}
+	for name, version := range r.models {
 		m := replicas.Model{Name: name, Version: version}
 		if len(e.Models) == 0 { // adapters are of the one model that engines run here
-			for a, i := range s.residents {
+			for a, i := range r.residents {
 				if i.state == ready {
 					m.Adapters = append(m.Adapters, core.AdapterRef{ID: a, Version: i.version})
 				}
