Large fleets: the strongest hosts serve, the others stand by; three hosts read the store

Shards, watches, residency are the active hosts'. Callers are told of the active ones. The watchers of the replicas now watch the configuration, versions and hosts too, and tell the others; digests and versions in heartbeats repair what was lost.

--- a/cmd/gentiancroft/relay.go
+++ b/cmd/gentiancroft/relay.go
@@ -62,6 +62,9 @@
 	if s.Log != "" {
 		log.SetLevelFromString(s.Log)
 	}
+	if err := os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true"); err != nil { // its line is no JSON
+		log.WithError(err).Warn("the links may write a line that is no JSON")
+	}
 	debug.SetGCPercent(garbagePercent)
 	if memory := s.Memory.Value(); memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
--- a/internal/core/direct/bench_test.go
+++ b/internal/core/direct/bench_test.go
@@ -12,7 +12,7 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// BenchmarkHost measures what one host does in a second of a fleet of a size:
+// BenchmarkHost measures what one active host does in a second of a fleet of a size:
 // heartbeats of the others as they reach it, ticks, and its share of the requests.
 func BenchmarkHost(b *testing.B) {
 	for _, hosts := range []int{8, 75, 350} {
@@ -21,7 +21,7 @@
 }
 
 func benchmarkHost(b *testing.B, hosts int) {
-	m := New(Settings{Self: fleet.Registration{Name: "self", Host: "self/1", Domain: "a"}, FirstStart: true})
+	m := New(Settings{Self: fleet.Registration{Name: "self", Host: "self/1", Domain: "a", Capacity: 2}, FirstStart: true})
 	now := core.Instant(0)
 	m.Step(now, Configured{Table: testTable()})
 	m.Step(now, VersionsRead{})
@@ -59,13 +59,17 @@
 	for range b.N {
 		for tick := range 50 {
 			now = now.Add(20 * time.Millisecond)
-			if tick%12 == 0 { // each host's heartbeat reaches this one about four times a second
+			if tick%10 == 0 { // the active hosts tell this one five times a second
 				n++
 				for i := range heartbeats {
+					if tick > 0 && !m.fleet.IsActive(heartbeats[i].Host) {
+						continue // hosts that stand by, once a second
+					}
+					if !m.fleet.IsActive(heartbeats[i].Host) && i%(fleet.SmallMost/2) != 0 {
+						continue // it tells two other active hosts
+					}
 					heartbeats[i].Number = n
-				}
-				for first := 0; first < len(heartbeats); first += spreadHeartbeats {
-					count(m.Step(now, FromPeer{From: "host-0", Message: Message{Heartbeats: heartbeats[first:min(first+spreadHeartbeats, len(heartbeats))]}}))
+					count(m.Step(now, FromPeer{From: heartbeats[i].Host, Message: Message{Heartbeats: heartbeats[i : i+1]}}))
 				}
 			}
 			count(m.Step(now, Tick{}))
--- a/internal/core/direct/catalog.go
+++ b/internal/core/direct/catalog.go
@@ -80,6 +80,9 @@
 		{Name: "reread", About: "whether documents are read again", Detail: "the host that knows more", Reasons: []Reason{
 			{Name: "newer_elsewhere", Meaning: "another host knows a newer configuration or adapter version"},
 			{Name: "store_back", Meaning: "the store answers again after an outage"}}},
+		{Name: "fleet", About: "whether this host is one of those that callers are sent to", Detail: "active hosts that it hears", Reasons: []Reason{
+			{Name: "active", Meaning: "callers are told of this host"},
+			{Name: "standby", Meaning: "stronger hosts serve; this one takes the place of one that is lost"}}},
 		{Name: "shard", About: "who orders the replicas of a shard", Detail: "shard and holder", Reasons: []Reason{
 			{Name: "holder", Meaning: "the holder has changed"}}},
 		{Name: "leave", About: "a graceful shutdown", Detail: "requests left", Reasons: []Reason{
--- a/internal/core/direct/direct_test.go
+++ b/internal/core/direct/direct_test.go
@@ -58,6 +58,24 @@
 	h.is.True(h.dispatch().Upstream != first.Upstream)
 }
 
+// An answer that begins while its attempt is being cancelled stays where it is; a
+// later cut of it is not taken for the move.
+func TestAnAnswerThatBeginsIsNotMoved(t *testing.T) {
+	h := newHost(t)
+	h.arrive(Arrive{Path: "/read/x"})
+	first := h.dispatch()
+	h.after(100 * time.Millisecond)
+	c, ok := get[Cancel](h)
+	h.is.True(ok)
+	h.is.True(c.Unbegun)
+	h.step(Begun{ID: first.ID, Attempt: 1, Passed: true})
+	h.is.True(!h.m.requests.byID[first.ID].moving)
+	h.after(900 * time.Millisecond) // its deadline
+	c, ok = get[Cancel](h)
+	h.is.True(ok)
+	h.is.True(!c.Unbegun)
+}
+
 func TestADeadlineIsNoPromise(t *testing.T) {
 	h := newHost(t)
 	h.arrive(Arrive{Path: "/act/x"})
@@ -234,7 +252,6 @@
 func TestAWatcherKeepsTheOthersListCurrent(t *testing.T) {
 	h := newHost(t)
 	h.is.True(h.m.Reading().Watch) // alone: it watches itself
-	digest := h.m.replicas.Digest()
 	var n uint64
 	heartbeat := func(list uint64) {
 		n++
@@ -247,6 +264,7 @@
 	for _, name := range []string{"b", "c", "d", "e", "f"} {
 		h.step(HostListed{Host: fleet.Registration{Name: name, Host: core.HostID(name + "/1")}})
 	}
+	digest := h.m.listDigest()
 	heartbeat(digest)
 	h.is.True(!h.m.watching()) // by its name
 	h.is.True(!h.m.Reading().Watch)
--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -68,8 +68,11 @@
 	RetryAfter time.Duration // as the replica said; 0: it did not
 }
 
-// Configured is a new version of the configuration.
-type Configured struct{ Table *table.Table }
+// Configured is a version of the configuration.
+type Configured struct {
+	Table    *table.Table
+	Document []byte // as the store has it; nil where another host has told it
+}
 
 // ReplicasListed is the platform's whole list of replicas.
 type ReplicasListed struct{ Entries []replicas.Entry }
@@ -165,6 +168,11 @@
 	Uses        []residency.Use      `cbor:"4,keyasint,omitempty"`
 	Replicas    []replicas.Entry     `cbor:"5,keyasint,omitempty"` // entries of the platform's list that have changed
 	Gone        []core.UpstreamID    `cbor:"6,keyasint,omitempty"` // entries that it lacks now
+
+	Configuration []byte               `cbor:"7,keyasint,omitempty"`  // as the store has it
+	Newer         uint64               `cbor:"8,keyasint,omitempty"`  // version of a configuration too long to be told: to be read from the store
+	Versions      []VersionNamed       `cbor:"9,keyasint,omitempty"`  // adapters' newest versions that have changed
+	Hosts         []fleet.Registration `cbor:"10,keyasint,omitempty"` // registrations that have changed
 }
 
 // Heartbeat is what a host tells all others regularly.
@@ -181,6 +189,8 @@
 	Versions uint64           `cbor:"10,keyasint,omitempty"` // sum of the adapters' newest versions
 	Watches  bool             `cbor:"11,keyasint,omitempty"` // it watches the list of replicas, and the store answers it
 	List     uint64           `cbor:"12,keyasint,omitempty"` // digest of its list of replicas
+	Hears    []uint32         `cbor:"13,keyasint,omitempty"` // hosts that stand by and have told it that they are ready, by core.Short of the name
+	Rate     float32          `cbor:"14,keyasint,omitempty"` // requests a second that it gets
 }
 
 // Load is how many requests a host has at a replica.
@@ -211,6 +221,7 @@
 type Cancel struct {
 	ID      core.RequestID
 	Attempt int
+	Unbegun bool // only if its answer has not begun yet
 }
 
 // Refuse is the final answer of a request of which the caller has seen nothing.
--- a/internal/core/direct/finish.go
+++ b/internal/core/direct/finish.go
@@ -26,12 +26,26 @@
 	lateRetry = 30 * time.Millisecond
 )
 
+// standbyPart is what the hosts that stand by have of the fleet's retries, together.
+const standbyPart = 0.15
+
+// retryPart is this host's part of the fleet's retries.
+func (m *Machine) retryPart() float64 {
+	hosts := float64(max(m.fleet.Size(m.now), 1))
+	switch {
+	case !m.fleet.Large():
+		return 1 / hosts
+	case m.fleet.Active():
+		return (1 - standbyPart) / float64(len(m.fleet.ActivePeers())+1)
+	}
+	return standbyPart / hosts
+}
+
 // budget is this host's part of the retries to a service. It follows the size of
 // the fleet: a host that has just started knows few others, but has to leave them
 // their part as soon as it learns of them.
 func (m *Machine) budget(s table.ServiceID) *retry.Budget {
-	hosts := float64(max(m.fleet.Size(m.now), 1))
-	slack := m.settings.RetrySlack * budgetPart / hosts
+	slack := m.settings.RetrySlack * budgetPart * m.retryPart()
 	part := retry.Settings{
 		Share: m.settings.RetryShare * budgetPart,
 		Floor: slack / 2 / m.settings.RetryWindow.Seconds(),
@@ -53,6 +67,7 @@
 		return
 	}
 	r.begun = true
+	r.moving = false // it began before it could be cancelled
 	r.passed = r.passed || e.Passed
 }
 
@@ -268,9 +283,10 @@
 	return len(usable) > 1 && m.budget(r.service.ID).Retry(m.now)
 }
 
-// move cancels an attempt; its end brings the next one.
+// move cancels an attempt; its end brings the next one. One whose answer begins at
+// this very moment stays where it is.
 func (m *Machine) move(r *request) {
 	r.moving = true
 	m.emit(Note{Name: "retry", Reason: "silent", ID: r.id(), Upstream: r.upstream, Age: m.now.Sub(r.since)})
-	m.emit(Cancel{ID: r.id(), Attempt: r.attempt})
+	m.emit(Cancel{ID: r.id(), Attempt: r.attempt, Unbegun: true})
 }
--- a/internal/core/direct/heartbeats.go
+++ b/internal/core/direct/heartbeats.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -9,16 +10,17 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// How heartbeats spread. In a small fleet each host tells all others. In a larger one
-// it tells a few, together with the heartbeats of others that it has just learned, so
-// that what a host sends does not grow with the fleet.
+// How heartbeats spread. The active hosts tell each other everything. Hosts that
+// stand by tell two of them that they are there, and are told by these what the
+// active ones have told.
 const (
-	meshMost         = 12                     // hosts up to which each tells all others
 	heartbeatPerHost = 10 * time.Millisecond  // added to the time between two heartbeats for each host told
-	spreadEvery      = 250 * time.Millisecond // between two heartbeats in a larger fleet
-	spreadNear       = 2                      // hosts of the own failure domain that are told
-	spreadFar        = 1                      // hosts of other failure domains
-	spreadHeartbeats = 16                     // heartbeats of others in one message
+	standbyEvery     = time.Second            // between two heartbeats of a host that stands by
+	workingEvery     = 250 * time.Millisecond // the same while it has requests
+	relayEvery       = 500 * time.Millisecond // between two messages to the hosts that stand by
+	censusEvery      = 4                      // of these messages, those that name all hosts that stand by
+	selectEvery      = 100 * time.Millisecond // between two choices of the active hosts
+	newsMost         = 16                     // heartbeats of hosts that stand by in one message
 )
 
 // residencyEvery is how often the whole residency of the replicas that this host orders
@@ -28,31 +30,77 @@
 // gossip is what a host remembers of the heartbeats that it has heard.
 type gossip struct {
 	number uint64 // of this host's last heartbeat
+	relays uint64 // messages to hosts that stand by
 	known  map[core.HostID]Heartbeat
-	fresh  []core.HostID // whose heartbeats are to be told on, the latest last
+	hosts  []fleet.Registration // that have changed, to be told where this host watches
+	news   []core.HostID        // that stand by and have work, to be told to the active hosts, the latest last
 }
 
 // heartbeat tells other hosts what this one has spent and has running.
 func (m *Machine) heartbeat() {
+	if m.now >= m.due.selection {
+		m.due.selection = m.now.Add(selectEvery)
+		m.selectActive()
+	}
 	if m.now < m.due.heartbeat {
 		return
 	}
-	peers := m.fleet.Peers(m.now)
 	m.forgetLoads()
+	m.tellHosts()
 	m.gossip.number++
-	message := Message{Heartbeats: append([]Heartbeat{m.ownHeartbeat()}, m.freshHeartbeats()...)}
-	if len(peers) <= meshMost {
-		m.due.heartbeat = m.now.Add(m.settings.Heartbeat + time.Duration(len(peers))*heartbeatPerHost)
+	own := m.ownHeartbeat()
+	if m.fleet.Active() {
+		m.tellActive(own)
 	} else {
-		m.due.heartbeat = m.now.Add(spreadEvery)
-		peers = m.some(peers)
-	}
-	if len(peers) > 0 {
-		m.emit(ToPeers{To: peers, Message: message})
+		m.tellContacts(own)
 	}
 	m.tellUses()
 }
 
+// tellActive tells the other active hosts, and those that stand by now and then.
+func (m *Machine) tellActive(own Heartbeat) {
+	peers := m.fleet.ActivePeers()
+	m.due.heartbeat = m.now.Add(m.settings.Heartbeat + time.Duration(len(peers))*heartbeatPerHost)
+	m.send(peers, Message{Heartbeats: append([]Heartbeat{own}, m.news()...)})
+	if !m.fleet.Large() || m.now < m.due.relay {
+		return
+	}
+	m.due.relay = m.now.Add(relayEvery)
+	m.gossip.relays++
+	own = own.brief()
+	if m.gossip.relays%censusEvery == 0 {
+		own.Hears = m.fleet.Census(m.now)
+	}
+	all := []Heartbeat{own}
+	for _, p := range peers {
+		if known, ok := m.gossip.known[p.Host]; ok {
+			all = append(all, known.brief())
+		}
+	}
+	m.send(m.fleet.Standbys(m.now), Message{Heartbeats: all})
+}
+
+// brief is what hosts that stand by need of a heartbeat.
+func (b Heartbeat) brief() Heartbeat {
+	b.Loads, b.Crashes, b.Hears = nil, nil, nil
+	return b
+}
+
+// tellContacts is the heartbeat of a host that stands by.
+func (m *Machine) tellContacts(own Heartbeat) {
+	m.due.heartbeat = m.now.Add(standbyEvery)
+	if len(m.requests.byID) > 0 {
+		m.due.heartbeat = m.now.Add(workingEvery)
+	}
+	m.send(m.fleet.Contacts(), Message{Heartbeats: []Heartbeat{own}})
+}
+
+func (m *Machine) send(to []fleet.Registration, message Message) {
+	if len(to) > 0 {
+		m.emit(ToPeers{To: to, Message: message})
+	}
+}
+
 func (m *Machine) ownHeartbeat() Heartbeat {
 	return Heartbeat{
 		Host:     m.settings.Self.Host,
@@ -66,7 +114,9 @@
 		Config:   m.configVersion(),
 		Versions: m.versionSum,
 		Watches:  m.watching() && m.storeAnswers(),
-		List:     m.replicas.Digest(),
+		List:     m.listDigest(),
+		Hears:    m.fleet.Hears(m.now),
+		Rate:     m.arrivals.rate(m.now),
 	}
 }
 
@@ -91,51 +141,42 @@
 	return totals
 }
 
-// freshHeartbeats are the heartbeats of others that have been learned since the last call.
-func (m *Machine) freshHeartbeats() []Heartbeat {
-	fresh := m.gossip.fresh
-	m.gossip.fresh = nil
-	if len(fresh) > spreadHeartbeats {
-		fresh = fresh[len(fresh)-spreadHeartbeats:]
+// news are the heartbeats of hosts that stand by and have had work since the last
+// call.
+func (m *Machine) news() []Heartbeat {
+	news := m.gossip.news
+	m.gossip.news = nil
+	if len(news) > newsMost {
+		news = news[len(news)-newsMost:]
 	}
-	heartbeats := make([]Heartbeat, 0, len(fresh))
-	for _, h := range fresh {
+	heartbeats := make([]Heartbeat, 0, len(news))
+	for _, h := range news {
 		heartbeats = append(heartbeats, m.gossip.known[h])
 	}
 	return heartbeats
 }
 
-// some picks the hosts that are told next, most of them near.
-func (m *Machine) some(peers []fleet.Registration) []fleet.Registration {
-	var picked []fleet.Registration
-	near, far := spreadNear, spreadFar
-	for _, i := range m.rng.Perm(len(peers)) {
-		left := &far
-		if peers[i].Domain == m.settings.Self.Domain {
-			left = &near
-		}
-		if *left > 0 {
-			*left--
-			picked = append(picked, peers[i])
-		}
-	}
-	return picked
+// hadWork reports whether a host has had work between two of its heartbeats.
+func hadWork(before, after *Heartbeat) bool {
+	return len(before.Loads)+len(after.Loads)+len(after.Crashes) > 0 || !maps.Equal(before.Spent, after.Spent)
 }
 
 // heard takes a heartbeat, told by its host or by another one.
-func (m *Machine) heard(b *Heartbeat) {
+func (m *Machine) heard(from core.HostID, b *Heartbeat) {
 	if b.Host == m.settings.Self.Host {
 		return
 	}
-	if known, ok := m.gossip.known[b.Host]; ok && b.Number <= known.Number {
+	known, ok := m.gossip.known[b.Host]
+	if ok && b.Number <= known.Number {
 		return
 	}
-	if !m.fleet.Heard(m.now, b.Host, b.Ready, b.Leaving) {
+	if !m.fleet.Heard(m.now, b.Host, b.Host == from, b.Ready, b.Leaving) {
 		return // not registered, as far as this host knows
 	}
 	m.gossip.known[b.Host] = *b
-	if m.fleet.Size(m.now) > meshMost {
-		m.gossip.fresh = append(m.gossip.fresh, b.Host)
+	m.fleet.HeardOf(m.now, b.Hears)
+	if m.fleet.Active() && !m.fleet.IsActive(b.Host) && hadWork(&known, b) {
+		m.gossip.news = append(m.gossip.news, b.Host)
 	}
 	if !m.quota.Knows(b.Host) && b.Uptime > time.Duration(m.now)+time.Second {
 		m.quota.Join(b.Host, m.totals(b.Spent)) // spent before this host was there
@@ -181,11 +222,9 @@
 	m.tellUnsent()
 }
 
-// Least times between two messages about residency to all hosts.
-const (
-	residencySmall = 40 * time.Millisecond
-	residencyLarge = 250 * time.Millisecond
-)
+// unsentEvery is the least time between two messages about residency to all active
+// hosts.
+const unsentEvery = 40 * time.Millisecond
 
 func (m *Machine) tellUnsent() {
 	if m.now >= m.due.residency {
@@ -198,10 +237,7 @@
 	if len(m.unsent) == 0 || m.now < m.due.unsent {
 		return
 	}
-	m.due.unsent = m.now.Add(residencySmall)
-	if m.fleet.Size(m.now) > meshMost {
-		m.due.unsent = m.now.Add(residencyLarge)
-	}
+	m.due.unsent = m.now.Add(unsentEvery)
 	var changed []replicas.Residency
 	for _, x := range m.replicas.All() {
 		if k, ok := m.unsent[x.ID]; ok {
@@ -209,5 +245,5 @@
 		}
 	}
 	clear(m.unsent)
-	m.tellAll(Message{Residencies: changed})
+	m.send(m.fleet.ActivePeers(), Message{Residencies: changed})
 }
--- a/internal/core/direct/host_test.go
+++ b/internal/core/direct/host_test.go
@@ -64,7 +64,12 @@
 // newHost is a host with a configuration and two replicas of each service; the
 // engines hold adapter x at version 1.
 func newHost(t *testing.T) *host {
-	h := &host{is: is.New(t), m: New(Settings{Self: fleet.Registration{Name: "a", Host: "a/1", Domain: "a"}, FirstStart: true})}
+	return newHostAs(t, fleet.Registration{Name: "a", Host: "a/1", Domain: "a"})
+}
+
+// newHostAs is the same with a name of its own.
+func newHostAs(t *testing.T, self fleet.Registration) *host {
+	h := &host{is: is.New(t), m: New(Settings{Self: self, FirstStart: true})}
 	h.now = 10 * time.Second
 	x := core.AdapterRef{ID: "x", Version: 1}
 	h.step(Configured{Table: testTable()})
--- a/internal/core/direct/lists.go
+++ b/internal/core/direct/lists.go
@@ -69,9 +69,11 @@
 	return true
 }
 
-func (m *Machine) versionNamed(e VersionNamed) {
+// versionNamed takes an adapter's version. It reports whether it is newer than what
+// was known.
+func (m *Machine) versionNamed(e VersionNamed) bool {
 	if e.Adapter.Version <= m.versions[e.Adapter.ID].version {
-		return
+		return false
 	}
 	m.versionSum += uint64(e.Adapter.Version - m.versions[e.Adapter.ID].version)
 	at := m.now
@@ -80,4 +82,5 @@
 	}
 	m.versions[e.Adapter.ID] = named{version: e.Adapter.Version, at: at}
 	m.residency.Newest(e.Model, e.Adapter)
+	return true
 }
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -44,6 +44,8 @@
 	unsent     map[core.UpstreamID]replicas.Residency // changed, and not told to all hosts yet
 	begunUses  map[use]int                            // requests sent since the last heartbeat
 	due        due
+	arrivals   arrivals
+	need       float64      // capacity that the active hosts have to have, in cores
 	leaving    core.Instant // 0: not leaving
 	left       bool
 }
@@ -51,6 +53,8 @@
 // due is when periodic work is next done.
 type due struct {
 	heartbeat core.Instant
+	relay     core.Instant // to hosts that stand by
+	selection core.Instant // of the active hosts
 	residency core.Instant
 	unsent    core.Instant
 	register  core.Instant
@@ -99,7 +103,7 @@
 	case Ended:
 		m.ended(e)
 	case Configured:
-		m.configure(e.Table)
+		m.configured(e)
 	case ReplicasListed:
 		m.replicasListed(e.Entries)
 	case ReplicaListed:
@@ -110,11 +114,15 @@
 			m.tellList(nil, []core.UpstreamID{e.ID})
 		}
 	case VersionNamed:
-		m.versionNamed(e)
+		if m.versionNamed(e) && !e.Listed {
+			m.tellVersion(e)
+		}
 	case VersionsRead:
 		m.versionsRead = true
 	case HostListed:
-		m.fleet.Listed(m.now, e.Host)
+		if m.fleet.Listed(m.now, e.Host) {
+			m.gossip.hosts = append(m.gossip.hosts, e.Host)
+		}
 	case HostUnlisted:
 		m.fleet.Unlisted(e.Name)
 	case LeasesListed:
@@ -189,11 +197,18 @@
 // Trusted reports whether a certificate is that of a registered host.
 func (m *Machine) Trusted(h core.HostID, key string) bool { return m.fleet.Trusted(h, key) }
 
+// configured takes a configuration, and tells it where others may rely on this host.
+func (m *Machine) configured(e Configured) {
+	if m.configure(e.Table) && e.Document != nil {
+		m.tellConfiguration(e)
+	}
+}
+
 // configure puts a newer configuration in force. Keeps: a configuration in
 // force never reverts.
-func (m *Machine) configure(t *table.Table) {
+func (m *Machine) configure(t *table.Table) bool {
 	if m.table != nil && t.Version <= m.table.Version {
-		return
+		return false
 	}
 	m.table = t
 	m.quota.Configure(m.now, t.Workspaces)
@@ -205,6 +220,7 @@
 	}
 	m.emit(Note{Name: "configuration", Reason: "in_force", Detail: "version " + utoa(t.Version)})
 	m.withdrawKeys()
+	return true
 }
 
 // withdrawKeys refuses the waiting requests whose keys are no longer valid.
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -13,9 +13,7 @@
 
 // tellAll sends a message to all hosts that may be there.
 func (m *Machine) tellAll(message Message) {
-	if peers := m.fleet.Peers(m.now); len(peers) > 0 {
-		m.emit(ToPeers{To: peers, Message: message})
-	}
+	m.send(m.fleet.Peers(m.now), message)
 }
 
 // tellOwner sends a message to the host that orders a replica. It returns false
@@ -124,15 +122,30 @@
 	return uses
 }
 
+// tellHeld answers a demand for what the replica holds already: a host that stands
+// by is told of residency only where it asks.
+func (m *Machine) tellHeld(w residency.Demand, to core.HostID) {
+	x := m.replicas.Get(w.Replica)
+	p, known := m.fleet.Of(to)
+	if x == nil || !known || !m.residency.Met(w) {
+		return
+	}
+	if k, ok := m.residency.Of(w.Replica); ok {
+		m.send([]fleet.Registration{p}, Message{Residencies: []replicas.Residency{k}})
+	}
+}
+
 // fromPeer takes another host's message.
 func (m *Machine) fromPeer(e FromPeer) {
 	for i := range e.Message.Heartbeats {
-		m.heard(&e.Message.Heartbeats[i])
+		m.heard(e.From, &e.Message.Heartbeats[i])
 	}
 	m.takeList(e.Message)
+	m.takeDocuments(e)
 	for _, w := range e.Message.Demands {
 		m.residency.Demanded(m.now, w)
 		m.awaiting.add(w.Replica, e.From)
+		m.tellHeld(w, e.From)
 	}
 	for _, u := range e.Message.Uses {
 		m.residency.Used(m.now, e.From, u)
--- a/internal/core/direct/watchers.go
+++ b/internal/core/direct/watchers.go
@@ -8,14 +8,17 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// A few hosts watch the list of replicas and tell the others what changes there;
-// the others compare digests, and read the list themselves where they differ or
-// where no watcher is heard.
+// A few hosts watch the store and tell the others what changes there: the list of
+// replicas, the configuration, the adapters' newest versions and the registered
+// hosts. The others compare digests and versions, and read the store themselves
+// where they differ or where no watcher is heard.
 const (
-	watchers     = 3 // hosts that watch the list
+	watchers     = 3 // hosts that watch the store
 	watchersKind = 31
+	toldMost     = 64 << 10               // bytes of a configuration that is told; a longer one is read from the store
 	storeFresh   = 3 * time.Second        // an answer of the store counts so long
 	differFor    = 600 * time.Millisecond // that a watcher may know something else
+	differLonger = 2 * relayEvery         // added where heartbeats come through others
 	olderFor     = 300 * time.Millisecond // that another host may know a newer document
 	readAgain    = time.Second            // between two readings for the same reason
 )
@@ -32,38 +35,67 @@
 
 // Reading is how the machine wants the store to be read.
 type Reading struct {
-	Watch  bool   // follow the list of replicas, instead of being told of its changes
-	Reread uint64 // rises each time that the configuration and versions are to be read again
-	Alone  bool   // no other host is heard: only this host's own calls show a change
+	Watch   bool   // follow the objects, instead of being told of their changes
+	Reread  uint64 // rises each time that the configuration and versions are to be read again
+	Standby bool   // stronger hosts serve
+	Alone   bool   // no other host is heard: only this host's own calls show a change
 }
 
 // Reading tells how the store is to be read now.
 func (m *Machine) Reading() Reading {
 	return Reading{
-		Watch:  m.watching() || !m.covered(),
-		Reread: m.rereads,
-		Alone:  len(m.fleet.Members(m.now)) <= 1,
+		Watch:   m.watching() || !m.covered(),
+		Reread:  m.rereads,
+		Standby: !m.fleet.Active(),
+		Alone:   len(m.fleet.Members(m.now)) <= 1,
 	}
 }
 
-// watching reports whether this host is one of those that watch the list.
+// watcherNames are the hosts that watch the store, the one that tells configurations
+// first.
+func (m *Machine) watcherNames() []core.HostID {
+	return core.RendezvousN(m.fleet.Members(m.now), watchersKind, "replicas", watchers)
+}
+
+// watching reports whether this host is one of those that watch the store.
 func (m *Machine) watching() bool {
-	first := core.RendezvousN(m.fleet.Members(m.now), watchersKind, "replicas", watchers)
-	return slices.Contains(first, core.HostID(m.settings.Self.Name))
+	return slices.Contains(m.watcherNames(), core.HostID(m.settings.Self.Name))
 }
 
-// covered reports whether a watcher keeps this host's list current.
+// covered reports whether a watcher keeps current what this host knows.
 func (m *Machine) covered() bool {
-	if !m.listed || m.watch.differs != 0 && m.now.Sub(m.watch.differs) >= differFor {
+	if !m.informed() || m.watch.differs != 0 && m.now.Sub(m.watch.differs) >= m.differFor() {
 		return false
 	}
-	for _, name := range core.RendezvousN(m.fleet.Members(m.now), watchersKind, "replicas", watchers) {
+	return m.firstWatcher() != ""
+}
+
+// firstWatcher is the first host that watches the store and is answered by it, ""
+// where there is none.
+func (m *Machine) firstWatcher() core.HostID {
+	for _, name := range m.watcherNames() {
+		if name == core.HostID(m.settings.Self.Name) {
+			if m.storeAnswers() {
+				return name
+			}
+			continue
+		}
 		p, ok := m.fleet.Named(string(name))
 		if ok && m.fleet.Alive(m.now, p.Host) && m.gossip.known[p.Host].Watches {
-			return true
+			return name
 		}
 	}
-	return false
+	return ""
+}
+
+// listDigest is of the replicas and hosts that are listed.
+func (m *Machine) listDigest() uint64 { return m.replicas.Digest() + m.fleet.Digest() }
+
+func (m *Machine) differFor() time.Duration {
+	if m.fleet.Active() {
+		return differFor
+	}
+	return differFor + differLonger
 }
 
 // storeReached notes an answer of the store. After an outage everything is read
@@ -106,7 +138,7 @@
 func (m *Machine) compare(b *Heartbeat) {
 	if b.Watches {
 		switch {
-		case b.List == m.replicas.Digest():
+		case b.List == m.listDigest():
 			m.watch.differs = 0
 		case m.watch.differs == 0:
 			m.watch.differs = m.now
@@ -131,6 +163,48 @@
 	}
 }
 
+// tellConfiguration tells a configuration that this host has read from the store.
+// The first watcher does; the others' heartbeats show that they know it.
+func (m *Machine) tellConfiguration(e Configured) {
+	if m.firstWatcher() != core.HostID(m.settings.Self.Name) {
+		return
+	}
+	if len(e.Document) > toldMost {
+		m.tellAll(Message{Newer: e.Table.Version})
+		return
+	}
+	m.tellAll(Message{Configuration: e.Document})
+}
+
+func (m *Machine) tellVersion(e VersionNamed) {
+	if m.watching() {
+		m.tellAll(Message{Versions: []VersionNamed{e}})
+	}
+}
+
+// tellHosts tells the registrations that have changed since the last call.
+func (m *Machine) tellHosts() {
+	hosts := m.gossip.hosts
+	m.gossip.hosts = nil
+	if len(hosts) > 0 && m.watching() {
+		m.tellAll(Message{Hosts: hosts})
+	}
+}
+
+// takeDocuments takes what a watcher has told of the store. The configuration is an
+// event of its own: it has to be decoded first.
+func (m *Machine) takeDocuments(e FromPeer) {
+	for _, v := range e.Message.Versions {
+		m.versionNamed(v)
+	}
+	for _, r := range e.Message.Hosts {
+		m.fleet.Listed(m.now, r)
+	}
+	if e.Message.Newer > m.configVersion() {
+		m.reread("newer_elsewhere", string(e.From))
+	}
+}
+
 // takeList takes what a watcher has told of the list.
 func (m *Machine) takeList(message Message) {
 	for _, e := range message.Replicas {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -19,16 +19,19 @@
 	Domain  core.Domain `json:"domain"`
 	Key     string      `json:"key"` // fingerprint of the certificate of its links
 	Leaving bool        `json:"leaving"`
+
+	Capacity float64 `json:"capacity,omitempty"` // cores that it may use; 0: one
 }
 
 // Times of the fleet.
 const (
 	// HeardFor is how long a host counts as heard after its last beat.
 	HeardFor = 1200 * time.Millisecond
-	// heardPerHost is added for each host beyond meshMost: beats pass through
-	// others there.
-	heardPerHost = 15 * time.Millisecond
-	meshMost     = 12
+	// relayedFor is the same between an active host and one that stands by: it is
+	// heard through others.
+	relayedFor = 1800 * time.Millisecond
+	// standbyFor is the same for a host that stands by.
+	standbyFor = 3500 * time.Millisecond
 	// forgetAfter is how long a registered host that is never heard still counts
 	// as a part of the fleet.
 	forgetAfter = 20 * time.Second
@@ -39,37 +42,60 @@
 type peer struct {
 	Registration
 	listed  core.Instant // since when the store lists it
-	heard   core.Instant // 0: never
+	heard   core.Instant // itself or through others; 0: never
+	direct  core.Instant // itself; 0: never
 	ready   bool
 	leaving bool
+	active  bool
 }
 
 // Fleet is one host's view of all hosts.
 type Fleet struct {
-	self  Registration
-	peers map[string]*peer      // by name, without this host
-	hosts map[core.HostID]*peer // the same by process
+	self   Registration
+	peers  map[string]*peer      // by name, without this host
+	hosts  map[core.HostID]*peer // the same by process
+	shorts map[uint32]*peer      // the same by core.Short of the name
+
+	large      bool // not all hosts are active
+	selfActive bool
 }
 
 // New returns the view of a host that knows nobody yet.
 func New(self Registration) *Fleet {
-	return &Fleet{self: self, peers: map[string]*peer{}, hosts: map[core.HostID]*peer{}}
+	return &Fleet{
+		self:       self,
+		peers:      map[string]*peer{},
+		hosts:      map[core.HostID]*peer{},
+		shorts:     map[uint32]*peer{},
+		selfActive: true,
+	}
 }
 
-// Listed takes a registration from the store.
-func (f *Fleet) Listed(now core.Instant, r Registration) {
+// Listed takes a registration. It reports whether that is another host's and new.
+func (f *Fleet) Listed(now core.Instant, r Registration) bool {
 	if r.Name == f.self.Name {
-		return
+		return false
 	}
 	p := f.peers[r.Name]
 	if p == nil || p.Host != r.Host {
 		f.Unlisted(r.Name)
-		p = &peer{Registration: r, listed: now, leaving: r.Leaving}
-		f.peers[r.Name], f.hosts[r.Host] = p, p
-		return
+		p = &peer{Registration: r, listed: now, leaving: r.Leaving, active: !f.large}
+		f.peers[r.Name], f.hosts[r.Host], f.shorts[core.Short(r.Name)] = p, p, p
+		return true
 	}
+	changed := p.Registration != r
 	p.Registration = r
 	p.leaving = p.leaving || r.Leaving
+	return changed
+}
+
+// Digest is of the processes that are registered, this one included.
+func (f *Fleet) Digest() uint64 {
+	sum := core.Fingerprint(0, f.self.Name, string(f.self.Host))
+	for _, p := range f.peers {
+		sum += core.Fingerprint(0, p.Name, string(p.Host))
+	}
+	return sum
 }
 
 // Unlisted takes the news that a host's registration is gone.
@@ -77,23 +103,38 @@
 	if p := f.peers[name]; p != nil {
 		delete(f.hosts, p.Host)
 		delete(f.peers, name)
+		delete(f.shorts, core.Short(name))
 	}
 }
 
-// Heard notes a message from a host. It reports whether the host is known.
-func (f *Fleet) Heard(now core.Instant, from core.HostID, ready, leaving bool) bool {
+// Heard notes a heartbeat of a host, direct where the host told it itself. It
+// reports whether the host is known.
+func (f *Fleet) Heard(now core.Instant, from core.HostID, direct, ready, leaving bool) bool {
 	p := f.hosts[from]
 	if p == nil {
 		return false
 	}
 	p.heard, p.ready = now, ready
+	if direct {
+		p.direct = now
+	}
 	p.leaving = p.leaving || leaving
 	return true
 }
 
 func (f *Fleet) alive(now core.Instant, p *peer) bool {
-	patience := HeardFor + time.Duration(max(len(f.peers)-meshMost, 0))*heardPerHost
-	return p.heard != 0 && now.Sub(p.heard) < patience
+	return p.heard != 0 && now.Sub(p.heard) < f.patience(p)
+}
+
+// patience is how long a host may be silent.
+func (f *Fleet) patience(p *peer) time.Duration {
+	switch {
+	case !p.active:
+		return standbyFor
+	case !f.selfActive:
+		return relayedFor
+	}
+	return HeardFor
 }
 
 // gone reports that a host has been silent so long that it can't count on its
@@ -162,15 +203,15 @@
 	return all
 }
 
-// Members returns the names of this host and of those heard lately that are not
-// leaving, sorted. Without this host where it leaves itself.
+// Members returns the names of the active hosts that were heard lately and are not
+// leaving, sorted; of this host too where it is one of them.
 func (f *Fleet) Members(now core.Instant) []core.HostID {
 	var names []core.HostID
-	if !f.self.Leaving {
+	if f.selfActive && !f.self.Leaving {
 		names = append(names, core.HostID(f.self.Name))
 	}
 	for _, p := range f.peers {
-		if f.alive(now, p) && !p.leaving {
+		if p.active && f.alive(now, p) && !p.leaving {
 			names = append(names, core.HostID(p.Name))
 		}
 	}
@@ -187,25 +228,35 @@
 	return p != nil && p.Key == key
 }
 
-// Addresses are those that callers are told: the hosts that were heard lately
-// and take requests; where none was heard, all that are registered.
+// Addresses are those that callers are told: the active hosts that were heard
+// lately and take requests; where there is none, all hosts that do; where none was
+// heard, all that are registered.
 func (f *Fleet) Addresses(now core.Instant, selfReady bool) []string {
-	var heard, listed []string
+	var active, heard, listed []string
+	add := func(entry string, isActive bool) {
+		heard = append(heard, entry)
+		if isActive {
+			active = append(active, entry)
+		}
+	}
 	for _, p := range f.peers {
 		if p.leaving || p.gone(now) {
 			continue
 		}
 		if f.alive(now, p) && p.ready {
-			heard = append(heard, p.Entry)
+			add(p.Entry, p.active)
 		}
 		listed = append(listed, p.Entry)
 	}
-	names := heard
-	if len(heard) == 0 && !selfReady {
-		names = listed
-	}
 	if selfReady && !f.self.Leaving {
-		names = append(names, f.self.Entry)
+		add(f.self.Entry, f.selfActive)
+	}
+	names := listed
+	switch {
+	case len(active) > 0:
+		names = active
+	case len(heard) > 0:
+		names = heard
 	}
 	slices.Sort(names)
 	return names[:min(len(names), namesMost)]
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -27,9 +27,9 @@
 func TestCallersAreToldOfHostsThatWereHeardAndAreReady(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(start, "a", "b", "c", "d")
-	is.True(f.Heard(start, "a/1", true, false))
-	f.Heard(start, "b/1", false, false) // not ready
-	f.Heard(start, "c/1", true, true)   // leaving
+	is.True(f.Heard(start, "a/1", true, true, false))
+	f.Heard(start, "b/1", true, false, false) // not ready
+	f.Heard(start, "c/1", true, true, true)   // leaving
 	is.Equal(f.Addresses(start, true), []string{"a:80", "self:80"})
 	is.Equal(f.Addresses(start.Add(HeardFor), true), []string{"self:80"})
 }
@@ -43,7 +43,7 @@
 func TestALeavingHostNamesItselfNoMore(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(start, "a")
-	f.Heard(start, "a/1", true, false)
+	f.Heard(start, "a/1", true, true, false)
 	f.Leave()
 	is.Equal(f.Addresses(start, true), []string{"a:80"})
 	is.Equal(f.Members(start), []core.HostID{"a"})
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	f := newFleet(start, "a", "b", "c")
 	is.Equal(f.Part(start), 0.25)
-	f.Heard(start, "a/1", true, false)
+	f.Heard(start, "a/1", true, true, false)
 	is.Equal(f.Part(start), 0.5)
 	is.Equal(f.Part(start.Add(forgetAfter)), 0.25)
 	is.Equal(f.Part(start.Add(forgetAfter+HeardFor)), 1.0) // the others have been silent so long that they are gone
@@ -62,12 +62,12 @@
 func TestARestartedHostIsAnother(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(start, "a")
-	f.Heard(start, "a/1", true, false)
+	f.Heard(start, "a/1", true, true, false)
 	again := registration("a")
 	again.Host = "a/2"
 	again.Key = "another key"
 	f.Listed(start.Add(time.Second), again)
-	is.True(!f.Heard(start.Add(time.Second), "a/1", true, false))
+	is.True(!f.Heard(start.Add(time.Second), "a/1", true, true, false))
 	is.True(!f.Trusted("a/1", "key of a"))
 	is.True(!f.Trusted("a/2", "key of a"))
 	is.True(f.Trusted("a/2", "another key"))
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -240,10 +240,14 @@
 	return now.Sub(from) >= wait+turn
 }
 
-// rank is this host's place among those that could take a shard.
+// rank is this host's place among those that could take a shard; a host that is not
+// one of them comes last.
 func (m *Machine) rank(i int, members []core.HostID) int {
 	order := core.RendezvousN(members, scoreKind, strconv.Itoa(i), len(members))
-	return max(slices.Index(order, m.settings.Self), 0)
+	if rank := slices.Index(order, m.settings.Self); rank >= 0 {
+		return rank
+	}
+	return len(members)
 }
 
 func (m *Machine) write(now core.Instant, i int, l *lease, r Record) Call {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,8 @@
 	view     atomic.Pointer[view]
 	reached  atomic.Bool // the store answered last time
 	notes    map[string]metrics.Counter
-	reread   interrupts // of the watches of documents
+	reread   interrupts // of watches, to read again
+	follow   interrupts // of watches that rest, to follow the objects themselves
 
 	mu        sync.Mutex
 	exchanges map[core.RequestID]*exchange
@@ -116,6 +117,9 @@
 		log.WithField("peer", string(from)).WithError(err).Warn("peer message not decoded")
 		return
 	}
+	if len(m.Configuration) > 0 {
+		g.configurationTold(from, m.Configuration)
+	}
 	if !g.events.TryPush(direct.FromPeer{From: from, Message: m}) {
 		g.count("gateway.peer_messages_dropped")
 	}
@@ -156,6 +160,9 @@
 	if last.reading.Reread != next.reading.Reread {
 		g.reread.call()
 	}
+	if next.reading.Watch && !last.reading.Watch {
+		g.follow.call()
+	}
 }
 
 // gauge publishes how much is under way.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -22,11 +22,12 @@
 	// connection has fallen silent.
 	waitAlone   = 2400 * time.Millisecond
 	waitLong    = 8 * time.Second
-	coveredLook = 50 * time.Millisecond  // between two looks whether the list must be followed again
-	listEvery   = 12 * time.Second       // between two readings of a list that others follow
+	listEvery   = time.Minute            // between two readings of a list that others follow
 	againFirst  = 100 * time.Millisecond // after a call that failed
 	againMost   = 600 * time.Millisecond // after several
 	leasesEvery = time.Second            // between two readings of the leases
+
+	leasesStandby = 4 * time.Second // the same while stronger hosts serve
 )
 
 // Paces of the watches: the least time between two answers, so that frequent
@@ -45,17 +46,19 @@
 	kind    string
 	pace    time.Duration
 	urgent  bool // a change must be seen soon, also after the connection fell silent
-	others  bool // another host may follow the objects instead
+	reread  bool // the objects are read again where another host knows newer ones
 	listed  func([]core.Object)
 	changed func(core.Object)
+
+	read uint64 // the machine's wish to read again that the last list fulfilled
 }
 
 func (g *Gateway) watches() []*watch {
 	d := g.carriers.Documents
 	return []*watch{
-		{gateway: g, kind: d.Configuration, pace: paceConfiguration, listed: each(g.configuration), changed: g.configuration},
-		{gateway: g, kind: d.Replicas, pace: paceReplicas, urgent: true, others: true, listed: g.replicasListed, changed: g.replicaChanged},
-		{gateway: g, kind: d.Versions, pace: paceVersions, listed: g.versionsListed, changed: g.versionChanged},
+		{gateway: g, kind: d.Configuration, pace: paceConfiguration, reread: true, listed: each(g.configuration), changed: g.configuration},
+		{gateway: g, kind: d.Replicas, pace: paceReplicas, urgent: true, listed: g.replicasListed, changed: g.replicaChanged},
+		{gateway: g, kind: d.Versions, pace: paceVersions, reread: true, listed: g.versionsListed, changed: g.versionChanged},
 		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, listed: each(g.host), changed: g.host},
 	}
 }
@@ -73,7 +76,7 @@
 	version := uint64(0)
 	again := againFirst
 	for ctx.Err() == nil {
-		if w.others && version != 0 && !w.gateway.view.Load().reading.Watch {
+		if version != 0 && !w.gateway.view.Load().reading.Watch {
 			w.rest(ctx)
 			version = 0
 			continue
@@ -96,10 +99,18 @@
 
 // rest waits while another host follows the objects.
 func (w *watch) rest(ctx context.Context) {
-	since := time.Now()
-	for ctx.Err() == nil && time.Since(since) < listEvery && !w.gateway.view.Load().reading.Watch {
-		pause(ctx, coveredLook)
+	resting, end := w.gateway.follow.with(ctx)
+	defer end()
+	if w.reread {
+		var ended func()
+		resting, ended = w.gateway.reread.with(resting)
+		defer ended()
 	}
+	reading := w.gateway.view.Load().reading
+	if reading.Watch || w.reread && reading.Reread != w.read {
+		return
+	}
+	pause(resting, listEvery)
 }
 
 // wait is how long a watch waits for a change.
@@ -114,7 +125,9 @@
 // to go on from, 0 to list.
 func (w *watch) once(ctx context.Context, version uint64) (next uint64, ok bool) {
 	call := core.ObjectCall{Op: core.ObjectList, Key: w.kind}
-	if version != 0 {
+	if version == 0 {
+		w.read = w.gateway.view.Load().reading.Reread
+	} else {
 		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: w.wait()}
 	}
 	reading, end := w.gateway.reread.with(ctx)
@@ -174,6 +187,16 @@
 		skipped(o, err)
 		return
 	}
+	g.Tell(direct.Configured{Table: t, Document: o.Value})
+}
+
+// configurationTold takes a configuration that another host has read.
+func (g *Gateway) configurationTold(from core.HostID, document []byte) {
+	t, err := g.carriers.Documents.DecodeTable(document)
+	if err != nil {
+		log.WithField("peer", string(from)).WithError(err).Warn("configuration of a peer skipped")
+		return
+	}
 	g.Tell(direct.Configured{Table: t})
 }
 
@@ -249,7 +272,11 @@
 			g.Tell(direct.LeasesListed{Objects: result.Objects})
 			first = false
 		}
-		pause(ctx, leasesEvery)
+		if g.view.Load().reading.Standby {
+			pause(ctx, leasesStandby)
+		} else {
+			pause(ctx, leasesEvery)
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -10,6 +10,7 @@
 	Host       Identity    `yaml:"host" validate:"required" doc:"who the host is"`
 	Listen     RelayListen `yaml:"listen" validate:"required" doc:"where it listens"`
 	Store      string      `yaml:"store" validate:"required,ip_port" doc:"ip:port of the store"`
+	Capacity   Capacity    `yaml:"capacity" doc:"how strong the host is; in a large fleet the strongest serve callers first"`
 	FirstStart bool        `yaml:"first_start" doc:"the whole deployment starts for the first time"`
 	Memory     Size        `yaml:"memory" validate:"size" default:"256MiB" doc:"memory that the process may use"`
 	Limits     RelayLimits `yaml:"limits" doc:"bounds on callers"`
@@ -20,6 +21,20 @@
 	Log        string      `yaml:"log" validate:"omitempty,oneof=debug info warn error" default:"info" doc:"least level of log lines"`
 }
 
+// Capacity is what a host may use of a processor.
+type Capacity struct {
+	Share float64 `yaml:"share" validate:"gte=0" default:"1" doc:"part of a core that the process may use"`
+	Speed float64 `yaml:"speed" validate:"gte=0" default:"1" doc:"how many times as fast as a usual core it is"`
+}
+
+// Cores is the capacity in usual cores; 0 where nothing is said.
+func (c Capacity) Cores() float64 {
+	if c.Speed == 0 {
+		return c.Share
+	}
+	return c.Share * c.Speed
+}
+
 // RelayListen are a host's own addresses.
 type RelayListen struct {
 	Callers   string `yaml:"callers" validate:"required,ip_port" doc:"ip:port for callers"`
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -133,6 +133,8 @@
 			Entry:  s.Listen.Callers,
 			Domain: core.Domain(s.Host.Domain),
 			Key:    k.fingerprint,
+
+			Capacity: s.Capacity.Cores(),
 		},
 		Seed:         id.seed,
 		FirstStart:   s.FirstStart,
