A stream that begins in the moment in which it is moved stays where it is

The cancel reached an attempt whose first event was being passed on; the stream could not be resumed, so it was cut.

Change: a cancel for silence holds only for an attempt that has not begun, and the relay claims the beginning before it passes anything on (Exchange.Begin).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,7 +41,7 @@
 
 func (g *Gateway) cancel(c direct.Cancel) {
 	if x := g.exchange(c.ID); x != nil {
-		x.cancelAttempt(c.Attempt)
+		x.cancelAttempt(c)
 	}
 }
 
@@ -55,6 +55,7 @@
 	attempt   int
 	cancel    context.CancelFunc
 	cancelled int // attempts up to this one are cancelled
+	begun     int // attempt whose answer has begun
 }
 
 // Decisions implements relay.Exchange.
@@ -72,11 +73,25 @@
 	return ctx, cancel
 }
 
-func (x *exchange) cancelAttempt(attempt int) {
+// Begin implements relay.Exchange.
+func (x *exchange) Begin(attempt int) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.cancelled = max(x.cancelled, attempt)
-	if x.cancel != nil && x.attempt <= attempt {
+	if attempt <= x.cancelled {
+		return false
+	}
+	x.begun = attempt
+	return true
+}
+
+func (x *exchange) cancelAttempt(c direct.Cancel) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c.Unbegun && x.begun >= c.Attempt {
+		return
+	}
+	x.cancelled = max(x.cancelled, c.Attempt)
+	if x.cancel != nil && x.attempt <= c.Attempt {
 		x.cancel()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,9 @@
 	Decisions() <-chan direct.Effect
 	// Attempt returns the context of an attempt; the node's cancel ends it.
 	Attempt(parent context.Context, attempt int) (context.Context, context.CancelFunc)
+	// Begin says that the answer of an attempt begins to be passed on. It returns
+	// false where the attempt has been cancelled before.
+	Begin(attempt int) bool
 	// Close forgets the request.
 	Close()
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,10 +57,11 @@
 // node decides by a script: the n-th decision about a request is made by the
 // n-th function.
 type node struct {
-	mu     sync.Mutex
-	script []func(direct.Arrive) direct.Effect
-	events chan direct.Event
-	x      *scripted
+	mu        sync.Mutex
+	script    []func(direct.Arrive) direct.Effect
+	events    chan direct.Event
+	x         *scripted
+	cancelled int // attempts up to this one may not begin
 }
 
 type scripted struct {
@@ -68,10 +69,11 @@
 	arrive    direct.Arrive
 	decisions chan direct.Effect
 	cancel    context.CancelFunc
+	cancelled int // attempts up to this one may not begin
 }
 
 func (n *node) Begin(a direct.Arrive) Exchange {
-	n.x = &scripted{node: n, arrive: a, decisions: make(chan direct.Effect, 8)}
+	n.x = &scripted{node: n, arrive: a, decisions: make(chan direct.Effect, 8), cancelled: n.cancelled}
 	n.decide()
 	return n.x
 }
@@ -104,6 +106,8 @@
 	return ctx, cancel
 }
 
+func (x *scripted) Begin(attempt int) bool { return attempt > x.cancelled }
+
 func (x *scripted) Close() {}
 
 // bench is a server before one replica.
@@ -354,6 +358,27 @@
 	b.is.Equal(got, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 }
 
+// Found on the bench (LOST): an attempt was cancelled for its silence while its first
+// event was being passed on, and the caller's stream ended. Either comes first.
+func TestAnAttemptThatIsCancelledBeforeItBeginsPassesNothingOn(t *testing.T) {
+	n := 0
+	b := newBench(t, func(c net.Conn, _ *http.Request) {
+		n++
+		streamHead(c, "1")
+		chunk(c, fmt.Sprintf("id: 1\ndata: %d\n\n", n))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	b.script(b.send(1, ""), b.send(2, ""))
+	b.node.cancelled = 1
+	r, _ := b.ask(get("1"))
+	text, err := body(r)
+	b.is.NoErr(err)
+	b.is.Equal(text, "id: 1\ndata: 2\n\n")
+	first := b.ended()
+	b.is.Equal(first.Kind, direct.EndCancelled)
+	b.is.Equal(first.LastEvent, "") // the caller has seen nothing of it
+}
+
 func TestAHangUpEndsTheAttempt(t *testing.T) {
 	cancelled := make(chan struct{})
 	began := make(chan struct{})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,6 +58,11 @@
 			return false
 		}
 	}
+	if !t.exchange.Begin(d.Attempt) {
+		s.last = d.LastEvent // the caller has been sent nothing of it
+		s.release(direct.Ended{Kind: direct.EndCancelled})
+		return false
+	}
 	t.server.metrics.firstByte.Update(time.Since(t.started).Microseconds())
 	t.server.node.Tell(direct.Begun{ID: t.id, Attempt: d.Attempt, Passed: true})
 	s.passed = true
@@ -158,13 +163,13 @@
 			continue
 		}
 		answered := s.task.server.dialect.Answered(answer.Header())
-		if !streamed(answer, answered) {
-			answer.Close()
-			cancel()
+		if !streamed(answer, answered) || !s.task.exchange.Begin(d.Attempt) {
 			end := judge(answered)
 			if end.Kind == direct.EndOK {
-				end.Kind = direct.EndBroken
+				end = endOf(attempt, upstream.Broken.New("no stream"))
 			}
+			answer.Close()
+			cancel()
 			s.task.ended(d, end)
 			continue
 		}
