Hosts that meet tell each other only what changes

Change: at a first start nobody speaks before 0.6 s and no lease is created before 1.2 s; what a host finds at its start is not told; changes go out together with the heartbeat, versions and hosts from one watcher.

--- a/internal/core/direct/active_test.go
+++ b/internal/core/direct/active_test.go
@@ -139,6 +139,24 @@
 	h.is.True(h.told(residenciesIn)["w3"])
 }
 
+// The pattern of a deployment's first start: as long as a host has found a few others
+// alone, they look like a small fleet, and each would open links to all.
+func TestNobodySpeaksBeforeANewDeploymentHasMet(t *testing.T) {
+	h := newHostAs(t, registered("w0"))
+	h.m = New(Settings{Self: registered("w0"), FirstStart: true})
+	h.now = 0
+	for i := range 5 {
+		h.step(HostListed{Host: registered(fmt.Sprintf("w%d", i+1))})
+		h.after(20 * time.Millisecond)
+		h.is.Equal(len(h.told(heartbeatsIn)), 0)
+	}
+	for i := range 20 {
+		h.step(HostListed{Host: registered(fmt.Sprintf("s%d", i))})
+	}
+	h.after(meetTime)
+	h.is.Equal(len(h.told(heartbeatsIn)), 2) // its contacts
+}
+
 func TestMoreRequestsMakeMoreHostsActive(t *testing.T) {
 	h := inLargeFleet(t, "w0")
 	for i := range 6 {
--- a/internal/core/direct/heartbeats.go
+++ b/internal/core/direct/heartbeats.go
@@ -32,8 +32,7 @@
 	number uint64 // of this host's last heartbeat
 	relays uint64 // messages to hosts that stand by
 	known  map[core.HostID]Heartbeat
-	hosts  []fleet.Registration // that have changed, to be told where this host watches
-	news   []core.HostID        // that stand by and have work, to be told to the active hosts, the latest last
+	news   []core.HostID // that stand by and have work, to be told to the active hosts, the latest last
 }
 
 // heartbeat tells other hosts what this one has spent and has running.
@@ -46,7 +45,7 @@
 		return
 	}
 	m.forgetLoads()
-	m.tellHosts()
+	m.tellChanges()
 	m.gossip.number++
 	own := m.ownHeartbeat()
 	if m.fleet.Active() {
--- a/internal/core/direct/lists.go
+++ b/internal/core/direct/lists.go
@@ -27,13 +27,14 @@
 			gone = append(gone, id)
 		}
 	}
-	m.tellList(changed, gone)
+	m.changes.replicas = append(m.changes.replicas, changed...)
+	m.changes.gone = append(m.changes.gone, gone...)
 	m.placeWaiting()
 }
 
 func (m *Machine) replicaListed(e replicas.Entry) {
 	if m.takeEntry(e) {
-		m.tellList([]replicas.Entry{e}, nil)
+		m.changes.replicas = append(m.changes.replicas, e)
 	}
 	m.placeWaiting()
 }
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -36,6 +36,7 @@
 	writes     writes
 	loads      map[core.HostID][]Load
 	gossip     gossip
+	changes    changes
 	watch      watchState
 	rereads    uint64                      // times that documents are to be read again
 	versionSum uint64                      // of the adapters' newest versions
@@ -85,6 +86,9 @@
 		begunUses: map[use]int{},
 		unsent:    map[core.UpstreamID]replicas.Residency{},
 	}
+	if s.FirstStart {
+		m.due.selection, m.due.heartbeat = core.Instant(meetTime), core.Instant(meetTime)
+	}
 	m.shards.Carry(func() map[core.WorkspaceID]float64 { return m.quota.Levels(m.now) })
 	return m
 }
@@ -111,17 +115,17 @@
 	case ReplicaUnlisted:
 		m.replicas.Remove(m.now, e.ID)
 		if m.dropIfGone(e.ID) {
-			m.tellList(nil, []core.UpstreamID{e.ID})
+			m.changes.gone = append(m.changes.gone, e.ID)
 		}
 	case VersionNamed:
 		if m.versionNamed(e) && !e.Listed {
-			m.tellVersion(e)
+			m.changes.versions = append(m.changes.versions, e)
 		}
 	case VersionsRead:
 		m.versionsRead = true
 	case HostListed:
 		if m.fleet.Listed(m.now, e.Host) {
-			m.gossip.hosts = append(m.gossip.hosts, e.Host)
+			m.changes.hosts = append(m.changes.hosts, e.Host)
 		}
 	case HostUnlisted:
 		m.fleet.Unlisted(e.Name)
@@ -161,7 +165,7 @@
 		for _, id := range gone {
 			m.dropIfGone(id)
 		}
-		m.tellList(nil, gone)
+		m.changes.gone = append(m.changes.gone, gone...)
 	}
 	m.quota.Hears(m.now, m.fleet.Part(m.now))
 	if m.watch.again {
@@ -198,8 +202,10 @@
 func (m *Machine) Trusted(h core.HostID, key string) bool { return m.fleet.Trusted(h, key) }
 
 // configured takes a configuration, and tells it where others may rely on this host.
+// What a host finds at its start, the others have read.
 func (m *Machine) configured(e Configured) {
-	if m.configure(e.Table) && e.Document != nil {
+	first := m.table == nil
+	if m.configure(e.Table) && !first && e.Document != nil {
 		m.tellConfiguration(e)
 	}
 }
--- a/internal/core/direct/settings.go
+++ b/internal/core/direct/settings.go
@@ -41,7 +41,9 @@
 	DefaultLeaveBy      = 7500 * time.Millisecond
 )
 
-// meetTime is how long the hosts of a new deployment take to find each other.
+// meetTime is how long the hosts of a new deployment take to find each other. None
+// speaks to others before: a few of them would look like a small fleet, in which
+// everyone has a link to everyone.
 const meetTime = 600 * time.Millisecond
 
 func (s *Settings) fill() {
@@ -55,5 +57,5 @@
 	core.OrDefault(&s.LeaveBy, DefaultLeaveBy)
 	s.Shard.Self = core.HostID(s.Self.Name)
 	s.Residency.Self = core.HostID(s.Self.Name)
-	core.OrDefault(&s.Shard.Meet, meetTime)
+	core.OrDefault(&s.Shard.Meet, 2*meetTime) // once the hosts have heard each other
 }
--- a/internal/core/direct/watchers.go
+++ b/internal/core/direct/watchers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicas"
 )
 
@@ -156,17 +157,9 @@
 	}
 }
 
-// tellList tells the others what has changed in the list of replicas.
-func (m *Machine) tellList(changed []replicas.Entry, gone []core.UpstreamID) {
-	if len(changed)+len(gone) > 0 && m.watching() {
-		m.tellAll(Message{Replicas: changed, Gone: gone})
-	}
-}
-
 // tellConfiguration tells a configuration that this host has read from the store.
-// The first watcher does; the others' heartbeats show that they know it.
 func (m *Machine) tellConfiguration(e Configured) {
-	if m.firstWatcher() != core.HostID(m.settings.Self.Name) {
+	if !m.tells() {
 		return
 	}
 	if len(e.Document) > toldMost {
@@ -176,21 +169,40 @@
 	m.tellAll(Message{Configuration: e.Document})
 }
 
-func (m *Machine) tellVersion(e VersionNamed) {
-	if m.watching() {
-		m.tellAll(Message{Versions: []VersionNamed{e}})
-	}
+// changes are what has changed in the store's objects since the last heartbeat, as
+// far as this host has read it from there.
+type changes struct {
+	replicas []replicas.Entry
+	gone     []core.UpstreamID
+	hosts    []fleet.Registration
+	versions []VersionNamed
 }
 
-// tellHosts tells the registrations that have changed since the last call.
-func (m *Machine) tellHosts() {
-	hosts := m.gossip.hosts
-	m.gossip.hosts = nil
-	if len(hosts) > 0 && m.watching() {
-		m.tellAll(Message{Hosts: hosts})
+// startFor is how long after its start a host tells none: what it finds then, the
+// others have read.
+const startFor = 2 * time.Second
+
+// tellChanges tells what has changed since the last call: all watchers the list of
+// replicas, so that one that leaves is sent nothing more; one of them the rest.
+func (m *Machine) tellChanges() {
+	c := m.changes
+	m.changes = changes{}
+	if m.now < core.Instant(startFor) || !m.watching() {
+		return
+	}
+	message := Message{Replicas: c.replicas, Gone: c.gone}
+	if m.tells() {
+		message.Hosts, message.Versions = c.hosts, c.versions
+	}
+	if len(message.Replicas)+len(message.Gone)+len(message.Hosts)+len(message.Versions) > 0 {
+		m.tellAll(message)
 	}
 }
 
+// tells reports whether this host is the one that tells what it reads. The other
+// watchers' heartbeats show that they have read it too.
+func (m *Machine) tells() bool { return m.firstWatcher() == core.HostID(m.settings.Self.Name) }
+
 // takeDocuments takes what a watcher has told of the store. The configuration is an
 // event of its own: it has to be decoded first.
 func (m *Machine) takeDocuments(e FromPeer) {
