A host that has just started leaves it to others to follow the store

Change: after its first list a host waits 1.8 s before it follows a list itself, but for the registered hosts.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -20,12 +20,15 @@
 const (
 	// waitAlone is how long a watch waits where no other host would show that its
 	// connection has fallen silent.
-	waitAlone   = 2400 * time.Millisecond
-	waitLong    = 8 * time.Second
-	listEvery   = time.Minute            // between two readings of a list that others follow
-	againFirst  = 100 * time.Millisecond // after a call that failed
-	againMost   = 600 * time.Millisecond // after several
-	leasesEvery = time.Second            // between two readings of the leases
+	waitAlone  = 2400 * time.Millisecond
+	waitLong   = 8 * time.Second
+	listEvery  = time.Minute            // between two readings of a list that others follow
+	againFirst = 100 * time.Millisecond // after a call that failed
+	againMost  = 600 * time.Millisecond // after several
+	// beginAfter is how long a host that has just started leaves it open whether
+	// another one follows the objects.
+	beginAfter  = 1800 * time.Millisecond
+	leasesEvery = time.Second // between two readings of the leases
 
 	leasesStandby = 4 * time.Second // the same while stronger hosts serve
 )
@@ -36,7 +39,7 @@
 	paceConfiguration = 30 * time.Millisecond
 	paceReplicas      = 800 * time.Millisecond
 	paceVersions      = 400 * time.Millisecond
-	paceHosts         = 150 * time.Millisecond
+	paceHosts         = 400 * time.Millisecond
 )
 
 // watch follows the objects of one kind: it lists them, waits for changes from
@@ -46,11 +49,13 @@
 	kind    string
 	pace    time.Duration
 	urgent  bool // a change must be seen soon, also after the connection fell silent
+	atOnce  bool // a host that has just started follows the objects until another does
 	reread  bool // the objects are read again where another host knows newer ones
 	listed  func([]core.Object)
 	changed func(core.Object)
 
-	read uint64 // the machine's wish to read again that the last list fulfilled
+	begun bool   // it has listed the objects once
+	read  uint64 // the machine's wish to read again that the last list fulfilled
 }
 
 func (g *Gateway) watches() []*watch {
@@ -59,7 +64,7 @@
 		{gateway: g, kind: d.Configuration, pace: paceConfiguration, reread: true, listed: each(g.configuration), changed: g.configuration},
 		{gateway: g, kind: d.Replicas, pace: paceReplicas, urgent: true, listed: g.replicasListed, changed: g.replicaChanged},
 		{gateway: g, kind: d.Versions, pace: paceVersions, reread: true, listed: g.versionsListed, changed: g.versionChanged},
-		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, listed: each(g.host), changed: g.host},
+		{gateway: g, kind: strings.TrimSuffix(direct.HostsPrefix, "/"), pace: paceHosts, atOnce: true, listed: each(g.host), changed: g.host},
 	}
 }
 
@@ -89,6 +94,10 @@
 			continue
 		}
 		again = againFirst
+		if !w.atOnce && !w.begun {
+			w.begun = true
+			pause(ctx, beginAfter)
+		}
 		if next != version {
 			pause(ctx, w.pace-time.Since(began))
 		}
