The rates of a large fleet are shared by the hosts that serve

Change: in a large fleet the part is that of the active hosts' capacity; active hosts that fell silent count for 20 s as before, and those that took their places count a quarter, so that the parts of a cut fleet add up to at most 1.15 (test).

--- a/internal/core/fleet/active.go
+++ b/internal/core/fleet/active.go
@@ -42,12 +42,76 @@
 		return
 	}
 	chosen := choose(f.candidates(now), need)
+	lost := f.lost(now) > 0
+	f.selfSubstitute = substitutes(f.selfSubstitute, f.selfActive, lost)
 	f.selfActive = chosen[f.self.Name]
 	for name, p := range f.peers {
+		p.substitute = substitutes(p.substitute, p.active, lost)
 		p.active = chosen[name]
+		p.served = p.served || p.active && p.heard != 0
 	}
 }
 
+// substitutes tells whether a host, if it is active now, is so in the place of a lost
+// one: it was not active before, or substitutes already.
+func substitutes(already, active, lost bool) bool { return lost && (already || !active) }
+
+// lost is the capacity of the hosts that were active until they fell silent.
+func (f *Fleet) lost(now core.Instant) float64 {
+	sum := 0.0
+	for _, p := range f.peers {
+		if p.served && !p.leaving && !p.gone(now) && !f.alive(now, p) {
+			sum += capacityOf(p.Registration)
+		}
+	}
+	return sum
+}
+
+// substitutePart is what a host counts that is active in the place of a lost one. The
+// lost one may be at work in another part of a fleet that is cut.
+const substitutePart = 0.25
+
+// activePart is the capacity of the active hosts that are heard, as a part of that of
+// all that are active or were until they fell silent.
+func (f *Fleet) activePart(now core.Instant) float64 {
+	weight := func(r Registration, substitute bool) float64 {
+		if substitute {
+			return substitutePart * capacityOf(r)
+		}
+		return capacityOf(r)
+	}
+	heard := 0.0
+	if f.selfActive {
+		heard = weight(f.self, f.selfSubstitute)
+	}
+	all := heard + f.lost(now)
+	for _, p := range f.peers {
+		if !p.active || p.leaving {
+			continue
+		}
+		w := weight(p.Registration, p.substitute)
+		switch {
+		case f.alive(now, p):
+			heard += w
+			all += w
+		case p.heard == 0: // not yet
+			all += w
+		}
+	}
+	if heard == 0 {
+		own := substitutePart * capacityOf(f.self)
+		return own / (own + all)
+	}
+	return heard / all
+}
+
+func capacityOf(r Registration) float64 {
+	if r.Capacity <= 0 {
+		return 1
+	}
+	return r.Capacity
+}
+
 // candidate is a host that could be active.
 type candidate struct {
 	name     string
@@ -56,11 +120,7 @@
 }
 
 func newCandidate(r Registration) candidate {
-	capacity := r.Capacity
-	if capacity <= 0 {
-		capacity = 1
-	}
-	return candidate{name: r.Name, capacity: capacity, score: core.Score(core.HostID(r.Name), activeKind, "")}
+	return candidate{name: r.Name, capacity: capacityOf(r), score: core.Score(core.HostID(r.Name), activeKind, "")}
 }
 
 // candidates are the hosts that are there, as far as can be told, the strongest
--- a/internal/core/fleet/active_test.go
+++ b/internal/core/fleet/active_test.go
@@ -144,3 +144,53 @@
 		is.Equal(p.Domain, f.self.Domain)
 	}
 }
+
+// The pattern of a loss of power of all hosts: the active ones find each other at
+// once, and must not wait for those that stand by to admit at the fleet's rate.
+func TestTheActiveHostsAreTheWholeOfALargeFleet(t *testing.T) {
+	is := is.New(t)
+	f := mixed(start, 6, 69)
+	f.self = registration("s6")
+	f.self.Capacity = 0.8
+	f.Select(start, NeedLeast)
+	is.True(f.Part(start) < 0.15) // it hears nobody yet
+	for i := range 6 {
+		f.Heard(start, core.HostID(fmt.Sprintf("s%d/1", i)), true, true, false)
+	}
+	is.Equal(f.Part(start), 1.0)
+}
+
+// Keeps: whatever way the fleet is cut, the parts add up to the whole at most.
+func TestPartsOfACutFleetAddUp(t *testing.T) {
+	for _, strong := range []int{0, 1, 3, 6} {
+		is := is.New(t)
+		one, other := mixed(start, 6, 69), mixed(start, 6, 69)
+		other.self = registration("w68")
+		other.self.Capacity = 0.192
+		delete(other.peers, "w68")
+		hearAll(one, start)
+		hearAll(other, start)
+		one.Select(start, NeedLeast)
+		other.Select(start, NeedLeast)
+		later := start.Add(standbyFor)
+		for i := range 69 {
+			side := one
+			if i >= 35 {
+				side = other
+			}
+			side.Heard(later, core.HostID(fmt.Sprintf("w%d/1", i)), true, true, false)
+		}
+		for i := range 6 {
+			side := one
+			if i >= strong {
+				side = other
+			}
+			side.Heard(later, core.HostID(fmt.Sprintf("s%d/1", i)), true, true, false)
+		}
+		one.Select(later, NeedLeast)
+		other.Select(later, NeedLeast)
+		sum := one.Part(later) + other.Part(later)
+		is.True(sum > 0.9)
+		is.True(sum < 1.15) // the sheet allows a tenth and a slack beyond
+	}
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -47,6 +47,9 @@
 	ready   bool
 	leaving bool
 	active  bool
+	served  bool // it has been active since it was listed
+
+	substitute bool // active in the place of a lost host
 }
 
 // Fleet is one host's view of all hosts.
@@ -58,6 +61,8 @@
 
 	large      bool // not all hosts are active
 	selfActive bool
+
+	selfSubstitute bool
 }
 
 // New returns the view of a host that knows nobody yet.
@@ -165,8 +170,13 @@
 	return p != nil && f.alive(now, p)
 }
 
-// Part is the share of the fleet that this host hears, itself included.
+// Part is the share of the fleet that this host hears, itself included. In a large
+// fleet it is a share of the capacity that serves, or did until lately: hosts that
+// stand by count for nothing.
 func (f *Fleet) Part(now core.Instant) float64 {
+	if f.large {
+		return f.activePart(now)
+	}
 	all, heard := 1, 1
 	for _, p := range f.peers {
 		if p.gone(now) {
