Metrics by route, replica, workspace and service, and the ages of what a host knows

What describes a state is read when the page is asked for, so it costs nothing in between, and is dropped with its route, replica or workspace.

--- a/internal/core/direct/admit.go
+++ b/internal/core/direct/admit.go
@@ -24,6 +24,11 @@
 	if refusal != nil {
 		m.emit(Note{Name: "admission", Reason: string(refusal.Code), ID: e.ID, Detail: refusal.Message + "; " + e.Path + " under version " + utoa(m.configVersion())})
 		m.emit(Refuse{ID: e.ID, Refusal: refusal})
+		served := Served{Outcome: string(refusal.Code)}
+		if r != nil {
+			served.Route = r.route.Name
+		}
+		m.emit(served)
 		return
 	}
 	m.emit(Note{Name: "admission", Reason: "admitted", ID: e.ID, Detail: r.route.Name, Quiet: true})
--- a/internal/core/direct/events.go
+++ b/internal/core/direct/events.go
@@ -265,6 +265,14 @@
 	Quiet    bool          // for the metrics alone
 }
 
+// Served is the end of a request, for the metrics alone.
+type Served struct {
+	Route     string // "" where none matched
+	Outcome   string // ok, error, cut, caller_gone or the code of the refusal
+	FirstByte time.Duration
+	Total     time.Duration
+}
+
 // Left says that the host may exit.
 type Left struct{}
 
@@ -279,6 +287,7 @@
 func (ToPeers) isEffect()  {}
 func (Note) isEffect()     {}
 func (Left) isEffect()     {}
+func (Served) isEffect()   {}
 
 // Query reads the machine between two steps. It is not part of its decisions.
 type Query struct {
--- a/internal/core/direct/finish.go
+++ b/internal/core/direct/finish.go
@@ -67,6 +67,9 @@
 		return
 	}
 	r.begun = true
+	if r.first == 0 {
+		r.first = m.now
+	}
 	r.moving = false // it began before it could be cancelled
 	r.passed = r.passed || e.Passed
 }
@@ -78,7 +81,7 @@
 		return
 	}
 	m.emit(Note{Name: "cancel", Reason: "caller_gone", ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.came)})
-	r.over = true
+	r.over, r.outcome = true, "caller_gone"
 	if r.stage != stageRunning {
 		m.finish(r)
 		return
@@ -91,11 +94,12 @@
 	if r.over {
 		return
 	}
-	r.over = true
 	refusal = truthful(r, refusal)
+	r.over, r.outcome = true, string(refusal.Code)
 	m.emit(Note{Name: "refusal", Reason: string(refusal.Code), ID: r.id(), Upstream: r.upstream, Age: m.now.Sub(r.came), Detail: refusal.Message})
 	running := r.stage == stageRunning
 	if r.passed {
+		r.outcome = "cut"
 		m.emit(Cut{ID: r.id(), Refusal: refusal})
 	} else {
 		m.emit(Refuse{ID: r.id(), Refusal: refusal})
@@ -125,6 +129,11 @@
 // finish forgets a request that nothing runs of any more.
 func (m *Machine) finish(r *request) {
 	m.requests.remove(r)
+	first := r.first
+	if first == 0 {
+		first = m.now
+	}
+	m.emit(Served{Route: r.route.Name, Outcome: r.outcome, FirstByte: first.Sub(r.came), Total: m.now.Sub(r.came)})
 	if r.mayHaveRun() == core.RanNo {
 		m.refund(r)
 	}
@@ -146,15 +155,17 @@
 	}
 	r.stage, r.since = stageWaiting, m.now
 	switch {
-	case r.over || e.Kind == EndOK:
-		r.over = true
+	case r.over:
+		m.finish(r)
+	case e.Kind == EndOK:
+		r.over, r.outcome = true, "ok"
 		m.finish(r)
 	case m.again(r, e):
 		r.tried = append(r.tried, r.upstream)
 		r.begun = false
 		m.place(r)
 	case e.Kind == EndError:
-		r.over = true
+		r.over, r.outcome = true, "error"
 		m.emit(Deliver{ID: e.ID})
 		m.finish(r)
 	default:
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -32,23 +32,24 @@
 	failures     map[core.UpstreamID]*decayed
 	copies       map[core.AdapterID]core.Instant // when a further copy was last asked for
 
-	requests   *requests
-	writes     writes
-	loads      map[core.HostID][]Load
-	gossip     gossip
-	changes    changes
-	watch      watchState
-	rereads    uint64                      // times that documents are to be read again
-	versionSum uint64                      // of the adapters' newest versions
-	workspaces map[uint32]core.WorkspaceID // by core.Short
-	awaiting   awaiting
-	unsent     map[core.UpstreamID]replicas.Residency // changed, and not told to all hosts yet
-	begunUses  map[use]int                            // requests sent since the last heartbeat
-	due        due
-	arrivals   arrivals
-	need       float64      // capacity that the active hosts have to have, in cores
-	leaving    core.Instant // 0: not leaving
-	left       bool
+	requests     *requests
+	writes       writes
+	loads        map[core.HostID][]Load
+	gossip       gossip
+	changes      changes
+	watch        watchState
+	rereads      uint64                      // times that documents are to be read again
+	versionSum   uint64                      // of the adapters' newest versions
+	workspaces   map[uint32]core.WorkspaceID // by core.Short
+	awaiting     awaiting
+	unsent       map[core.UpstreamID]replicas.Residency // changed, and not told to all hosts yet
+	begunUses    map[use]int                            // requests sent since the last heartbeat
+	due          due
+	arrivals     arrivals
+	configuredAt core.Instant // since when the configuration is in force
+	need         float64      // capacity that the active hosts have to have, in cores
+	leaving      core.Instant // 0: not leaving
+	left         bool
 }
 
 // due is when periodic work is next done.
@@ -216,7 +217,7 @@
 	if m.table != nil && t.Version <= m.table.Version {
 		return false
 	}
-	m.table = t
+	m.table, m.configuredAt = t, m.now
 	m.quota.Configure(m.now, t.Workspaces)
 	m.restore()
 	m.residency.Configure(t.Services)
--- a/internal/core/direct/requests.go
+++ b/internal/core/direct/requests.go
@@ -38,6 +38,8 @@
 	passed   bool // the caller has been sent a part of the answer
 	moving   bool // the attempt is cancelled to try elsewhere
 	over     bool // the caller has its final answer, or needs none
+	outcome  string
+	first    core.Instant // when its answer began; 0: it has not
 	last     string
 	asked    core.Instant // when its adapter was last asked for
 	look     core.Instant // when it is next looked after
--- a/internal/core/dispatch/retry/budget.go
+++ b/internal/core/dispatch/retry/budget.go
@@ -72,6 +72,12 @@
 	return true
 }
 
+// Left is how many retries may be made now.
+func (b *Budget) Left(now core.Instant) float64 {
+	b.accrue(now)
+	return b.saved
+}
+
 func (b *Budget) accrue(now core.Instant) {
 	passed := max(now.Sub(b.at), 0)
 	b.at = max(b.at, now)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -170,6 +170,15 @@
 	return p != nil && f.alive(now, p)
 }
 
+// Age is how long ago another host was last heard; 0: never.
+func (f *Fleet) Age(now core.Instant, h core.HostID) time.Duration {
+	p := f.hosts[h]
+	if p == nil || p.heard == 0 {
+		return 0
+	}
+	return now.Sub(p.heard)
+}
+
 // Part is the share of the fleet that this host hears, itself included. In a large
 // fleet it is a share of the capacity that serves, or did until lately: hosts that
 // stand by count for nothing.
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -69,6 +69,14 @@
 // HoldsModel reports whether the replica holds a base model.
 func (r *Replica) HoldsModel(m core.BaseModel) bool { return r.base[m] }
 
+// ToldAge is how long ago the owner last told what the replica holds; 0: never.
+func (r *Replica) ToldAge(now core.Instant) time.Duration {
+	if r.toldAt == 0 {
+		return 0
+	}
+	return now.Sub(r.toldAt)
+}
+
 // Times of the set.
 const (
 	// lapseGrace is how long after the store's return its list may still lack
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -104,6 +104,9 @@
 	return &Machine{settings: s, leases: make([]lease, s.Count)}
 }
 
+// Count is how many shards there are.
+func (m *Machine) Count() int { return len(m.leases) }
+
 // Of returns the shard of a replica.
 func (m *Machine) Of(id core.UpstreamID) int {
 	return int(core.Score("", scoreKind, string(id)) % uint64(len(m.leases)))
--- a/internal/exposition/exposition.go
+++ b/internal/exposition/exposition.go
@@ -34,13 +34,19 @@
 // series is a metric's name with its label, if any.
 type series struct{ name, label string }
 
+// labelled are the first parts of names whose middle is a label's value.
+var labelled = []string{"upstream", "route", "workspace", "service"}
+
 // seriesOf turns "upstream.ID.calls" into a series labelled with the upstream,
-// and every other name into one without a label.
+// likewise for routes, workspaces and services, and every other name into one
+// without a label.
 func seriesOf(name string) series {
-	const labelled = "upstream."
 	last := strings.LastIndexByte(name, '.')
-	if strings.HasPrefix(name, labelled) && last > len(labelled) {
-		return series{"gentiancroft_upstream_" + plain(name[last+1:]), fmt.Sprintf("upstream=%q", name[len(labelled):last])}
+	for _, label := range labelled {
+		value, ok := strings.CutPrefix(name[:max(last, 0)], label+".")
+		if ok && value != "" {
+			return series{"gentiancroft_" + label + "_" + plain(name[last+1:]), fmt.Sprintf("%s=%q", label, value)}
+		}
 	}
 	return series{name: "gentiancroft_" + plain(name)}
 }
--- a/internal/gateway/carriers.go
+++ b/internal/gateway/carriers.go
@@ -49,6 +49,11 @@
 
 func (g *Gateway) order(ctx context.Context, o residency.Order) {
 	done := g.carriers.Replicas.Order(ctx, o)
+	what := "unload."
+	if o.Load {
+		what = "load."
+	}
+	g.count("orders." + what + done.Outcome.String())
 	if done.Err != nil {
 		log.WithField("upstream", string(o.Replica)).WithError(done.Err).Warn("order without an answer")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,6 +204,8 @@
 		g.toPeers(x)
 	case direct.Note:
 		g.note(x)
+	case direct.Served:
+		g.served(x)
 	case direct.Left:
 		g.left <- struct{}{} // the machine says so once
 	}
--- /dev/null
+++ b/internal/gateway/publish_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"gentiancroft/internal/core/direct"
+)
+
+func TestMetricsOfWhatIsGoneAreDropped(t *testing.T) {
+	is := is.New(t)
+	r := metrics.NewRegistry()
+	g := New(direct.New(direct.Settings{}), Carriers{}, nil, r)
+	g.served(direct.Served{Route: "a", Outcome: "ok", FirstByte: time.Millisecond, Total: time.Second})
+	g.served(direct.Served{Route: "b", Outcome: "ok", Total: time.Second})
+	g.served(direct.Served{Outcome: "unknown_route"})
+	state := direct.State{
+		Replicas:   []direct.ReplicaState{{ID: "i.1", Mine: 2}},
+		Workspaces: []direct.WorkspaceState{{ID: "w", Level: -3}},
+		Routes:     map[string]bool{"a": true, "b": true},
+	}
+	g.publish(state)
+	is.Equal(metrics.GetOrRegisterGauge("upstream.i.1.in_flight", r).Value(), int64(2))
+	is.Equal(metrics.GetOrRegisterGauge("workspace.w.tokens_left", r).Value(), int64(-3))
+	g.publish(direct.State{Routes: map[string]bool{"a": true}})
+	is.True(r.Get("upstream.i.1.in_flight") == nil)
+	is.True(r.Get("workspace.w.tokens_left") == nil)
+	is.True(r.Get("route.b.total_us") == nil)
+	is.True(r.Get("route.a.total_us") != nil)
+	is.True(r.Get("route.none.unknown_route") != nil)
+}
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -279,6 +279,7 @@
 }
 
 func (r *Relaying) metrics(ctx *fasthttp.RequestCtx) {
+	r.gateway.Publish()
 	ctx.SetContentType(exposition.ContentType)
 	ctx.SetBody(exposition.Text(r.registry))
 }
