--- a/internal/core/direct/bench_test.go
+++ b/internal/core/direct/bench_test.go
@@ -12,16 +12,20 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// BenchmarkHost measures what one active host does in a second of a fleet of a size:
-// heartbeats of the others as they reach it, ticks, and its share of the requests.
+// BenchmarkHost measures what one host does in a second of a fleet of a size:
+// heartbeats of the others as they reach it, ticks, and its share of the requests,
+// if it is active.
 func BenchmarkHost(b *testing.B) {
 	for _, hosts := range []int{8, 75, 350} {
-		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) { benchmarkHost(b, hosts) })
+		b.Run(fmt.Sprintf("active-%d", hosts), func(b *testing.B) { benchmarkHost(b, hosts, 2) })
+		if hosts > fleet.SmallMost {
+			b.Run(fmt.Sprintf("standby-%d", hosts), func(b *testing.B) { benchmarkHost(b, hosts, 0.1) })
+		}
 	}
 }
 
-func benchmarkHost(b *testing.B, hosts int) {
-	m := New(Settings{Self: fleet.Registration{Name: "self", Host: "self/1", Domain: "a", Capacity: 2}, FirstStart: true})
+func benchmarkHost(b *testing.B, hosts int, capacity float64) {
+	m := New(Settings{Self: fleet.Registration{Name: "self", Host: "self/1", Domain: "a", Capacity: capacity}, FirstStart: true})
 	now := core.Instant(0)
 	m.Step(now, Configured{Table: testTable()})
 	m.Step(now, VersionsRead{})
@@ -62,18 +66,15 @@
 			if tick%10 == 0 { // the active hosts tell this one five times a second
 				n++
 				for i := range heartbeats {
-					if tick > 0 && !m.fleet.IsActive(heartbeats[i].Host) {
-						continue // hosts that stand by, once a second
-					}
-					if !m.fleet.IsActive(heartbeats[i].Host) && i%(fleet.SmallMost/2) != 0 {
-						continue // it tells two other active hosts
+					if !hears(m, heartbeats[i].Host, i, tick) {
+						continue
 					}
 					heartbeats[i].Number = n
 					count(m.Step(now, FromPeer{From: heartbeats[i].Host, Message: Message{Heartbeats: heartbeats[i : i+1]}}))
 				}
 			}
 			count(m.Step(now, Tick{}))
-			if tick%2 == 0 {
+			if tick%2 == 0 && m.fleet.Active() {
 				id := core.RequestID(fmt.Sprintf("%d-%d", n, tick))
 				count(m.Step(now, Arrive{ID: id, Host: "h", Path: "/stream/x", Model: model, Adapter: "x", Patience: time.Second}))
 				count(m.Step(now, Ended{ID: id, Attempt: 1, Kind: EndOK}))
@@ -83,3 +84,18 @@
 	b.ReportMetric(float64(sent)/float64(b.N), "messages/s")
 	b.ReportMetric(float64(bytes)/float64(b.N), "sent-B/s")
 }
+
+// hears reports whether a host's heartbeat reaches another one at a tick: those of
+// active hosts five times a second, or twice through others; those of hosts that stand
+// by once, at two active hosts.
+func hears(m *Machine, from core.HostID, i, tick int) bool {
+	switch {
+	case m.fleet.IsActive(from) && m.fleet.Active():
+		return true
+	case m.fleet.IsActive(from):
+		return tick%20 == 0
+	case m.fleet.Active():
+		return tick == 0 && i%(fleet.SmallMost/2) == 0
+	}
+	return false
+}
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -263,6 +263,9 @@
 
 // order sends the orders and probes that are due, and tells what has changed.
 func (m *Machine) order() {
+	if !m.shards.ActsAny(m.now) && len(m.unsent) == 0 {
+		return
+	}
 	out := m.residency.Tick(m.now, m.acting)
 	for _, o := range out.Orders {
 		m.emit(Order{o})
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -79,7 +79,8 @@
 type Machine struct {
 	settings Settings
 	leases   []lease
-	listed   bool // the leases have been read at least once
+	of       map[core.UpstreamID]int // shards of replicas, worked out before
+	listed   bool                    // the leases have been read at least once
 	leaving  bool
 	levels   func() map[core.WorkspaceID]float64 // nil: writes carry none
 }
@@ -101,15 +102,36 @@
 	if s.Turn <= 0 {
 		s.Turn = DefaultTurn
 	}
-	return &Machine{settings: s, leases: make([]lease, s.Count)}
+	return &Machine{settings: s, leases: make([]lease, s.Count), of: map[core.UpstreamID]int{}}
 }
 
 // Count is how many shards there are.
 func (m *Machine) Count() int { return len(m.leases) }
 
+// rememberedMost bounds the shards that are remembered, of replicas long gone too.
+const rememberedMost = 4096
+
 // Of returns the shard of a replica.
 func (m *Machine) Of(id core.UpstreamID) int {
-	return int(core.Score("", scoreKind, string(id)) % uint64(len(m.leases)))
+	if shard, ok := m.of[id]; ok {
+		return shard
+	}
+	if len(m.of) >= rememberedMost {
+		clear(m.of)
+	}
+	shard := int(core.Score("", scoreKind, string(id)) % uint64(len(m.leases)))
+	m.of[id] = shard
+	return shard
+}
+
+// ActsAny reports whether this host may order any replicas now.
+func (m *Machine) ActsAny(now core.Instant) bool {
+	for i := range m.leases {
+		if now.Before(m.leases[i].until) {
+			return true
+		}
+	}
+	return false
 }
 
 // Acting returns the fencing number under which this host may order a shard's
