A host that was cut off lists everything again; a watcher that is behind hides nothing

While other hosts watch for it, a host compared digests with whichever watcher it last heard: one that had been cut off as well had the same old list, and each of its heartbeats cleared the difference to the others. After the store's return it read the configuration and the versions again, not the lists.

Two tests that failed before.

--- a/internal/core/direct/leaving.go
+++ b/internal/core/direct/leaving.go
@@ -1,7 +1,5 @@
 package direct
 
-import ()
-
 // leave begins a graceful shutdown: the host is named to callers no more, hands
 // its shards over, and serves those who still come for a while.
 func (m *Machine) leave() {
--- a/internal/core/direct/lists.go
+++ b/internal/core/direct/lists.go
@@ -13,7 +13,7 @@
 
 func (m *Machine) replicasListed(entries []replicas.Entry) {
 	m.listed = true
-	m.watch.differs = 0
+	clear(m.watch.differs)
 	var changed []replicas.Entry
 	for _, e := range entries {
 		if m.takeEntry(e) {
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -39,6 +39,7 @@
 	changes      changes
 	watch        watchState
 	rereads      uint64                      // times that documents are to be read again
+	relists      uint64                      // times that everything is
 	versionSum   uint64                      // of the adapters' newest versions
 	workspaces   map[uint32]core.WorkspaceID // by core.Short
 	awaiting     awaiting
@@ -83,6 +84,7 @@
 		loads:     map[core.HostID][]Load{},
 		gossip:    gossip{known: map[core.HostID]Heartbeat{}},
 		awaiting:  awaiting{},
+		watch:     watchState{differs: map[core.HostID]core.Instant{}},
 
 		begunUses: map[use]int{},
 		unsent:    map[core.UpstreamID]replicas.Residency{},
--- a/internal/core/direct/watchers.go
+++ b/internal/core/direct/watchers.go
@@ -19,25 +19,26 @@
 	toldMost     = 64 << 10               // bytes of a configuration that is told; a longer one is read from the store
 	storeFresh   = 3 * time.Second        // an answer of the store counts so long
 	differFor    = 600 * time.Millisecond // that a watcher may know something else
-	differLonger = 2 * relayEvery         // added where heartbeats come through others
+	differLonger = relayEvery             // added where heartbeats come through others
 	olderFor     = 300 * time.Millisecond // that another host may know a newer document
 	readAgain    = time.Second            // between two readings for the same reason
 )
 
 // watchState is what a host knows of the others' view of the store.
 type watchState struct {
-	differs  core.Instant // since when a watcher's list differs; 0: it does not
-	older    core.Instant // since when another host has a newer document; 0: none has
-	read     core.Instant // when documents were last read again
-	answered core.Instant // when the store last answered this host
-	lost     bool         // the last call to it failed
-	again    bool         // documents are to be read again as soon as that is allowed
+	differs  map[core.HostID]core.Instant // since when a watcher's list differs from this host's
+	older    core.Instant                 // since when another host has a newer document; 0: none has
+	read     core.Instant                 // when documents were last read again
+	answered core.Instant                 // when the store last answered this host
+	lost     bool                         // the last call to it failed
+	again    bool                         // documents are to be read again as soon as that is allowed
 }
 
 // Reading is how the machine wants the store to be read.
 type Reading struct {
 	Watch   bool   // follow the objects, instead of being told of their changes
 	Reread  uint64 // rises each time that the configuration and versions are to be read again
+	Relist  uint64 // rises each time that all objects are
 	Standby bool   // stronger hosts serve
 	Alone   bool   // no other host is heard: only this host's own calls show a change
 }
@@ -47,6 +48,7 @@
 	return Reading{
 		Watch:   m.watching() || !m.covered(),
 		Reread:  m.rereads,
+		Relist:  m.relists,
 		Standby: !m.fleet.Active(),
 		Alone:   len(m.fleet.Members(m.now)) <= 1,
 	}
@@ -65,10 +67,21 @@
 
 // covered reports whether a watcher keeps current what this host knows.
 func (m *Machine) covered() bool {
-	if !m.informed() || m.watch.differs != 0 && m.now.Sub(m.watch.differs) >= m.differFor() {
-		return false
+	return m.informed() && !m.differs() && m.firstWatcher() != ""
+}
+
+// differs reports whether a watcher has had another list than this host for long. Each
+// is compared by itself: one that is behind, too, would hide what this host lacks.
+func (m *Machine) differs() bool {
+	for h, since := range m.watch.differs {
+		switch {
+		case !m.fleet.Alive(m.now, h):
+			delete(m.watch.differs, h)
+		case m.now.Sub(since) >= m.differFor():
+			return true
+		}
 	}
-	return m.firstWatcher() != ""
+	return false
 }
 
 // firstWatcher is the first host that watches the store and is answered by it, ""
@@ -108,6 +121,7 @@
 		return
 	}
 	m.watch.lost = false
+	m.relists++ // what changed meanwhile was told to no one that did not hear the watchers either
 	m.reread("store_back", "")
 }
 
@@ -138,12 +152,9 @@
 // compare looks for what another host knows and this one does not.
 func (m *Machine) compare(b *Heartbeat) {
 	if b.Watches {
-		switch {
-		case b.List == m.listDigest():
-			m.watch.differs = 0
-		case m.watch.differs == 0:
-			m.watch.differs = m.now
-		}
+		m.compareLists(b)
+	} else {
+		delete(m.watch.differs, b.Host)
 	}
 	if b.Config <= m.configVersion() && b.Versions <= m.versionSum {
 		return
@@ -157,6 +168,17 @@
 	}
 }
 
+// compareLists compares a watcher's list with this host's.
+func (m *Machine) compareLists(b *Heartbeat) {
+	if b.List == m.listDigest() {
+		delete(m.watch.differs, b.Host)
+		return
+	}
+	if _, ok := m.watch.differs[b.Host]; !ok {
+		m.watch.differs[b.Host] = m.now
+	}
+}
+
 // tellConfiguration tells a configuration that this host has read from the store.
 func (m *Machine) tellConfiguration(e Configured) {
 	if !m.tells() {
--- a/internal/core/direct/watchers_test.go
+++ b/internal/core/direct/watchers_test.go
@@ -6,6 +6,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/replicas"
 )
 
 // watchersOf are the active hosts of the tests' large fleet that watch the store,
@@ -119,3 +120,33 @@
 	}
 	h.is.True(h.m.Reading().Watch)
 }
+
+// Found on the bench (DRAIN, scale-2 of parapet-sofia-grown): a host that had been cut
+// off lacked that a replica leaves. A watcher that was behind as well said the same,
+// and hid that the others said otherwise.
+func TestAWatcherThatIsBehindHidesNothing(t *testing.T) {
+	h := inLargeFleet(t, "w0")
+	watch, _ := watchersOf(t)
+	digest := h.m.listDigest()
+	for range 20 {
+		h.later(100 * time.Millisecond)
+		h.hear(watch[0], Heartbeat{Number: uint64(h.now) + 1, Watches: true, List: digest})
+		h.hear(watch[1], Heartbeat{Number: uint64(h.now) + 1, Watches: true, List: digest + 1})
+		h.hear(watch[2], Heartbeat{Number: uint64(h.now) + 1, Watches: true, List: digest})
+	}
+	h.is.True(h.m.Reading().Watch)
+	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s1", services)}})
+	h.is.True(!h.m.Reading().Watch) // it has read the list itself
+}
+
+// The same find: what changes while the store does not answer a host is told to it by
+// nobody, if it does not hear the watchers either.
+func TestEverythingIsListedOnceTheStoreIsBack(t *testing.T) {
+	h := newHost(t)
+	before := h.m.Reading().Relist
+	h.step(StoreReached{})
+	h.is.Equal(h.m.Reading().Relist, before)
+	h.step(StoreLost{})
+	h.step(StoreReached{})
+	h.is.Equal(h.m.Reading().Relist, before+1)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,7 @@
 	if last.reading.Reread != next.reading.Reread {
 		g.reread.call()
 	}
-	if next.reading.Watch && !last.reading.Watch {
+	if next.reading.Watch && !last.reading.Watch || next.reading.Relist != last.reading.Relist {
 		g.follow.call()
 	}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -54,8 +54,9 @@
 	listed  func([]core.Object)
 	changed func(core.Object)
 
-	begun bool   // it has listed the objects once
-	read  uint64 // the machine's wish to read again that the last list fulfilled
+	begun    bool   // it has listed the objects once
+	read     uint64 // the machine's wish to read again that the last list fulfilled
+	relisted uint64 // the same of its wish to list everything again
 }
 
 func (g *Gateway) watches() []*watch {
@@ -116,7 +117,7 @@
 		defer ended()
 	}
 	reading := w.gateway.view.Load().reading
-	if reading.Watch || w.reread && reading.Reread != w.read {
+	if reading.Watch || reading.Relist != w.relisted || w.reread && reading.Reread != w.read {
 		return
 	}
 	pause(resting, listEvery)
@@ -135,7 +136,8 @@
 func (w *watch) once(ctx context.Context, version uint64) (next uint64, ok bool) {
 	call := core.ObjectCall{Op: core.ObjectList, Key: w.kind}
 	if version == 0 {
-		w.read = w.gateway.view.Load().reading.Reread
+		reading := w.gateway.view.Load().reading
+		w.read, w.relisted = reading.Reread, reading.Relist
 	} else {
 		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: w.wait()}
 	}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -79,6 +79,9 @@
 	go func() { done <- t.http.DoDeadline(request, response, deadline) }()
 	select {
 	case err := <-done:
+		if errors.Is(err, fasthttp.ErrTimeout) {
+			t.http.CloseIdleConnections() // others may have fallen silent with this one
+		}
 		return response, err
 	case <-ctx.Done():
 		return nil, ctx.Err()
