--- a/cmd/gentiancroft/main.go
+++ b/cmd/gentiancroft/main.go
@@ -60,7 +60,7 @@
 	root.AddCommand(
 		demoCommand(),
 		serveCommand(),
-		relayCommand(),
+		relayCommand(), soakCommand(),
 		explainCommand(),
 		standinCommand(),
 		loadCommand(),
