--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		again = againFirst
-		if !w.atOnce && !w.begun {
+		if !w.atOnce && !w.begun && next != 0 { // 0: the list was interrupted
 			w.begun = true
 			pause(ctx, beginAfter)
 		}
