--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -25,7 +25,7 @@
 
 // Times of the fleet.
 const (
-	// HeardFor is how long a host counts as heard after its last beat.
+	// HeardFor is how long a host counts as heard after its last heartbeat.
 	HeardFor = 1200 * time.Millisecond
 	// relayedFor is the same between an active host and one that stands by: it is
 	// heard through others.
--- a/internal/core/residency/demand.go
+++ b/internal/core/residency/demand.go
@@ -6,7 +6,6 @@
 	"gentiancroft/internal/core"
 )
 
-// demand is a Demand with its times.
 // demand is a Demand and its times.
 type demand struct {
 	want  Demand
@@ -109,8 +108,9 @@
 
 // better reports whether a demand goes before another: those for which a request
 // can still be on time first, then those that more requests wait for, then those
-// of the replica that has fetched nothing for longest, then the older ones. While more is wanted than can be loaded, this serves as many as can
-// be on time, instead of all of them late.
+// of the replica that has fetched nothing for longest, then the older ones. While
+// more is wanted than can be loaded, this serves as many as can be on time, instead
+// of all of them late.
 func better(now core.Instant, sa *replica, a *demand, sb *replica, b *demand) bool {
 	if x, y := sa.onTime(now, a), sb.onTime(now, b); x != y {
 		return x
