One decaying sum instead of four

Behaviour as before; the rate of arrivals counts over 2.9993 s instead of 3 s, for its half-life is 2,079 ms.

--- a/internal/core/direct/active.go
+++ b/internal/core/direct/active.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 )
 
@@ -20,7 +19,7 @@
 
 // selectActive chooses the active hosts for the requests that the fleet gets now.
 func (m *Machine) selectActive() {
-	rate := float64(m.arrivals.rate(m.now))
+	rate := float64(m.arrivalRate())
 	for h, b := range m.gossip.known {
 		if m.fleet.Alive(m.now, h) {
 			rate += float64(b.Rate)
@@ -43,27 +42,10 @@
 	m.emit(Note{Name: "fleet", Reason: reason, Detail: utoa(uint64(len(m.fleet.Members(m.now)))) + " active hosts heard"})
 }
 
-// arrivalsOver is how long a request counts in the rate of arrivals.
-const arrivalsOver = 3 * time.Second
+// arrivalsHalf is after how long a request counts half in the rate of arrivals.
+const arrivalsHalf = 2079 * time.Millisecond
 
-// arrivals is a rate of requests that follows the last seconds.
-type arrivals struct {
-	count float64 // decays over arrivalsOver
-	at    core.Instant
-}
-
-func (a *arrivals) add(now core.Instant) {
-	a.decay(now)
-	a.count++
-}
-
-func (a *arrivals) decay(now core.Instant) {
-	a.count *= math.Exp(-float64(max(now.Sub(a.at), 0)) / float64(arrivalsOver))
-	a.at = max(a.at, now)
-}
-
-// rate is the requests a second.
-func (a *arrivals) rate(now core.Instant) float32 {
-	a.decay(now)
-	return float32(a.count / arrivalsOver.Seconds())
+// arrivalRate is the requests a second that this host gets, as the last seconds show.
+func (m *Machine) arrivalRate() float32 {
+	return float32(m.arrivals.Now(m.now, arrivalsHalf) * math.Ln2 / arrivalsHalf.Seconds())
 }
--- a/internal/core/direct/admit.go
+++ b/internal/core/direct/admit.go
@@ -19,7 +19,7 @@
 
 // arrive checks a request against the configuration in force and begins it.
 func (m *Machine) arrive(e Arrive) {
-	m.arrivals.add(m.now)
+	m.arrivals.Add(m.now, 1, arrivalsHalf)
 	r, refusal := m.admit(e)
 	if refusal != nil {
 		m.emit(Note{Name: "admission", Reason: string(refusal.Code), ID: e.ID, Detail: refusal.Message + "; " + e.Path + " under version " + utoa(m.configVersion())})
--- a/internal/core/direct/crashes.go
+++ b/internal/core/direct/crashes.go
@@ -101,25 +101,9 @@
 // crashTold is how long a loss is told to the other hosts.
 const crashTold = 2 * time.Second
 
-// decayed is a weight that halves with time.
-type decayed struct {
-	value float64
-	at    core.Instant
-}
-
 // failureHalf is how long it takes until a failure counts half.
 const failureHalf = 3 * time.Second
 
-func (d *decayed) now(t core.Instant) float64 {
-	passed := float64(max(t.Sub(d.at), 0)) / float64(failureHalf)
-	return d.value * math.Exp2(-passed)
-}
-
-func (d *decayed) add(t core.Instant, v float64) {
-	d.value = d.now(t) + v
-	d.at = t
-}
-
 // failuresMost bounds how much failures at one replica can add up to.
 const failuresMost = 8
 
@@ -127,24 +111,24 @@
 func (m *Machine) failed(id core.UpstreamID, weight float64) {
 	d := m.failures[id]
 	if d == nil {
-		d = &decayed{}
+		d = &core.Decaying{}
 		m.failures[id] = d
 	}
-	d.add(m.now, weight)
-	d.value = min(d.value, failuresMost)
+	d.Add(m.now, weight, failureHalf)
+	d.Value = min(d.Value, failuresMost)
 }
 
 // worked notes a success at a replica: it halves what failures have added up to.
 func (m *Machine) worked(id core.UpstreamID) {
 	if d := m.failures[id]; d != nil {
-		d.value = d.now(m.now) / 2
-		d.at = m.now
+		d.Value = d.Now(m.now, failureHalf) / 2
+		d.At = m.now
 	}
 }
 
 func (m *Machine) failureOf(id core.UpstreamID) float64 {
 	if d := m.failures[id]; d != nil {
-		return d.now(m.now)
+		return d.Now(m.now, failureHalf)
 	}
 	return 0
 }
--- a/internal/core/direct/heartbeats.go
+++ b/internal/core/direct/heartbeats.go
@@ -115,7 +115,7 @@
 		Watches:  m.watching() && m.storeAnswers(),
 		List:     m.listDigest(),
 		Hears:    m.fleet.Hears(m.now),
-		Rate:     m.arrivals.rate(m.now),
+		Rate:     m.arrivalRate(),
 	}
 }
 
--- a/internal/core/direct/machine.go
+++ b/internal/core/direct/machine.go
@@ -29,7 +29,7 @@
 	versions     map[core.AdapterID]named
 	retries      map[table.ServiceID]*retry.Budget
 	crashes      map[uint64]*crash
-	failures     map[core.UpstreamID]*decayed
+	failures     map[core.UpstreamID]*core.Decaying
 	copies       map[core.AdapterID]core.Instant // when a further copy was last asked for
 
 	requests     *requests
@@ -46,10 +46,10 @@
 	unsent       map[core.UpstreamID]replicas.Residency // changed, and not told to all hosts yet
 	begunUses    map[use]int                            // requests sent since the last heartbeat
 	due          due
-	arrivals     arrivals
-	configuredAt core.Instant // since when the configuration is in force
-	need         float64      // capacity that the active hosts have to have, in cores
-	leaving      core.Instant // 0: not leaving
+	arrivals     core.Decaying // requests, over arrivalsHalf
+	configuredAt core.Instant  // since when the configuration is in force
+	need         float64       // capacity that the active hosts have to have, in cores
+	leaving      core.Instant  // 0: not leaving
 	left         bool
 }
 
@@ -77,7 +77,7 @@
 		versions:  map[core.AdapterID]named{},
 		retries:   map[table.ServiceID]*retry.Budget{},
 		crashes:   map[uint64]*crash{},
-		failures:  map[core.UpstreamID]*decayed{},
+		failures:  map[core.UpstreamID]*core.Decaying{},
 		copies:    map[core.AdapterID]core.Instant{},
 		requests:  newRequests(),
 		writes:    writes{open: map[uint64]func(core.ObjectResult){}},
--- a/internal/core/placement/fame.go
+++ b/internal/core/placement/fame.go
@@ -31,7 +31,7 @@
 func (l *loader) famed(a core.AdapterRef, pool string, add float64, now core.Instant, halfLife time.Duration) {
 	f := l.fame[a]
 	f.pool = pool
-	f.score = decay(f.score, now.Sub(f.at), halfLife) + add
+	f.score = core.Decay(f.score, now.Sub(f.at), halfLife) + add
 	f.at, f.last = now, now
 	l.fame[a] = f
 }
@@ -47,7 +47,7 @@
 	if !ok {
 		return 0
 	}
-	return decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
+	return core.Decay(f.score, m.now.Sub(f.at), m.settings.HalfLife)
 }
 
 // spread takes an owner's word that an adapter is too busy for one upstream.
@@ -127,7 +127,7 @@
 	}
 	all := make([]famous, 0, len(l.fame))
 	for a, f := range l.fame {
-		score := decay(f.score, now.Sub(f.at), m.settings.HalfLife)
+		score := core.Decay(f.score, now.Sub(f.at), m.settings.HalfLife)
 		all = append(all, famous{Popular{Adapter: a, Score: score, Idle: now.Sub(f.last)}, f.pool})
 	}
 	slices.SortFunc(all, func(x, y famous) int {
--- a/internal/core/placement/slot.go
+++ b/internal/core/placement/slot.go
@@ -36,7 +36,7 @@
 
 // popularity decays the score to now.
 func (s *slot) popularity(now core.Instant, halfLife time.Duration) float64 {
-	return decay(s.score, now.Sub(s.touched), halfLife)
+	return core.Decay(s.score, now.Sub(s.touched), halfLife)
 }
 
 // touch counts one request.
@@ -45,14 +45,6 @@
 	s.touched = now
 }
 
-// decay halves a score every half-life.
-func decay(score float64, passed, halfLife time.Duration) float64 {
-	if passed <= 0 {
-		return score
-	}
-	return score * math.Exp2(-float64(passed)/float64(halfLife))
-}
-
 func (m *Machine) popular(s *slot) Popular {
 	return Popular{Adapter: s.adapter, Score: s.popularity(m.now, m.settings.HalfLife), Idle: m.now.Sub(s.touched)}
 }
--- a/internal/core/residency/demand.go
+++ b/internal/core/residency/demand.go
@@ -95,7 +95,7 @@
 		return best
 	}
 	for a, n := range m.newest {
-		if r.residents[a] != nil && r.popularities[a].now(now) >= renewPopularity {
+		if r.residents[a] != nil && r.popularities[a].Now(now, popularityHalf) >= renewPopularity {
 			take(a, &demand{want: Demand{Replica: r.id, Model: n.model, Adapter: core.AdapterRef{ID: a, Version: n.version}}})
 		}
 	}
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -82,7 +82,7 @@
 			demands:      map[core.AdapterID]*demand{},
 			uses:         map[core.AdapterID]map[core.HostID]use{},
 			copies:       map[core.AdapterID]bool{},
-			popularities: map[core.AdapterID]popularity{},
+			popularities: map[core.AdapterID]core.Decaying{},
 		}
 		m.known[e.ID] = r
 		m.sorted = nil
--- a/internal/core/residency/order.go
+++ b/internal/core/residency/order.go
@@ -124,7 +124,7 @@
 		if i.state != ready || now.Sub(i.since) < keepAtLeast || r.running(now, a) > 0 {
 			continue
 		}
-		h := r.popularities[a].now(now)
+		h := r.popularities[a].Now(now, popularityHalf)
 		if unpopular == nil || lessPopular(h, i, a, least, unpopular, victim) {
 			victim, unpopular, least = a, i, h
 		}
--- a/internal/core/residency/replica.go
+++ b/internal/core/residency/replica.go
@@ -45,10 +45,10 @@
 	residents    map[core.AdapterID]*resident
 	demands      map[core.AdapterID]*demand
 	uses         map[core.AdapterID]map[core.HostID]use
-	copies       map[core.AdapterID]bool       // adapters that the replica has held
-	popularities map[core.AdapterID]popularity // how often requests have named them
-	order        *Order                        // without an answer yet
-	checks       bool                          // the order repeats one, to learn whether it is done
+	copies       map[core.AdapterID]bool          // adapters that the replica has held
+	popularities map[core.AdapterID]core.Decaying // how often requests have named them
+	order        *Order                           // without an answer yet
+	checks       bool                             // the order repeats one, to learn whether it is done
 	probing      bool
 	probe        core.Instant // when the next report is due; 0: none is
 	busy         core.Instant // a model is on its way since; 0: none is
