Fleet: one filter over peers, a digest that is kept, no list made to be counted

Read again: Peers, ActivePeers and Standbys were the same loop, Hears and Census too; what a demand is met by stood twice in residency, and was looked up twice for one answer. On the hot path the list of active peers was made and sorted at each first attempt only to be counted, and the digest of all registrations was made anew for each watcher's heartbeat, where replicas.Set keeps its own.

--- a/internal/core/direct/finish.go
+++ b/internal/core/direct/finish.go
@@ -31,14 +31,13 @@
 
 // retryPart is this host's part of the fleet's retries.
 func (m *Machine) retryPart() float64 {
-	hosts := float64(max(m.fleet.Size(m.now), 1))
 	switch {
 	case !m.fleet.Large():
-		return 1 / hosts
+		return 1 / float64(m.fleet.Size(m.now))
 	case m.fleet.Active():
-		return (1 - standbyPart) / float64(len(m.fleet.ActivePeers())+1)
+		return (1 - standbyPart) / float64(m.fleet.ActiveHosts())
 	}
-	return standbyPart / hosts
+	return standbyPart / float64(m.fleet.Size(m.now))
 }
 
 // budget is this host's part of the retries to a service. It follows the size of
--- a/internal/core/direct/peers.go
+++ b/internal/core/direct/peers.go
@@ -125,13 +125,10 @@
 // tellHeld answers a demand for what the replica holds already: a host that stands
 // by is told of residency only where it asks.
 func (m *Machine) tellHeld(w residency.Demand, to core.HostID) {
-	x := m.replicas.Get(w.Replica)
 	p, known := m.fleet.Of(to)
-	if x == nil || !known || !m.residency.Met(w) {
-		return
-	}
-	if k, ok := m.residency.Of(w.Replica); ok {
-		m.send([]fleet.Registration{p}, Message{Residencies: []replicas.Residency{k}})
+	held, ok := m.residency.Meets(w)
+	if known && ok {
+		m.send([]fleet.Registration{p}, Message{Residencies: []replicas.Residency{held}})
 	}
 }
 
--- a/internal/core/fleet/active.go
+++ b/internal/core/fleet/active.go
@@ -168,14 +168,21 @@
 
 // ActivePeers returns the other active hosts, sorted.
 func (f *Fleet) ActivePeers() []Registration {
-	var all []Registration
+	return f.registrations(func(p *peer) bool { return p.active })
+}
+
+// ActiveHosts is how many hosts are active, this one included where it is.
+func (f *Fleet) ActiveHosts() int {
+	n := 0
+	if f.selfActive {
+		n = 1
+	}
 	for _, p := range f.peers {
 		if p.active {
-			all = append(all, p.Registration)
+			n++
 		}
 	}
-	Sort(all)
-	return all
+	return n
 }
 
 // IsActive reports whether another host is active.
@@ -213,34 +220,31 @@
 // Standbys returns the hosts that have told this one lately that they stand by,
 // sorted.
 func (f *Fleet) Standbys(now core.Instant) []Registration {
-	var all []Registration
-	for _, p := range f.peers {
-		if !p.active && p.direct != 0 && now.Sub(p.direct) < tellsFor {
-			all = append(all, p.Registration)
-		}
-	}
-	Sort(all)
-	return all
+	return f.registrations(func(p *peer) bool { return p.standsBy(now) })
+}
+
+// standsBy reports whether a peer stands by and has told this host so lately.
+func (p *peer) standsBy(now core.Instant) bool {
+	return !p.active && p.direct != 0 && now.Sub(p.direct) < tellsFor
 }
 
 // Hears are the short numbers of the hosts that stand by and have told this one
 // lately that they are ready.
 func (f *Fleet) Hears(now core.Instant) []uint32 {
-	var all []uint32
-	for _, p := range f.peers {
-		if !p.active && p.ready && !p.leaving && p.direct != 0 && now.Sub(p.direct) < tellsFor {
-			all = append(all, core.Short(p.Name))
-		}
-	}
-	slices.Sort(all)
-	return all
+	return f.spares(func(p *peer) bool { return p.standsBy(now) })
 }
 
 // Census are the short numbers of all hosts that stand by, are ready and are there.
 func (f *Fleet) Census(now core.Instant) []uint32 {
+	return f.spares(func(p *peer) bool { return f.alive(now, p) })
+}
+
+// spares are the short numbers of the hosts that stand by, are ready and that keep
+// chooses, sorted.
+func (f *Fleet) spares(keep func(*peer) bool) []uint32 {
 	var all []uint32
 	for _, p := range f.peers {
-		if !p.active && p.ready && !p.leaving && f.alive(now, p) {
+		if !p.active && p.ready && !p.leaving && keep(p) {
 			all = append(all, core.Short(p.Name))
 		}
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -58,6 +58,7 @@
 	peers  map[string]*peer      // by name, without this host
 	hosts  map[core.HostID]*peer // the same by process
 	shorts map[uint32]*peer      // the same by core.Short of the name
+	digest uint64                // of the registrations; 0: to be made
 
 	large      bool // not all hosts are active
 	selfActive bool
@@ -86,6 +87,7 @@
 		f.Unlisted(r.Name)
 		p = &peer{Registration: r, listed: now, leaving: r.Leaving, active: !f.large}
 		f.peers[r.Name], f.hosts[r.Host], f.shorts[core.Short(r.Name)] = p, p, p
+		f.digest = 0
 		return true
 	}
 	changed := p.Registration != r
@@ -96,10 +98,14 @@
 
 // Digest is of the processes that are registered, this one included.
 func (f *Fleet) Digest() uint64 {
+	if f.digest != 0 {
+		return f.digest
+	}
 	sum := core.Fingerprint(0, f.self.Name, string(f.self.Host))
 	for _, p := range f.peers {
 		sum += core.Fingerprint(0, p.Name, string(p.Host))
 	}
+	f.digest = sum
 	return sum
 }
 
@@ -109,6 +115,7 @@
 		delete(f.hosts, p.Host)
 		delete(f.peers, name)
 		delete(f.shorts, core.Short(name))
+		f.digest = 0
 	}
 }
 
@@ -212,9 +219,14 @@
 
 // Peers returns the registrations of the other hosts that may be there, sorted.
 func (f *Fleet) Peers(now core.Instant) []Registration {
+	return f.registrations(func(p *peer) bool { return !p.gone(now) })
+}
+
+// registrations are those of the peers that keep chooses, sorted.
+func (f *Fleet) registrations(keep func(*peer) bool) []Registration {
 	var all []Registration
 	for _, p := range f.peers {
-		if !p.gone(now) {
+		if keep(p) {
 			all = append(all, p.Registration)
 		}
 	}
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -171,20 +171,10 @@
 	return changed
 }
 
-// Met reports whether a replica holds what a demand asks for.
-func (m *Machine) Met(w Demand) bool {
+// Meets returns what a replica holds, if that meets a demand.
+func (m *Machine) Meets(w Demand) (held replicas.Residency, ok bool) {
 	r := m.known[w.Replica]
-	if r == nil || !r.synced {
-		return false
-	}
-	i := r.residents[w.Adapter.ID]
-	return i != nil && i.state == ready && i.version >= w.Adapter.Version
-}
-
-// Of returns what a replica holds; false where that is not known.
-func (m *Machine) Of(id core.UpstreamID) (replicas.Residency, bool) {
-	r := m.known[id]
-	if r == nil || !r.synced {
+	if r == nil || !r.synced || !r.holds(w.Adapter) {
 		return replicas.Residency{}, false
 	}
 	return r.residency(), true
--- a/internal/core/residency/replica.go
+++ b/internal/core/residency/replica.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// holds reports whether the replica holds an adapter, at a version or a newer one.
+func (r *replica) holds(a core.AdapterRef) bool {
+	i := r.residents[a.ID]
+	return i != nil && i.state == ready && i.version >= a.Version
+}
+
 // running is how many requests use an adapter at a replica, as last told.
 func (r *replica) running(now core.Instant, a core.AdapterID) int {
 	total := 0
@@ -105,9 +111,7 @@
 
 func (r *replica) expire(now core.Instant, demandFor time.Duration) {
 	for a, w := range r.demands {
-		i := r.residents[a]
-		met := i != nil && i.state == ready && i.version >= w.want.Adapter.Version
-		if met || now.Sub(w.at) > demandFor {
+		if r.holds(w.want.Adapter) || now.Sub(w.at) > demandFor {
 			delete(r.demands, a)
 		}
 	}
