--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -59,20 +59,10 @@
 	t.line.model = inbound.arrive.Model
 	t.ctx, t.cancel = context.WithTimeout(context.Background(), inbound.arrive.Timeout+backstop)
 	t.x = s.node.Begin(inbound.arrive)
-	t.watch(ctx) // after Begin, so that Gone never overtakes the arrival
+	t.conn = hangup.Watch(ctx.Conn(), t.hangUp) // after Begin, so that Gone never overtakes the arrival
 	t.serve(ctx)
 }
 
-// watch tells the node at once when the caller hangs up.
-func (t *task) watch(ctx *fasthttp.RequestCtx) {
-	c, ok := ctx.Conn().(*hangup.Conn)
-	if !ok {
-		return
-	}
-	t.conn = c
-	c.Watch(t.hangUp)
-}
-
 // hangUp ends the request's work. An attempt whose outcome is being recorded
 // runs on, so that a repeat gets the outcome and not "unknown".
 func (t *task) hangUp() {
--- a/internal/exposition/exposition.go
+++ b/internal/exposition/exposition.go
@@ -34,6 +34,14 @@
 // series is a metric's name with its label, if any.
 type series struct{ name, label string }
 
+// Truth is how a gauge shows a yes or a no.
+func Truth(yes bool) int64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 // labelled are the first parts of names whose middle is a label's value.
 var labelled = []string{"upstream", "route", "workspace", "service"}
 
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -7,6 +7,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"gentiancroft/internal/core/direct"
+	"gentiancroft/internal/exposition"
 )
 
 // Prefixes of metrics that there is one of for each route, upstream, workspace or
@@ -70,7 +71,7 @@
 	milliseconds("store.age_ms", s.StoreAge)
 	milliseconds("fleet.heartbeat_age_ms", s.PeerAge)
 	g.gaugeOf("fleet.active_hosts", int64(s.ActiveHosts))
-	g.gaugeOf("fleet.active", count(s.Active))
+	g.gaugeOf("fleet.active", exposition.Truth(s.Active))
 	metrics.GetOrRegisterGaugeFloat64("fleet.part", g.registry).Update(s.Part)
 	g.gaugeOf("fleet.shards", int64(s.Shards))
 	g.gaugeOf("gateway.waiting", int64(s.Waiting))
@@ -118,10 +119,3 @@
 func (g *Gateway) gaugeOf(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, g.registry).Update(value)
 }
-
-func count(yes bool) int64 {
-	if yes {
-		return 1
-	}
-	return 0
-}
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -65,6 +65,17 @@
 	return w
 }
 
+// Watch watches a caller's connection as its method does, and returns it; nil where
+// the connection came by no Listener, so that hang-ups can't be seen.
+func Watch(c net.Conn, onGone func()) *Conn {
+	w, ok := c.(*Conn)
+	if !ok {
+		return nil
+	}
+	w.Watch(onGone)
+	return w
+}
+
 // Watch calls onGone, once, when the caller hangs up before Release.
 func (c *Conn) Watch(onGone func()) {
 	c.mu.Lock()
--- a/internal/host/vitals.go
+++ b/internal/host/vitals.go
@@ -4,6 +4,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"gentiancroft/internal/core/node"
+	"gentiancroft/internal/exposition"
 )
 
 // vitalsEvery is how many ticks pass between two readings of the vitals.
@@ -30,14 +31,14 @@
 // readVitals shows the node's vitals as gauges. The node's own duty calls it.
 func (h *Host) readVitals() {
 	v := h.node.Vitals()
-	h.gauge(GaugeReady, truth(v.Ready))
+	h.gauge(GaugeReady, exposition.Truth(v.Ready))
 	h.gauge(GaugeInFlight, int64(v.InFlight))
 	h.gauge(GaugeMembers, int64(v.Members))
 	h.gauge(GaugeView, int64(v.View))
 	h.gauge(GaugeSettled, int64(v.Settled))
-	h.gauge(GaugeHolding, truth(v.Holding))
-	h.gauge(GaugeOutage, truth(v.Outage))
-	h.gauge(GaugeCutOff, truth(v.CutOff))
+	h.gauge(GaugeHolding, exposition.Truth(v.Holding))
+	h.gauge(GaugeOutage, exposition.Truth(v.Outage))
+	h.gauge(GaugeCutOff, exposition.Truth(v.CutOff))
 	h.gauge(GaugeConfiguration, int64(v.Configuration))
 	h.gauge(GaugeFresh, v.Fresh.Milliseconds())
 	h.gauge(GaugeOwned, int64(v.Owned))
@@ -58,13 +59,6 @@
 	metrics.GetOrRegisterGauge(name, h.metrics).Update(value)
 }
 
-func truth(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // vitalsDue counts ticks and reports whether the vitals are due.
 func (h *Host) vitalsDue(e node.Event) bool {
 	if _, ok := e.(node.Tick); !ok {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -132,7 +132,7 @@
 	t.id = arrive.ID
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.exchange = s.node.Begin(arrive)
-	t.watch(ctx)
+	t.conn = hangup.Watch(ctx.Conn(), t.hangUp) // after Begin, so that Gone never overtakes the arrival
 	if s.node.Leaving() {
 		ctx.SetConnectionClose()
 	}
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -41,16 +41,6 @@
 	body   []byte
 }
 
-// watch tells the node at once when the caller hangs up.
-func (t *task) watch(ctx *fasthttp.RequestCtx) {
-	c, ok := ctx.Conn().(*hangup.Conn)
-	if !ok {
-		return
-	}
-	t.conn = c
-	c.Watch(t.hangUp)
-}
-
 func (t *task) hangUp() {
 	t.hung.Do(func() {
 		t.server.metrics.gone.Inc(1)
