A watcher that the store turns away says so at once

A watcher counted as answered for 3 s after its last answer, so the other five hosts relied on them until 5.43 s, while keys were revoked from 2.64 s on; the users' bound is 2 s.

Change: a watcher whose last call failed does not count, nor one that was last answered 1.6 s ago (it asks once a second at least). The test failed before.

--- a/internal/core/direct/watchers.go
+++ b/internal/core/direct/watchers.go
@@ -16,12 +16,12 @@
 const (
 	watchers     = 3 // hosts that watch the store
 	watchersKind = 31
-	toldMost     = 64 << 10               // bytes of a configuration that is told; a longer one is read from the store
-	storeFresh   = 3 * time.Second        // an answer of the store counts so long
-	differFor    = 600 * time.Millisecond // that a watcher may know something else
-	differLonger = relayEvery             // added where heartbeats come through others
-	olderFor     = 300 * time.Millisecond // that another host may know a newer document
-	readAgain    = time.Second            // between two readings for the same reason
+	toldMost     = 64 << 10                // bytes of a configuration that is told; a longer one is read from the store
+	storeFresh   = 1600 * time.Millisecond // an answer of the store counts so long; a host asks once a second at least
+	differFor    = 600 * time.Millisecond  // that a watcher may know something else
+	differLonger = relayEvery              // added where heartbeats come through others
+	olderFor     = 300 * time.Millisecond  // that another host may know a newer document
+	readAgain    = time.Second             // between two readings for the same reason
 )
 
 // watchState is what a host knows of the others' view of the store.
@@ -138,8 +138,10 @@
 	m.emit(Note{Name: "reread", Reason: reason, Detail: detail})
 }
 
+// storeAnswers reports whether the store answers this host: its last call was not
+// refused or lost, and it is not long ago.
 func (m *Machine) storeAnswers() bool {
-	return m.watch.answered != 0 && m.now.Sub(m.watch.answered) < storeFresh
+	return m.watch.answered != 0 && !m.watch.lost && m.now.Sub(m.watch.answered) < storeFresh
 }
 
 func (m *Machine) configVersion() uint64 {
--- a/internal/core/direct/watchers_test.go
+++ b/internal/core/direct/watchers_test.go
@@ -150,3 +150,33 @@
 	h.step(StoreReached{})
 	h.is.Equal(h.m.Reading().Relist, before+1)
 }
+
+// Found by a hunt (CONFIG, hunt-fffd-31 of parapet-sofia): the store turned away all
+// three watchers, and for three seconds the others went on to rely on them.
+func TestAWatcherThatTheStoreTurnsAwaySaysSoAtOnce(t *testing.T) {
+	watch, _ := watchersOf(t)
+	h := inLargeFleet(t, watch[0])
+	h.later(time.Second)
+	h.step(StoreReached{})
+	h.is.True(h.m.ownHeartbeat().Watches)
+	h.step(StoreLost{})
+	h.is.True(!h.m.ownHeartbeat().Watches)
+	h.step(StoreReached{})
+	h.is.True(h.m.ownHeartbeat().Watches)
+	h.later(storeFresh) // its calls hang
+	h.is.True(!h.m.ownHeartbeat().Watches)
+
+	other := inLargeFleet(t, "w0")
+	other.later(time.Second)
+	digest := other.m.listDigest()
+	tell := func(watches bool) {
+		for _, w := range watch {
+			other.hear(w, Heartbeat{Number: uint64(other.now) + 1, Watches: watches, List: digest})
+		}
+	}
+	tell(true)
+	other.is.True(!other.m.Reading().Watch)
+	other.now += time.Millisecond
+	tell(false)
+	other.is.True(other.m.Reading().Watch)
+}
