--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -46,9 +46,9 @@
 			Reasons: append([]Reason{{Name: "admitted", Meaning: "it is placed on a replica", MetricsOnly: true}}, refusalReasons...)},
 		{Name: "wait", Subject: "a request that no replica can run now", Detail: "the adapter", Reasons: []Reason{
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
-		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others", Age: "the request", Reasons: []Reason{
+		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any)", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
-		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Age: "the attempt", Reasons: []Reason{
+		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Detail: "the attempt's number and the answer that ended it", Age: "the attempt", Reasons: []Reason{
 			{Name: "ok", Meaning: "a complete success", MetricsOnly: true},
 			{Name: "not_reached", Meaning: "nothing was sent"},
 			{Name: "not_run", Meaning: "the replica answered that it did not run it"},
@@ -81,6 +81,10 @@
 			{Name: "restored", Meaning: "it has come back from an older copy"}}},
 		{Name: "configuration", Subject: "a version of the configuration", Detail: "the version", Reasons: []Reason{
 			{Name: "in_force", Meaning: "it applies from now on"}}},
+		{Name: "version", Subject: "a newer version of an adapter", Detail: "the adapter and its version", Reasons: []Reason{
+			{Name: versionAnnounced, Meaning: "a change in the store"},
+			{Name: versionListed, Meaning: "read from the store's list: announced at an unknown time"},
+			{Name: versionReported, Meaning: "another host has read it"}}},
 		{Name: "settings", Subject: "settings changed at run time", Reasons: []Reason{
 			{Name: "in_force", Meaning: "they apply from now on"}}},
 		{Name: "reread", Subject: "whether documents are read again", Detail: "the host that has newer documents", Reasons: []Reason{
@@ -118,7 +122,7 @@
 	b.WriteString("Every decision is also a counter, `decision.NAME.REASON`. Those marked * are counted and not logged.\n")
 	b.WriteString("A kind with more than 100 lines a second is summed up in a line `lines summed up`; lines that a reader did not take\n")
 	b.WriteString("in time are counted in a line `lines dropped`. Other messages: `started`, `stopped`, `dependency changed`, `object skipped`,\n")
-	b.WriteString("`order without an answer`, `report not read`. This page is checked against the code.\n\n")
+	b.WriteString("`order without an answer`, `report not read`, `stray answer discarded`. This page is checked against the code.\n\n")
 	b.WriteString("| decision | about | reason | meaning | detail | age of |\n|---|---|---|---|---|---|\n")
 	for _, d := range Catalog() {
 		for _, r := range d.Reasons {
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -73,6 +73,15 @@
 	ConnectionClosed bool          // the replica closed the connection before it answered
 	LastEvent        string        // last event that was sent to the caller
 	RetryAfter       time.Duration // as given by the replica; 0: none
+	Answer           AnswerEvidence
+}
+
+// AnswerEvidence describes the answer that ended an attempt, for the log.
+type AnswerEvidence struct {
+	Status    int  // HTTP status; 0: no answer
+	Kept      bool // it came on a connection that had carried other requests
+	Confirmed bool // a confirmation was answered on the connection just before
+	Stray     int  // other answers that were discarded before it
 }
 
 // ReplicaNoticed is sent when the header of a replica's answer to an attempt says
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"strconv"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -153,7 +154,7 @@
 		return
 	}
 	m.releaseAttempt(r, e)
-	m.emit(LogDecision{Name: "attempt", Reason: endReasons[e.Kind], ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince), MetricsOnly: e.Kind == EndOK})
+	m.emit(LogDecision{Name: "attempt", Reason: endReasons[e.Kind], ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince), Detail: e.evidence(), MetricsOnly: e.Kind == EndOK})
 	if e.LastEvent != "" {
 		r.lastEvent = e.LastEvent
 	}
@@ -180,6 +181,27 @@
 	}
 }
 
+// evidence describes what an attempt's end is based on.
+func (e *AttemptEnded) evidence() string {
+	text := "attempt " + strconv.Itoa(e.Attempt)
+	if e.Answer.Status == 0 {
+		return text
+	}
+	text += ", status " + strconv.Itoa(e.Answer.Status)
+	switch {
+	case e.Answer.Confirmed:
+		text += " on a confirmed connection"
+	case e.Answer.Kept:
+		text += " on a kept connection"
+	default:
+		text += " on a new connection"
+	}
+	if e.Answer.Stray > 0 {
+		text += " after " + strconv.Itoa(e.Answer.Stray) + " stray answers"
+	}
+	return text
+}
+
 var endReasons = map[EndKind]string{
 	EndOK:             "ok",
 	EndNotReached:     "not_reached",
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -73,9 +73,24 @@
 	m.emit(LogDecision{Name: "replica", Reason: "gone", Upstream: id})
 }
 
+// Sources of an adapter's version, as logged.
+const (
+	versionListed    = "listed"
+	versionAnnounced = "announced"
+	versionReported  = "reported"
+)
+
+// versionSource returns how this host has learned of a version from the store.
+func versionSource(e VersionAnnounced) string {
+	if e.Listed {
+		return versionListed
+	}
+	return versionAnnounced
+}
+
 // applyVersion applies an adapter's version and reports whether it is newer than the
 // last one.
-func (m *Machine) applyVersion(e VersionAnnounced) bool {
+func (m *Machine) applyVersion(e VersionAnnounced, source string) bool {
 	if e.Adapter.Version <= m.versions[e.Adapter.ID].version {
 		return false
 	}
@@ -86,5 +101,6 @@
 	}
 	m.versions[e.Adapter.ID] = announcedVersion{version: e.Adapter.Version, announcedAt: at}
 	m.residency.SetNewestVersion(e.Model, e.Adapter)
+	m.emit(LogDecision{Name: "version", Reason: source, Detail: e.Adapter.String()})
 	return true
 }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -129,7 +129,7 @@
 		m.replicas.Remove(m.now, e.ID)
 		m.dropIfGone(e.ID)
 	case VersionAnnounced:
-		if m.applyVersion(e) && !e.Listed {
+		if m.applyVersion(e, versionSource(e)) && !e.Listed {
 			m.changes.versions = append(m.changes.versions, e)
 		}
 	case VersionsRead:
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -326,7 +327,7 @@
 	if r.attempt == 1 {
 		m.retryBudget(r.service.ID).RecordAttempt(m.now)
 	}
-	m.emit(LogDecision{Name: "dispatch", Reason: "least_occupied", ID: r.id(), Upstream: x.ID, Age: m.now.Sub(r.arrivedAt), Detail: "load " + utoa(uint64(x.Load()))})
+	m.emit(LogDecision{Name: "dispatch", Reason: "least_occupied", ID: r.id(), Upstream: x.ID, Age: m.now.Sub(r.arrivedAt), Detail: m.dispatchDetail(r, x)})
 	m.emit(Dispatch{
 		ID:              r.id(),
 		Attempt:         r.attempt,
@@ -342,6 +343,17 @@
 	})
 }
 
+// dispatchDetail describes a dispatch for the log.
+func (m *Machine) dispatchDetail(r *request, x *replicas.Replica) string {
+	text := "load " + utoa(uint64(x.Load()))
+	newest := m.versions[r.arrival.Adapter].version
+	if newest == 0 {
+		return text
+	}
+	version, _ := x.AdapterVersion(r.arrival.Adapter)
+	return text + ", version " + strconv.Itoa(version) + " of " + strconv.Itoa(newest) + ", expected " + strconv.Itoa(m.expectedVersion(r))
+}
+
 // expectedVersion returns the adapter version that the replica must confirm; 0: any.
 func (m *Machine) expectedVersion(r *request) int {
 	if r.arrival.Adapter == "" {
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -284,7 +284,7 @@
 // configuration must be decoded first, and is an event of its own.
 func (m *Machine) applyDocuments(e MessageReceived) {
 	for _, v := range e.Message.Versions {
-		m.applyVersion(v)
+		m.applyVersion(v, versionReported)
 	}
 	for _, r := range e.Message.Hosts {
 		m.fleet.UpdateRegistration(m.now, r, m.watch.era)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -167,6 +167,7 @@
 		answered := s.task.server.dialect.ParseAnswer(answer.Header())
 		if !isEventStream(answer, answered) || !s.task.exchange.StartAnswer(d.Attempt) {
 			end := endOfAnswer(answered)
+			end.Answer = evidence(answer)
 			if end.Kind == relaynode.EndOK {
 				end = endOfError(attempt, upstream.Broken.New("the answer is not an event stream"))
 			}
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -177,6 +177,7 @@
 		return false
 	}
 	end := endOfAnswer(answered)
+	end.Answer = evidence(answer)
 	if end.Kind == relaynode.EndError {
 		t.failure = &failure{body: body}
 		answer.Header().CopyTo(&t.failure.header)
@@ -209,6 +210,12 @@
 	return relaynode.AttemptEnded{Kind: relaynode.EndError}
 }
 
+// evidence describes an answer for the log.
+func evidence(a *upstream.Answer) relaynode.AnswerEvidence {
+	c := a.Connection
+	return relaynode.AnswerEvidence{Status: a.Status, Kept: c.Kept, Confirmed: c.Confirmed, Stray: c.Stray}
+}
+
 // endOfError returns how an attempt without a complete answer ended.
 func endOfError(attempt context.Context, err error) relaynode.AttemptEnded {
 	switch {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
@@ -81,6 +82,13 @@
 	Accept func(*fasthttp.ResponseHeader) bool
 }
 
+// Connection describes the connection of an answer, for logs.
+type Connection struct {
+	Kept      bool // it had carried other calls before
+	Confirmed bool // a confirmation was answered on it just before
+	Stray     int  // answers on it that were discarded since they belong to other calls
+}
+
 // Answer is a response with a streamed body. It must be closed in every case.
 type Answer struct {
 	Status      int
@@ -88,6 +96,7 @@
 	NotRun      bool // the upstream reports that it did not run the request
 	RetryAfter  string
 	Body        io.Reader
+	Connection  Connection
 
 	response           *fasthttp.Response
 	conn               *conn
@@ -176,6 +185,7 @@
 	reader            *bufio.Reader
 	writer            *bufio.Writer
 	idleSince         time.Time     // when it was put into the pool
+	use               Connection    // by the present call
 	serverIdleTimeout time.Duration // of the upstream, from its Keep-Alive header; 0: not given
 }
 
@@ -251,6 +261,9 @@
 		limit = 0
 	}
 	kept := c.pool.get(call.Address, limit)
+	if kept != nil {
+		kept.use = Connection{Kept: true}
+	}
 	if kept == nil || call.Confirm == nil || time.Since(kept.idleSince) < call.MaxIdle {
 		return kept, nil
 	}
@@ -265,6 +278,7 @@
 		_ = kept.Close()
 		return nil, Refused.New("by the answer to a confirmation")
 	}
+	kept.use.Confirmed = true
 	return kept, nil
 }
 
@@ -323,6 +337,7 @@
 func (c *Client) attempt(ctx context.Context, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer, err := exchange(conn, call)
+	c.reportStrays(conn, call)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -333,6 +348,17 @@
 	return answer, nil
 }
 
+// reportStrays counts and logs the answers that a call has found on its connection and
+// discarded.
+func (c *Client) reportStrays(conn *conn, call Call) {
+	if conn.use.Stray == 0 {
+		return
+	}
+	c.count(call, "stray_answers")
+	log.WithField("upstream", string(call.Upstream)).WithField("answers", conn.use.Stray).
+		WithField("kept", conn.use.Kept).Warn("stray answer discarded")
+}
+
 type emptyBody struct{}
 
 // Read implements io.Reader.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -94,6 +94,7 @@
 		if call.Matches == nil || call.Matches(&response.Header) {
 			return response, nil
 		}
+		conn.use.Stray++
 		err := discard(response)
 		if err != nil {
 			return nil, err
@@ -125,6 +126,7 @@
 		NotRun:             string(response.Header.Peek("X-Ran")) == string(core.RanNo),
 		RetryAfter:         string(response.Header.Peek("Retry-After")),
 		Body:               &trackedBody{Reader: body},
+		Connection:         conn.use,
 		response:           response,
 		conn:               conn,
 		connectionReusable: sent && !response.ConnectionClose(),
