--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -258,6 +258,36 @@
 	h.is.Equal(got, "right")
 }
 
+// Guards against a refusal that says "not run" of a request that ran: the replica's rejection
+// of its first attempt came twice, and passed for the answer to the next one.
+func TestARepeatedAnswerToAnEarlierAttemptIsNotTakenForTheNextOnes(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var mu sync.Mutex
+	rejected := map[net.Conn]bool{}
+	first := true
+	h := newHarness(t, func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if first {
+			first, rejected[c] = false, true
+			_, _ = io.WriteString(c, rejection)
+			return
+		}
+		if rejected[c] {
+			_, _ = io.WriteString(c, rejection) // late, when the next answer is due
+		}
+		answer(c, "1", madeHeader, "ran")
+	})
+	h.script(h.dispatch(1, ""), h.dispatch(2, ""), func(a relaynode.RequestArrived) relaynode.Effect {
+		return relaynode.Refuse{ID: a.ID, Refusal: core.Refuse(core.CodeOverloaded, time.Second, "")}
+	})
+	r, _ := h.request(get("1"))
+	h.is.Equal(r.StatusCode, http.StatusOK)
+	got, err := body(r)
+	h.is.NoErr(err)
+	h.is.Equal(got, "ran")
+}
+
 func TestATruncatedAnswerIsNotPassedOn(t *testing.T) {
 	h := newHarness(t, func(c net.Conn, r *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+madeHeader+"Content-Length: 100\r\n\r\nshort")
