Kept connections: closed ones and waiting bytes are noticed

Callers saw requests that failed, or answers that were not theirs, on a connection whose replica had closed it or sent more on it while it was idle. Cause: the check before a kept connection is used read under a deadline in the past. The runtime fails such a read before it asks the kernel, so that every connection passed as open and idle. Now one read that doesn't block asks the kernel.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
-	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -69,12 +69,27 @@
 }
 
 // isOpen reports whether the upstream has neither closed the connection nor sent
-// unexpected bytes on it.
+// unexpected bytes on it. It does not block.
 func isOpen(c *conn) bool {
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	_, err := c.reader.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var unexpected [1]byte
+		_, err := syscall.Read(int(fd), unexpected[:])
+		idle = errors.Is(err, syscall.EAGAIN)
+		return true // don't wait for more
+	})
+	return err == nil && idle
 }
 
 func (p *pool) put(c *conn) {
