Answers are matched to calls by what they name

Callers could see a request fail, or refused although it runs, because of an answer to something else on the same connection. Cause: requests, orders and reports share connections; answers to orders and reports name no request, and an answer without an id passed for any request's; the answers to confirmations, orders and reports were matched to nothing. One surplus answer shifted the next ones.

Now an answer is the call's own, another's, or unnamed. On a kept connection an unnamed answer ends the attempt as broken (whether it ran isn't known, so nothing is promised); on a new one it can only be the request's. An answer with an id isn't one to an order, a report or a confirmation. A connection on which another call's answer was found isn't kept. The serving mode compares X-Request-Id where an engine returns it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/upstream"
 )
 
 // RequestFields is what the header of a caller's request declares.
@@ -59,8 +60,10 @@
 	// BuildConfirmation makes a harmless request to a replica, whose answer shows that a
 	// connection works and what the replica says about itself.
 	BuildConfirmation(to *fasthttp.Request, a AttemptFields)
-	// MatchesRequest reports whether an answer is to the request with this id.
-	MatchesRequest(h *fasthttp.ResponseHeader, requestID string) bool
+	// MatchAnswer tells whether an answer is to the request with this id.
+	MatchAnswer(h *fasthttp.ResponseHeader, requestID string) upstream.Match
+	// MatchConfirmation tells whether an answer can be to a confirmation.
+	MatchConfirmation(h *fasthttp.ResponseHeader) upstream.Match
 	// ParseAnswer reads a replica's answer.
 	ParseAnswer(*fasthttp.ResponseHeader) AnswerFields
 	// CopyAnswerHeader makes the header of the caller's answer from the replica's.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -45,10 +45,15 @@
 	to.Header.SetRequestURI("/confirm")
 }
 
-func (fakeDialect) MatchesRequest(h *fasthttp.ResponseHeader, id string) bool {
-	return string(h.Peek("Id")) == id
+func (fakeDialect) MatchAnswer(h *fasthttp.ResponseHeader, id string) upstream.Match {
+	if string(h.Peek("Id")) == id {
+		return upstream.Own
+	}
+	return upstream.Foreign
 }
 
+func (fakeDialect) MatchConfirmation(*fasthttp.ResponseHeader) upstream.Match { return upstream.Own }
+
 func (fakeDialect) ParseAnswer(h *fasthttp.ResponseHeader) AnswerFields {
 	notice := replicas.Notice{}
 	if len(h.Peek("Pause")) > 0 {
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -115,8 +115,8 @@
 		Upstream: d.Upstream,
 		Address:  d.Address,
 		Prepared: request,
-		Matches: func(h *fasthttp.ResponseHeader) bool {
-			return t.server.dialect.MatchesRequest(h, t.requestID)
+		Matches: func(h *fasthttp.ResponseHeader) upstream.Match {
+			return t.server.dialect.MatchAnswer(h, t.requestID)
 		},
 	}
 	if d.NonRepeatable {
@@ -134,7 +134,7 @@
 	request := &fasthttp.Request{}
 	request.Header.SetHost(d.Address)
 	t.server.dialect.BuildConfirmation(request, AttemptFields{Upstream: d.Upstream})
-	return &upstream.Confirmation{Request: request, Accept: func(h *fasthttp.ResponseHeader) bool {
+	return &upstream.Confirmation{Request: request, Matches: t.server.dialect.MatchConfirmation, Accept: func(h *fasthttp.ResponseHeader) bool {
 		answered := t.server.dialect.ParseAnswer(h)
 		t.reportNotice(d, answered.Notice)
 		return answered.Notice.Pause == 0 && !answered.Misdirected
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,9 +63,9 @@
 	// Prepared is the complete request, to be sent unchanged. If it is set, Method,
 	// Path, Headers, Body and the header fields derived from the others are not used.
 	Prepared *fasthttp.Request
-	// Matches reports whether an answer belongs to this call; any other answer is read
-	// and discarded. Nil accepts every answer.
-	Matches func(*fasthttp.ResponseHeader) bool
+	// Matches tells by an answer's header whether it belongs to this call. Nil compares
+	// the answer's X-Request-Id, if it has one, with Request.
+	Matches func(*fasthttp.ResponseHeader) Match
 	// MaxIdle is how long a kept connection may have been idle at most; 0: as long as
 	// connections are kept.
 	MaxIdle time.Duration
@@ -78,6 +78,8 @@
 // Confirmation is a harmless request whose answer shows that a connection works.
 type Confirmation struct {
 	Request *fasthttp.Request
+	// Matches is as in Call.
+	Matches func(*fasthttp.ResponseHeader) Match
 	// Accept reports whether the call may follow an answer with this header.
 	Accept func(*fasthttp.ResponseHeader) bool
 }
@@ -116,38 +118,30 @@
 	if a.closed {
 		return
 	}
-	a.closed = true
-	notCancelled := a.stop()
-	reuse := notCancelled && a.readToEnd()
-	a.conn.serverIdleTimeout = parseKeepAlive(a.response.Header.Peek("Keep-Alive"))
-	if !reuse {
-		_ = a.conn.Close() // before the body stream, whose Close would wait for the upstream
-	}
-	_ = a.response.CloseBodyStream()
-	fasthttp.ReleaseResponse(a.response)
-	a.response, a.Body = nil, emptyBody{} // the response may now be reused by another call
-	if reuse {
+	if a.detach() {
 		a.client.pool.put(a.conn)
 	}
 }
 
-// detach ends a call whose answer was read, and reports whether its connection can be used
-// for another one. If not, the connection is closed.
-func (a *Answer) detach() bool {
-	reusable := a.stop() && a.readToEnd()
+// detach ends a call and reports whether its connection can be used for another one. If not,
+// the connection is closed.
+func (a *Answer) detach() (reusable bool) {
 	a.closed = true
+	reusable = a.stop() && a.readToEnd()
+	a.conn.serverIdleTimeout = parseKeepAlive(a.response.Header.Peek("Keep-Alive"))
 	if !reusable {
-		_ = a.conn.Close()
+		_ = a.conn.Close() // before the body stream, whose Close would wait for the upstream
 	}
 	_ = a.response.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.response)
-	a.response, a.Body = nil, emptyBody{}
+	a.response, a.Body = nil, emptyBody{} // the response may now be reused by another call
 	return reusable
 }
 
-// readToEnd reports whether the answer was read to its end and no byte follows it.
+// readToEnd reports whether the answer was read to its end and the connection carries
+// nothing else.
 func (a *Answer) readToEnd() bool {
-	if !a.connectionReusable || a.response.Header.ContentLength() < -1 {
+	if !a.connectionReusable || a.conn.use.Stray > 0 || a.response.Header.ContentLength() < -1 {
 		return false
 	}
 	var next [1]byte
@@ -289,7 +283,7 @@
 func (c *Client) confirm(ctx context.Context, kept *conn, call Call) (accepted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := c.attempt(ctx, kept, Call{Prepared: call.Confirm.Request})
+	answer, err := c.attempt(ctx, kept, Call{Prepared: call.Confirm.Request, Matches: call.Confirm.Matches})
 	if err != nil {
 		return false, err
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -80,7 +80,9 @@
 // maxStrayAnswers is how many answers to earlier calls are discarded before a call fails.
 const maxStrayAnswers = 2
 
-// receive reads the header of the answer that belongs to a call. isHead is set for a HEAD
+// receive reads the header of the answer that belongs to a call. Invariant: on a kept
+// connection, which may still carry an answer to an earlier call, only an answer that names
+// the call is taken for its answer. isHead is set for a HEAD
 // request, whose answer has no body.
 func receive(conn *conn, call Call, isHead bool) (*fasthttp.Response, error) {
 	for range maxStrayAnswers + 1 {
@@ -91,10 +93,15 @@
 			fasthttp.ReleaseResponse(response)
 			return nil, err
 		}
-		if call.Matches == nil || call.Matches(&response.Header) {
+		match := call.match(&response.Header)
+		if match == Own || match == Unnamed && !conn.use.Kept {
 			return response, nil
 		}
 		conn.use.Stray++
+		if match == Unnamed {
+			fasthttp.ReleaseResponse(response)
+			return nil, Broken.New("an answer on a kept connection names no call")
+		}
 		err := discard(response)
 		if err != nil {
 			return nil, err
