An attempt never uses a connection that may carry an earlier attempt's answer

Callers saw 503 for a request that ran: work that must not be repeated was told to be safe to repeat. Cause: all attempts of a request have its id. Where replicas reject it, up to four attempts are made, and the fourth goes to a replica that has rejected it before, on the connection used last. A rejection that comes twice was then read as the answer to the next attempt, which ran. As no fifth follows, the request ran once and was refused.

Now an attempt opens a connection if an earlier one went to the same address.

--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,10 @@
 	cancel     context.CancelFunc
 	hangUpOnce sync.Once
 
+	// sentTo are the addresses of the attempts so far. All attempts have the same request id: a
+	// repeated answer to one would be taken for the next one's on the same connection.
+	sentTo []string
+
 	failure *failure // the last error answer of a replica, which the node may have delivered
 }
 
@@ -118,7 +123,9 @@
 		Matches: func(h *fasthttp.ResponseHeader) upstream.Match {
 			return t.server.dialect.MatchAnswer(h, t.requestID)
 		},
+		NewConnection: slices.Contains(t.sentTo, d.Address),
 	}
+	t.sentTo = append(t.sentTo, d.Address)
 	if d.NonRepeatable {
 		call.MaxIdle = t.server.maxConnIdle
 		if d.Confirmable {
