Each announcement of an adapter's version limits the versions before it by itself

Callers got answers from an adapter version that had been replaced more than 5 s before. Cause: a host kept one version and one time for each adapter, so that version 3 restarted the time in which version 1 may be used, although version 2 had ended it.

Now the announcements are kept until they limit nothing that a later one doesn't. A version whose predecessor was never announced to this host counts for the versions before that as announced long ago. A replica is asked to confirm the version that it is thought to have: at least the oldest usable one, which need no longer be the newest.

Evidence: the test sent a request on version 1 before, and doesn't now.

--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -5,13 +5,6 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// announcedVersion is an adapter's newest version, and the latest time at which it
-// can have been announced as the newest.
-type announcedVersion struct {
-	version     int
-	announcedAt core.Instant
-}
-
 func (m *Machine) applyReplicaList(entries []replicas.Entry) {
 	m.replicasRead = true
 	clear(m.watch.differSince)
@@ -72,35 +65,3 @@
 	delete(m.unsent, id)
 	m.emit(LogDecision{Name: "replica", Reason: "gone", Upstream: id})
 }
-
-// Sources of an adapter's version, as logged.
-const (
-	versionListed    = "listed"
-	versionAnnounced = "announced"
-	versionReported  = "reported"
-)
-
-// versionSource returns how this host has learned of a version from the store.
-func versionSource(e VersionAnnounced) string {
-	if e.Listed {
-		return versionListed
-	}
-	return versionAnnounced
-}
-
-// applyVersion applies an adapter's version and reports whether it is newer than the
-// last one.
-func (m *Machine) applyVersion(e VersionAnnounced, source string) bool {
-	if e.Adapter.Version <= m.versions[e.Adapter.ID].version {
-		return false
-	}
-	m.versionSum += uint64(e.Adapter.Version - m.versions[e.Adapter.ID].version)
-	at := m.now
-	if e.Listed {
-		at = at.Add(-m.settings.VersionGrace)
-	}
-	m.versions[e.Adapter.ID] = announcedVersion{version: e.Adapter.Version, announcedAt: at}
-	m.residency.SetNewestVersion(e.Model, e.Adapter)
-	m.emit(LogDecision{Name: "version", Reason: source, Detail: e.Adapter.String()})
-	return true
-}
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -29,7 +29,7 @@
 	quota           *quota.Machine
 	shards          *shard.Machine
 	residency       *residency.Machine
-	versions        map[core.AdapterID]announcedVersion
+	versions        map[core.AdapterID]versionHistory
 	retries         map[table.ServiceID]*retry.Budget
 	crashes         map[uint64]*crashRecord
 	failures        map[core.UpstreamID]*core.Decaying
@@ -79,7 +79,7 @@
 		quota:           quota.New(!s.FirstStart),
 		shards:          shard.New(s.Shard),
 		residency:       residency.New(s.Residency),
-		versions:        map[core.AdapterID]announcedVersion{},
+		versions:        map[core.AdapterID]versionHistory{},
 		retries:         map[table.ServiceID]*retry.Budget{},
 		crashes:         map[uint64]*crashRecord{},
 		failures:        map[core.UpstreamID]*core.Decaying{},
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -118,16 +118,6 @@
 	return ok && version >= m.minVersion(r.arrival.Adapter)
 }
 
-// minVersion returns the oldest version of an adapter that a request may run on; 0:
-// any.
-func (m *Machine) minVersion(a core.AdapterID) int {
-	v, ok := m.versions[a]
-	if !ok || m.now.Sub(v.announcedAt) < m.settings.VersionGrace {
-		return 0
-	}
-	return v.version
-}
-
 // choose returns the replica with the lowest utilization and the shortest queue of prompts,
 // weighted against failures, remote failure domains, earlier attempts and older versions.
 func (m *Machine) choose(r *request, from []*replicas.Replica) *replicas.Replica {
@@ -140,7 +130,7 @@
 		if slices.Contains(r.tried, x.ID) {
 			s += triedWeight
 		}
-		if version, ok := x.AdapterVersion(r.arrival.Adapter); ok && version < m.versions[r.arrival.Adapter].version {
+		if version, ok := x.AdapterVersion(r.arrival.Adapter); ok && version < m.versions[r.arrival.Adapter].newest() {
 			s += olderVersionWeight
 		}
 		return s
@@ -248,7 +238,7 @@
 func (m *Machine) demandNewerVersion(r *request, x *replicas.Replica) {
 	a := r.arrival.Adapter
 	version, ok := x.AdapterVersion(a)
-	if !ok || version >= m.versions[a].version || m.lastExtraDemand[a] != 0 && m.now.Sub(m.lastExtraDemand[a]) < demandInterval {
+	if !ok || version >= m.versions[a].newest() || m.lastExtraDemand[a] != 0 && m.now.Sub(m.lastExtraDemand[a]) < demandInterval {
 		return
 	}
 	m.lastExtraDemand[a] = m.now
@@ -261,7 +251,7 @@
 	d := residency.Demand{
 		Replica: x.ID,
 		Model:   r.arrival.Model,
-		Adapter: core.AdapterRef{ID: r.arrival.Adapter, Version: m.versions[r.arrival.Adapter].version},
+		Adapter: core.AdapterRef{ID: r.arrival.Adapter, Version: m.versions[r.arrival.Adapter].newest()},
 		Weight:  m.waitingCount(r.arrival.Adapter),
 		Left:    r.arrivedAt.Add(r.route.LatencyTarget).Sub(m.now) - dispatchToFirstEvent,
 	}
@@ -335,7 +325,7 @@
 		Address:         x.Address,
 		Workspace:       r.workspaceID(),
 		TimeLeft:        r.deadline.Sub(m.now),
-		ExpectedVersion: m.expectedVersion(r),
+		ExpectedVersion: m.expectedVersion(r, x),
 		LastEvent:       r.lastEvent,
 		NonRepeatable:   !r.route.Repeatable(),
 		Confirmable:     r.service.Engine != nil,
@@ -346,20 +336,21 @@
 // dispatchDetail describes a dispatch for the log.
 func (m *Machine) dispatchDetail(r *request, x *replicas.Replica) string {
 	text := "load " + utoa(uint64(x.Load()))
-	newest := m.versions[r.arrival.Adapter].version
+	newest := m.versions[r.arrival.Adapter].newest()
 	if newest == 0 {
 		return text
 	}
 	version, _ := x.AdapterVersion(r.arrival.Adapter)
-	return text + ", version " + strconv.Itoa(version) + " of " + strconv.Itoa(newest) + ", expected " + strconv.Itoa(m.expectedVersion(r))
+	return text + ", version " + strconv.Itoa(version) + " of " + strconv.Itoa(newest) + ", expected " + strconv.Itoa(m.expectedVersion(r, x))
 }
 
 // expectedVersion returns the adapter version that the replica must confirm; 0: any.
-func (m *Machine) expectedVersion(r *request) int {
-	if r.arrival.Adapter == "" {
+func (m *Machine) expectedVersion(r *request, x *replicas.Replica) int {
+	if r.arrival.Adapter == "" || m.minVersion(r.arrival.Adapter) == 0 {
 		return 0
 	}
-	return m.minVersion(r.arrival.Adapter)
+	version, _ := x.AdapterVersion(r.arrival.Adapter)
+	return version
 }
 
 func (r *request) workspaceID() core.WorkspaceID {
--- /dev/null
+++ b/internal/core/relaynode/versions.go
@@ -0,0 +1,93 @@
+package relaynode
+
+import (
+	"slices"
+
+	"gentiancroft/internal/core"
+)
+
+// initialVersion is the version of an adapter before any is announced.
+const initialVersion = 1
+
+// announcedVersion is a version of an adapter, and the latest time at which it can have
+// been announced.
+type announcedVersion struct {
+	version int
+	at      core.Instant
+}
+
+// versionHistory is the announcements of an adapter's versions, the newest version last.
+// Each one limits the use of the versions before it by itself: a later announcement doesn't
+// extend that time.
+type versionHistory []announcedVersion
+
+// newest returns the newest version, 0 if none was announced.
+func (h versionHistory) newest() int {
+	if len(h) == 0 {
+		return 0
+	}
+	return h[len(h)-1].version
+}
+
+// newestAt returns the newest version that had been announced at a time, 0 if none had.
+func (h versionHistory) newestAt(t core.Instant) int {
+	newest := 0
+	for _, a := range h {
+		if a.at <= t {
+			newest = max(newest, a.version)
+		}
+	}
+	return newest
+}
+
+// add adds a version that is newer than the others. Announcements that limit no more than
+// one that had been made at the time cutoff are dropped.
+func (h versionHistory) add(a announcedVersion, cutoff core.Instant) versionHistory {
+	obsolete := h.newestAt(cutoff)
+	h = slices.DeleteFunc(h, func(old announcedVersion) bool { return old.version < obsolete })
+	return append(h, a)
+}
+
+// Sources of an adapter's version, as logged.
+const (
+	versionListed    = "listed"
+	versionAnnounced = "announced"
+	versionReported  = "reported"
+)
+
+// versionSource returns how this host has learned of a version from the store.
+func versionSource(e VersionAnnounced) string {
+	if e.Listed {
+		return versionListed
+	}
+	return versionAnnounced
+}
+
+// applyVersion applies an adapter's version and reports whether it is newer than the
+// last one. A version of which it isn't known when it was announced counts as announced so
+// long ago that no older one may be used. That holds also for versions that were skipped.
+func (m *Machine) applyVersion(e VersionAnnounced, source string) bool {
+	h := m.versions[e.Adapter.ID]
+	if e.Adapter.Version <= h.newest() {
+		return false
+	}
+	m.versionSum += uint64(e.Adapter.Version - h.newest())
+	longAgo := m.now.Add(-m.settings.VersionGrace)
+	at := m.now
+	if e.Listed {
+		at = longAgo
+	}
+	if skipped := e.Adapter.Version - 1; skipped > max(h.newest(), initialVersion) {
+		h = h.add(announcedVersion{skipped, longAgo}, longAgo)
+	}
+	m.versions[e.Adapter.ID] = h.add(announcedVersion{e.Adapter.Version, at}, longAgo)
+	m.residency.SetNewestVersion(e.Model, e.Adapter)
+	m.emit(LogDecision{Name: "version", Reason: source, Detail: e.Adapter.String()})
+	return true
+}
+
+// minVersion returns the oldest version of an adapter that a request may be sent to now;
+// 0: any.
+func (m *Machine) minVersion(a core.AdapterID) int {
+	return m.versions[a].newestAt(m.now.Add(-m.settings.VersionGrace))
+}
--- a/internal/core/relaynode/versions_test.go
+++ b/internal/core/relaynode/versions_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"gentiancroft/internal/core"
 )
 
@@ -29,3 +31,47 @@
 	_, sent := get[Dispatch](h)
 	h.is.True(!sent)
 }
+
+// Guards against requests on an old version: a host that had missed an announcement counted the
+// older versions from the next one.
+func TestSkippedVersionHasNoGracePeriod(t *testing.T) {
+	h := newHost(t)
+	h.step(announce(3)) // version 2 was announced at an unknown time
+	h.arrive(streamOfX())
+	_, sent := get[Dispatch](h)
+	h.is.True(!sent)
+	second := replica("e1", engines, core.AdapterRef{ID: "x", Version: 2})
+	second.Sequence = 1
+	h.step(ReplicaListed{Entry: second})
+	h.is.Equal(h.dispatch().ExpectedVersion, 2) // version 3 is new, so version 2 may be used
+}
+
+func TestReplicaConfirmsTheVersionThatItIsThoughtToHave(t *testing.T) {
+	h := newHost(t)
+	h.step(announce(2))
+	h.advance(DefaultVersionGrace)
+	h.step(announce(3))
+	third := replica("e1", engines, core.AdapterRef{ID: "x", Version: 3})
+	third.Sequence = 1
+	h.step(ReplicaListed{Entry: third})
+	h.arrive(streamOfX())
+	h.is.Equal(h.dispatch().ExpectedVersion, 3) // at least 2 is needed, and a replica with another version rejects it
+}
+
+// The announcements that are kept give the same answers as all of them.
+func TestDroppedAnnouncementsLimitNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var kept, all versionHistory
+		at := core.Instant(0)
+		const window = 1000
+		for version := 2; version < 12; version++ {
+			at += core.Instant(rapid.IntRange(0, 600).Draw(t, "pause"))
+			kept = kept.add(announcedVersion{version, at}, at-window)
+			all = append(all, announcedVersion{version, at})
+			back := core.Instant(rapid.IntRange(0, window).Draw(t, "back"))
+			if kept.newestAt(at-back) != all.newestAt(at-back) {
+				t.Fatalf("%d before %d: %d, not %d", back, at, kept.newestAt(at-back), all.newestAt(at-back))
+			}
+		}
+	})
+}
