A request that waits at a replica is withdrawn when its adapter's version expires there

Callers got answers from an adapter version that had been replaced more than 5 s before: the request was sent in time, but waited at the replica behind others and began after that. Cause: nothing ended that wait when the version did.

Now a host withdraws a request that has not begun by nine tenths of the configured time (the rest is for the cancellation to arrive) and moves it if it may be repeated; one that may not fails, and nothing is promised about it. To make that rare, a replica with an older version gets no request that it could only begin later than that, by the prompts queued at it.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -58,6 +58,7 @@
 			{Name: "cancelled", Meaning: "ended by this host"}}},
 		{Name: "retry", Subject: "whether a request is tried on another replica", Age: "the attempt", Reasons: []Reason{
 			{Name: "silent", Meaning: "`upstream` has not answered in time; the request is moved"},
+			{Name: "version_expired", Meaning: "it waits at `upstream`, whose version of the adapter may no longer be used; it is moved if it may be repeated"},
 			{Name: "budget_spent", Meaning: "not retried: the retry budget is exhausted"}}},
 		{Name: "refusal", Subject: "the final answer of an admitted request", Detail: "why", Age: "the request", Reasons: refusalReasons},
 		{Name: "cancel", Subject: "a request ends without an answer", Age: "the request", Reasons: []Reason{
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -164,6 +164,8 @@
 	RetrySlack   float64
 	RetryWindow  time.Duration
 	VersionGrace time.Duration
+
+	VersionExpiry time.Duration
 }
 
 // Leave starts a graceful shutdown.
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -304,8 +304,10 @@
 			if r.lastDemand == 0 && m.now.Sub(r.stageSince) >= noOwnerTimeout {
 				m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterUnowned, "nobody can have its adapter loaded now"))
 			}
+		case m.versionExpired(r):
+			m.moveAttempt(r, "version_expired")
 		case m.shouldMove(r):
-			m.moveAttempt(r)
+			m.moveAttempt(r, "silent")
 		}
 	}
 }
@@ -331,8 +333,8 @@
 
 // moveAttempt cancels an attempt; the request is retried when the attempt has ended.
 // An attempt whose answer starts before the cancellation is not moved.
-func (m *Machine) moveAttempt(r *request) {
+func (m *Machine) moveAttempt(r *request, reason string) {
 	r.moving = true
-	m.emit(LogDecision{Name: "retry", Reason: "silent", ID: r.id(), Upstream: r.upstream, Age: m.now.Sub(r.stageSince)})
+	m.emit(LogDecision{Name: "retry", Reason: reason, ID: r.id(), Upstream: r.upstream, Age: m.now.Sub(r.stageSince)})
 	m.emit(Cancel{ID: r.id(), Attempt: r.attempt, OnlyIfUnanswered: true})
 }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -191,7 +191,8 @@
 // applySettings applies changed settings.
 func (m *Machine) applySettings(e SettingsChanged) {
 	s := &m.settings
-	s.RetryShare, s.RetrySlack, s.RetryWindow, s.VersionGrace = e.RetryShare, e.RetrySlack, e.RetryWindow, e.VersionGrace
+	s.RetryShare, s.RetrySlack, s.RetryWindow = e.RetryShare, e.RetrySlack, e.RetryWindow
+	s.VersionGrace, s.VersionExpiry = e.VersionGrace, e.VersionExpiry
 	s.setDefaults()
 	clear(m.retries)
 	m.emit(LogDecision{Name: "settings", Reason: "in_force"})
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -115,7 +115,7 @@
 		return true
 	}
 	version, ok := x.AdapterVersion(r.arrival.Adapter)
-	return ok && version >= m.minVersion(r.arrival.Adapter)
+	return ok && version >= m.minVersion(r.arrival.Adapter) && m.beginsInTime(r, x, version)
 }
 
 // choose returns the replica with the lowest utilization and the shortest queue of prompts,
@@ -309,6 +309,7 @@
 func (m *Machine) dispatch(r *request, x *replicas.Replica) {
 	r.attempt++
 	r.upstream, r.upstreamStarted = x.ID, x.Started
+	r.version, _ = x.AdapterVersion(r.arrival.Adapter)
 	r.stage, r.stageSince = stageRunning, m.now
 	r.answerStarted, r.moving = false, false
 	x.OwnRequests++
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -36,6 +36,7 @@
 	possibleRuns    int             // ended attempts that may have run
 	upstream        core.UpstreamID // of the latest attempt
 	upstreamStarted int64           // start of its incarnation at that time
+	version         int             // of its adapter there at that time; 0: unknown, or no adapter
 	tried           []core.UpstreamID
 	answerStarted   bool // the replica has started to answer the latest attempt
 	partDelivered   bool // a part of the answer has been sent to the caller
--- a/internal/core/relaynode/settings.go
+++ b/internal/core/relaynode/settings.go
@@ -22,7 +22,8 @@
 	RetryShare          float64       // retries per first attempt, over the whole fleet
 	RetrySlack          float64       // additional retries in RetryWindow, over the whole fleet
 	RetryWindow         time.Duration // of RetrySlack
-	VersionGrace        time.Duration // how long an older version may be used after a newer one was announced
+	VersionGrace        time.Duration // how long requests are sent to an older version after a newer one was announced
+	VersionExpiry       time.Duration // how long after that announcement they may begin on the older one
 	HeartbeatInterval   time.Duration // heartbeat interval of an active host, before the addition per receiver
 	StreamRefusalDelay  time.Duration // from Leave to the refusal of new streams
 	RequestRefusalDelay time.Duration // from Leave to the refusal of new requests
@@ -35,6 +36,7 @@
 	DefaultRetrySlack          = 50
 	DefaultRetryWindow         = 10 * time.Second
 	DefaultVersionGrace        = 3 * time.Second
+	DefaultVersionExpiry       = 4500 * time.Millisecond
 	DefaultHeartbeatInterval   = 100 * time.Millisecond
 	DefaultStreamRefusalDelay  = 2800 * time.Millisecond
 	DefaultRequestRefusalDelay = 5500 * time.Millisecond
@@ -51,6 +53,8 @@
 	core.OrDefault(&s.RetrySlack, DefaultRetrySlack)
 	core.OrDefault(&s.RetryWindow, DefaultRetryWindow)
 	core.OrDefault(&s.VersionGrace, DefaultVersionGrace)
+	core.OrDefault(&s.VersionExpiry, DefaultVersionExpiry)
+	s.VersionExpiry = max(s.VersionExpiry, s.VersionGrace)
 	core.OrDefault(&s.HeartbeatInterval, DefaultHeartbeatInterval)
 	core.OrDefault(&s.StreamRefusalDelay, DefaultStreamRefusalDelay)
 	core.OrDefault(&s.RequestRefusalDelay, DefaultRequestRefusalDelay)
--- a/internal/core/relaynode/versions.go
+++ b/internal/core/relaynode/versions.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/replicas"
 )
 
 // initialVersion is the version of an adapter before any is announced.
@@ -72,7 +73,7 @@
 		return false
 	}
 	m.versionSum += uint64(e.Adapter.Version - h.newest())
-	longAgo := m.now.Add(-m.settings.VersionGrace)
+	longAgo := m.now.Add(-max(m.settings.VersionGrace, m.settings.VersionExpiry))
 	at := m.now
 	if e.Listed {
 		at = longAgo
@@ -91,3 +92,19 @@
 func (m *Machine) minVersion(a core.AdapterID) int {
 	return m.versions[a].newestAt(m.now.Add(-m.settings.VersionGrace))
 }
+
+// beginsInTime reports whether a request that is sent to a replica now is expected to begin
+// before the adapter version there expires.
+func (m *Machine) beginsInTime(r *request, x *replicas.Replica, version int) bool {
+	begin := m.now.Add(m.promptDelay(x, r.arrival.Prompt))
+	return version >= m.versions[r.arrival.Adapter].newestAt(begin.Add(-m.settings.VersionExpiry))
+}
+
+// versionExpired reports whether a request waits at its replica although the version of its
+// adapter there has expired.
+func (m *Machine) versionExpired(r *request) bool {
+	if r.arrival.Adapter == "" || r.answerStarted || r.moving {
+		return false
+	}
+	return r.version < m.versions[r.arrival.Adapter].newestAt(m.now.Add(-m.settings.VersionExpiry))
+}
--- a/internal/core/relaynode/versions_test.go
+++ b/internal/core/relaynode/versions_test.go
@@ -32,6 +32,61 @@
 	h.is.True(!sent)
 }
 
+// Guards against a request that begins on an old version: it was sent in time, and waited at
+// its replica until the version had expired.
+func TestRequestThatHasNotBegunWhenItsVersionExpiresIsWithdrawn(t *testing.T) {
+	h := newHost(t)
+	h.step(announce(2))
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x", Timeout: time.Minute})
+	waiting := h.dispatch()
+	h.arrive(RequestArrived{Path: "/once-stream/x", Model: model, Adapter: "x", Timeout: time.Minute})
+	begun := h.dispatch()
+	h.step(AnswerStarted{ID: begun.ID, Attempt: 1, PartDelivered: true})
+	h.advance(DefaultVersionExpiry - time.Millisecond)
+	_, cancelled := get[Cancel](h)
+	h.is.True(!cancelled)
+	h.advance(requestCheckInterval)
+	c, cancelled := get[Cancel](h)
+	h.is.True(cancelled)
+	h.is.Equal(c.ID, waiting.ID)
+	h.is.True(c.OnlyIfUnanswered) // a run that began a moment ago goes on
+}
+
+// Such a request may have begun, so nothing is promised about it.
+func TestRequestThatIsWithdrawnAndMayNotBeRepeatedFails(t *testing.T) {
+	h := newHost(t)
+	h.step(announce(2))
+	h.arrive(RequestArrived{Path: "/once-stream/x", Model: model, Adapter: "x", Timeout: time.Minute})
+	d := h.dispatch()
+	h.advance(DefaultVersionExpiry)
+	_, cancelled := get[Cancel](h)
+	h.is.True(cancelled)
+	h.endAttempt(d, EndCancelled)
+	r := h.refusal()
+	h.is.Equal(r.Code, core.CodeUpstreamFailed)
+	h.is.Equal(r.Ran, core.RanUnknown)
+}
+
+// Guards against a request that begins on an old version: it was sent within the grace period to
+// a replica that already had more prompts to read than it could before the version expired.
+func TestRequestIsNotSentToAnOlderVersionWhereItWouldBeginTooLate(t *testing.T) {
+	h := newHost(t)
+	const tokensPerSecond = 1000
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x", Prompt: tokensPerSecond})
+	first := h.dispatch()
+	h.advance(time.Second)
+	h.step(AnswerStarted{ID: first.ID, Attempt: 1, PartDelivered: true})
+	h.step(announce(2))
+	h.arrive(streamOfX())
+	h.dispatch()
+	for _, e := range []core.UpstreamID{"e1", "e2"} {
+		h.m.replicas.Get(e).OtherPrompts = core.Tokens(tokensPerSecond * (DefaultVersionExpiry.Seconds() + 1))
+	}
+	h.arrive(streamOfX())
+	_, sent := get[Dispatch](h)
+	h.is.True(!sent)
+}
+
 // Guards against requests on an old version: a host that had missed an announcement counted the
 // older versions from the next one.
 func TestSkippedVersionHasNoGracePeriod(t *testing.T) {
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -54,9 +54,12 @@
 	streamRefusalLead  = 4800 * time.Millisecond // from the refusal of streams to the end of the shutdown
 )
 
-// versionGraceFraction is the fraction of the configured grace period for which a host
-// still uses an older adapter version.
-const versionGraceFraction = 0.4
+// Fractions of the configured grace period of an older adapter version. The times between
+// them are for requests that wait at a replica, and for their withdrawal.
+const (
+	versionGraceFraction  = 0.4 // for which a host still sends requests to it
+	versionExpiryFraction = 0.9 // after which none may begin on it
+)
 
 // bootTime reads CLOCK_BOOTTIME, which also advances while the machine is suspended.
 func bootTime() core.Instant {
@@ -143,6 +146,7 @@
 		RetrySlack:          s.Retry.Slack,
 		RetryWindow:         s.Retry.Window.Value(),
 		VersionGrace:        versionGrace(s),
+		VersionExpiry:       versionExpiry(s),
 		StreamRefusalDelay:  shutdown - streamRefusalLead,
 		RequestRefusalDelay: shutdown - requestRefusalLead,
 		LeaveTimeout:        shutdown,
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -22,6 +22,8 @@
 		RetrySlack:   s.Retry.Slack,
 		RetryWindow:  s.Retry.Window.Value(),
 		VersionGrace: versionGrace(s),
+
+		VersionExpiry: versionExpiry(s),
 	})
 	r.settings.Store(s)
 	for field, changed := range map[string]bool{
@@ -39,7 +41,12 @@
 	return afterRestart
 }
 
-// versionGrace is how long an older version of an adapter may still be used.
+// versionGrace is how long requests are still sent to an older version of an adapter.
 func versionGrace(s *settings.Relay) time.Duration {
 	return time.Duration(versionGraceFraction * float64(s.Version.Value()))
 }
+
+// versionExpiry is how long requests may still begin on an older version of an adapter.
+func versionExpiry(s *settings.Relay) time.Duration {
+	return time.Duration(versionExpiryFraction * float64(s.Version.Value()))
+}
