Events that arrive together with the end of a connection are forwarded

Callers could get a stream that lacks its first events though it ends regularly, and a host could end while it served one. Cause: a read that returned complete events and an error counted those events as sent: the next attempt resumed after them. In the first read of an attempt they were dropped; later, what the buffer had held was read beyond its length.

Now the end of an answer is kept until the events before it are forwarded.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -406,6 +406,35 @@
 	h.is.Equal(got, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 }
 
+// Guards against events that are lost or come twice: a connection that broke right after complete
+// events, within the framing of the body, took those events with it but counted them as sent.
+func TestEventsThatArriveTogetherWithTheEndOfTheConnectionAreForwarded(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for name, apart := range map[string]int{"first read": 0, "later read": len(events) / 2} {
+		h := newHarness(t, func(c net.Conn, r *http.Request) {
+			streamHead(c, "1")
+			if r.Header.Get("After") != "" {
+				chunk(c, "id: 3\ndata: c\n\n")
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+				return
+			}
+			if apart > 0 {
+				chunk(c, events[:apart])
+			}
+			rest := events[apart:]
+			_, _ = fmt.Fprintf(c, "%x\r\n%s", len(rest), rest) // without the end of the chunk
+			_ = c.Close()
+		})
+		h.script(h.dispatch(1, ""), h.dispatch(2, "2"))
+		r, _ := h.request(get("1"))
+		got, err := body(r)
+		if err != nil || got != events+"id: 3\ndata: c\n\n" {
+			t.Errorf("%s: %v, %q", name, err, got)
+		}
+		h.is.Equal(h.ended().LastEvent, "2") // all that was sent to the caller
+	}
+}
+
 // Guards against a lost stream: the timeout for the first event cancelled an attempt
 // while that event was being forwarded, and the caller's stream ended. Only the first
 // of the two may take effect.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -45,6 +45,7 @@
 	readyBytes int    // length of the complete events at the buffer's start
 	lastEvent  string // id of the last complete event
 	complete   bool   // the replica has ended the answer regularly
+	broken     error  // the answer has ended otherwise, perhaps after complete events; nil: it has not
 	forwarding bool
 	released   bool // the attempt's end has been reported to the node
 }
@@ -53,11 +54,12 @@
 // returns false where the attempt failed or was cancelled before.
 func (t *task) beginStream(ctx *fasthttp.RequestCtx, d relaynode.Dispatch, attempt context.Context, cancel context.CancelFunc, answer *upstream.Answer) bool {
 	s := &stream{task: t, dispatch: d, attempt: attempt, cancel: cancel, answer: answer, lastEvent: d.LastEvent}
-	for s.readyBytes == 0 && !s.complete {
-		if err := s.fill(); err != nil {
-			s.release(endOfError(attempt, err))
-			return false
-		}
+	for s.readyBytes == 0 && !s.complete && s.broken == nil {
+		s.fill()
+	}
+	if s.readyBytes == 0 && s.broken != nil {
+		s.release(endOfError(attempt, s.broken))
+		return false
 	}
 	if !t.exchange.StartAnswer(d.Attempt) {
 		s.lastEvent = d.LastEvent // nothing of this attempt was sent to the caller
@@ -84,10 +86,12 @@
 	s.task.attemptEnded(s.dispatch, e)
 }
 
-// fill reads from the replica once and finds the complete events.
-func (s *stream) fill() error {
+// fill reads from the replica once and finds the complete events. It sets broken or complete
+// where the answer has ended; complete events may have come before the end.
+func (s *stream) fill() {
 	if len(s.buffer) > maxEventBytes {
-		return upstream.AnswerTooLong.New("an event is over %d bytes", maxEventBytes)
+		s.broken = upstream.AnswerTooLong.New("an event is over %d bytes", maxEventBytes)
+		return
 	}
 	s.buffer = slices.Grow(s.buffer, readSize)
 	n, err := s.answer.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
@@ -95,13 +99,12 @@
 	s.findEvents()
 	switch {
 	case err == nil:
-		return nil
 	case errors.Is(err, io.EOF):
 		s.complete = true
 		s.readyBytes = len(s.buffer)
-		return nil
+	default:
+		s.broken = upstream.Broken.Wrap(err)
 	}
-	return upstream.Broken.Wrap(err)
 }
 
 var (
@@ -133,13 +136,14 @@
 			s.release(relaynode.AttemptEnded{Kind: relaynode.EndOK})
 			return 0, io.EOF
 		}
-		err := s.fill()
-		if err == nil {
+		if s.broken == nil {
+			s.fill()
 			continue
 		}
-		s.release(endOfError(s.attempt, err))
+		broken := s.broken
+		s.release(endOfError(s.attempt, broken))
 		if !s.resume() {
-			return 0, AnswerCut.Wrap(err)
+			return 0, AnswerCut.Wrap(broken)
 		}
 	}
 	n := copy(p, s.buffer[:s.readyBytes])
@@ -178,7 +182,7 @@
 		}
 		s.task.server.node.Notify(relaynode.AnswerStarted{ID: d.ID, Attempt: d.Attempt})
 		s.dispatch, s.attempt, s.cancel, s.answer = d, attempt, cancel, answer
-		s.released, s.complete = false, false
+		s.released, s.complete, s.broken = false, false, nil
 		return true
 	}
 }
