--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -80,6 +80,7 @@
 		{Status: core.ObjectOK, Version: 7, Era: 1},
 		{Status: core.ObjectOK, Version: 9, Era: 2, Objects: []core.Object{{Key: "k/b", Version: 9, Era: 2}}},
 		{Status: core.ObjectOK, Version: 9, Era: 2, Objects: []core.Object{{Key: "k/a", Version: 3, Era: 2}, {Key: "k/b", Version: 9, Era: 2}}},
+		{Status: core.ObjectOK, Version: 9, Era: 2},
 	}}
 	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, nil, metrics.NewRegistry())
 	g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
