Versions that a host may have learned late have no grace period

Callers could get answers from an old adapter version through a host that had lost the store for a moment: the announcement that it read when the store answered again counted as made at that moment, however long it had waited.

Now changes that come after a failed call count like those of a list: announced at an unknown time. Evidence: the test, which fails without it.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -84,7 +84,7 @@
 			{Name: "in_force", Meaning: "it applies from now on"}}},
 		{Name: "version", Subject: "a newer version of an adapter", Detail: "the adapter and its version", Reasons: []Reason{
 			{Name: versionAnnounced, Meaning: "a change in the store"},
-			{Name: versionListed, Meaning: "read from the store's list: announced at an unknown time"},
+			{Name: versionListed, Meaning: "read from the store's list, or after a failed call: announced at an unknown time"},
 			{Name: versionReported, Meaning: "another host has read it"}}},
 		{Name: "settings", Subject: "settings changed at run time", Reasons: []Reason{
 			{Name: "in_force", Meaning: "they apply from now on"}}},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -115,7 +115,7 @@
 type VersionAnnounced struct {
 	Model   core.BaseModel
 	Adapter core.AdapterRef
-	Listed  bool // read from a list: it may have been announced long ago
+	Listed  bool // read from a list or after a failed call: it may have been announced long ago
 }
 
 // VersionsRead is sent when the whole list of the adapters' newest versions has been
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -63,6 +63,7 @@
 	onChange    func(core.Object)
 
 	listedOnce bool   // the first list is complete
+	late       bool   // a call has failed since the last answer: changes may have been made long ago
 	era        uint64 // of the store at the last list
 	lastReread uint64 // the machine's count of reread requests at the last list
 	lastRelist uint64 // the same of its requests to list all kinds again
@@ -71,10 +72,12 @@
 // watches returns the watches of all kinds of objects that the machine reads.
 func (g *Gateway) watches() []*watch {
 	d := g.executors.Documents
+	versions := &watch{gateway: g, kind: d.VersionsKind, minInterval: minVersionsInterval, reread: true, onList: g.versionsListed}
+	versions.onChange = func(o core.Object) { g.sendVersion(o, versions.late) }
 	return []*watch{
 		{gateway: g, kind: d.ConfigurationKind, minInterval: minConfigurationInterval, reread: true, onList: forEach(g.configurationChanged), onChange: g.configurationChanged},
 		{gateway: g, kind: d.ReplicasKind, minInterval: minReplicasInterval, urgent: true, onList: g.replicasListed, onChange: g.replicaChanged},
-		{gateway: g, kind: d.VersionsKind, minInterval: minVersionsInterval, reread: true, onList: g.versionsListed, onChange: g.versionChanged},
+		versions,
 		{gateway: g, kind: strings.TrimSuffix(relaynode.HostsPrefix, "/"), minInterval: minHostsInterval, startAtOnce: true, onList: forEach(g.hostChanged), onChange: g.hostChanged},
 	}
 }
@@ -179,8 +182,10 @@
 		w.onList(nil) // no object of this kind was ever written
 		return 0, false
 	case result.Status != core.ObjectOK:
+		w.late = true
 		return version, false
 	case version == 0:
+		w.late = false
 		w.era = result.Era
 		w.onList(result.Objects)
 		return result.Version, true
@@ -188,6 +193,7 @@
 	for _, o := range result.Objects {
 		w.onChange(o)
 	}
+	w.late = false
 	return result.Version, true
 }
 
@@ -273,9 +279,9 @@
 	g.Notify(relaynode.VersionsRead{})
 }
 
-func (g *Gateway) versionChanged(o core.Object) { g.sendVersion(o, false) }
-
-func (g *Gateway) sendVersion(o core.Object, listed bool) {
+// sendVersion sends an announced version to the machine. late is set where it may have been
+// announced long ago.
+func (g *Gateway) sendVersion(o core.Object, late bool) {
 	if o.Deleted {
 		return
 	}
@@ -284,7 +290,7 @@
 		logSkipped(o, err)
 		return
 	}
-	g.Notify(relaynode.VersionAnnounced{Model: model, Adapter: ref, Listed: listed})
+	g.Notify(relaynode.VersionAnnounced{Model: model, Adapter: ref, Listed: late})
 }
 
 func (g *Gateway) hostChanged(o core.Object) {
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -117,3 +117,29 @@
 	cancel()
 	is.True(<-done != nil)
 }
+
+// Guards against the use of an older adapter version: a change that had waited for the store to
+// answer again was taken for one made at that moment.
+func TestChangesAfterAFailedCallCountAsLate(t *testing.T) {
+	is := is.New(t)
+	change := func(version uint64) core.ObjectResult {
+		return core.ObjectResult{Status: core.ObjectOK, Version: version, Objects: []core.Object{{Key: "k/a", Version: version}}}
+	}
+	store := &scriptedStore{calls: make(chan core.ObjectCall), results: []core.ObjectResult{
+		{Status: core.ObjectOK, Version: 1}, change(2), {Status: core.ObjectUnavailable}, change(3), change(4),
+	}}
+	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, nil, metrics.NewRegistry())
+	g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
+	w := &watch{gateway: g, kind: "k", startAtOnce: true, onList: func([]core.Object) {}}
+	late := map[uint64]bool{}
+	w.onChange = func(o core.Object) { late[o.Version] = w.late }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.run(ctx) }()
+	for range 6 {
+		<-store.calls
+	}
+	cancel()
+	is.True(<-done != nil)
+	is.Equal(late, map[uint64]bool{2: false, 3: true, 4: false})
+}
