An attempt that no handler carries out is reported as ended

A replica could seem busier with each caller that left at the wrong moment, and a leaving host waited for requests that had long gone. Cause: a dispatch that was decided while the request's handler ended, since its caller hung up, was dropped, and the machine waits for the end of every attempt.

Now what is left when a handler ends, or comes after that, is reported as cancelled.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,15 +33,20 @@
 
 // sendDecision hands a decision to the request's handler.
 func (g *Gateway) sendDecision(id core.RequestID, e relaynode.Effect) {
-	if x := g.findExchange(id); x != nil {
-		select {
-		case x.decisions <- e:
-		default: // the buffer holds more decisions than a request can have: a bug in the machine
-			log.WithField("request", string(id)).Error("decision dropped")
-		}
+	if x := g.findExchange(id); x != nil && x.push(e) {
+		return
+	}
+	if d, ok := e.(relaynode.Dispatch); ok {
+		go g.reportNotSent(d) // the machine's worker must not wait for itself
 	}
 }
 
+// reportNotSent reports the end of an attempt that no handler has carried out, since its
+// caller has hung up.
+func (g *Gateway) reportNotSent(d relaynode.Dispatch) {
+	g.Notify(relaynode.AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: relaynode.EndCancelled})
+}
+
 func (g *Gateway) cancel(c relaynode.Cancel) {
 	if x := g.findExchange(c.ID); x != nil {
 		x.cancelAttempt(c)
@@ -59,6 +64,22 @@
 	cancel           context.CancelFunc
 	cancelledThrough int // attempts up to this number are cancelled
 	startedAttempt   int // newest attempt whose answer is being forwarded
+	closed           bool
+}
+
+// push adds a decision. It returns false if the handler has ended.
+func (x *exchange) push(e relaynode.Effect) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.closed {
+		return false
+	}
+	select {
+	case x.decisions <- e:
+	default: // the buffer holds more decisions than a request can have: a bug in the machine
+		log.WithField("request", string(x.id)).Error("decision dropped")
+	}
+	return true
 }
 
 // Decisions implements relay.Exchange.
@@ -104,7 +125,19 @@
 
 // Close implements relay.Exchange.
 func (x *exchange) Close() {
-	x.gateway.mu.Lock()
-	defer x.gateway.mu.Unlock()
-	delete(x.gateway.exchanges, x.id)
+	x.gateway.removeExchange(x.id)
+	x.mu.Lock()
+	x.closed = true
+	x.mu.Unlock()
+	for len(x.decisions) > 0 {
+		if d, ok := (<-x.decisions).(relaynode.Dispatch); ok {
+			x.gateway.reportNotSent(d)
+		}
+	}
+}
+
+func (g *Gateway) removeExchange(id core.RequestID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.exchanges, id)
 }
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"gentiancroft/internal/core/relaynode"
 )
 
@@ -35,3 +37,27 @@
 	defer end()
 	is.True(x.StartAnswer(2))
 }
+
+// endedAttempt returns the next attempt that is reported as ended.
+func endedAttempt(g *Gateway) relaynode.AttemptEnded {
+	for {
+		if e, ok := (<-g.events.Items()).(relaynode.AttemptEnded); ok {
+			return e
+		}
+	}
+}
+
+// Guards against a replica that seems busier with each caller that leaves: a dispatch that the
+// request's handler never saw was never reported as ended.
+func TestDispatchThatNobodyCarriesOutIsReportedAsEnded(t *testing.T) {
+	is := is.New(t)
+	g := New(relaynode.New(relaynode.Settings{}), Executors{}, nil, metrics.NewRegistry())
+	x := g.StartRequest(relaynode.RequestArrived{ID: "before"})
+	g.sendDecision("before", relaynode.Dispatch{ID: "before", Attempt: 1})
+	x.Close() // the caller has left
+	is.Equal(endedAttempt(g), relaynode.AttemptEnded{ID: "before", Attempt: 1, Kind: relaynode.EndCancelled})
+
+	g.StartRequest(relaynode.RequestArrived{ID: "after"}).Close()
+	g.sendDecision("after", relaynode.Dispatch{ID: "after", Attempt: 2})
+	is.Equal(endedAttempt(g), relaynode.AttemptEnded{ID: "after", Attempt: 2, Kind: relaynode.EndCancelled})
+}
