--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -160,11 +160,10 @@
 
 // SettingsChanged changes settings at run time; zero fields take their defaults.
 type SettingsChanged struct {
-	RetryShare   float64
-	RetrySlack   float64
-	RetryWindow  time.Duration
-	VersionGrace time.Duration
-
+	RetryShare    float64
+	RetrySlack    float64
+	RetryWindow   time.Duration
+	VersionGrace  time.Duration
 	VersionExpiry time.Duration
 }
 
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -119,51 +119,8 @@
 	// ownerReportTTL is how long the owner's report of a residency overrides the
 	// platform's list.
 	ownerReportTTL = 3 * time.Second
-	// removalTTL is how long a removal is remembered.
-	removalTTL = time.Minute
-	// delayedMessageTime is how long after a removal a message that another host sent
-	// before it may still arrive.
-	delayedMessageTime = 6 * time.Second
 )
 
-// Removal identifies what was removed: a replica's incarnation, and the latest of its
-// entries.
-type Removal struct {
-	ID       core.UpstreamID
-	Started  int64
-	Sequence uint64
-}
-
-// Source is where an entry comes from.
-type Source uint8
-
-// Sources of entries.
-const (
-	FromChange Source = iota + 1 // the store reported that the entry was written
-	FromList                     // the store listed it; a restored store may list what was removed
-	FromHost                     // another host sent it, perhaps before the removal
-)
-
-// removal is a Removal that this host remembers.
-type removal struct {
-	Removal
-	at core.Instant
-}
-
-// precludes reports whether an entry is older than the removal, as far as its source
-// shows.
-func (x *removal) precludes(now core.Instant, e *Entry, from Source) bool {
-	switch {
-	case e.Started != x.Started:
-		return e.Started < x.Started
-	case from == FromChange:
-		return false
-	case from == FromHost && now.Sub(x.at) < delayedMessageTime:
-		return true
-	}
-	return e.Sequence <= x.Sequence
-}
-
 // Set holds the replicas that are known to a host. The indexes are built when they are
 // first read after a change.
 type Set struct {
@@ -256,24 +213,6 @@
 	return sum
 }
 
-// Accepts reports whether an entry may be applied: it is not older than the removal of
-// its replica.
-func (s *Set) Accepts(now core.Instant, e Entry, from Source) bool {
-	x := s.removals[e.ID]
-	if r := s.byID[e.ID]; r != nil && r.Started == e.Started {
-		return true
-	}
-	return x == nil || !x.precludes(now, &e, from)
-}
-
-// LastRemoval returns the latest removal of a replica, and false if none is remembered.
-func (s *Set) LastRemoval(id core.UpstreamID) (Removal, bool) {
-	if x := s.removals[id]; x != nil {
-		return x.Removal, true
-	}
-	return Removal{}, false
-}
-
 // Update adds or updates a replica from a listed entry that is accepted. It reports whether this is a new
 // replica or a new incarnation. An older entry than the known one changes only Leaving.
 func (s *Set) Update(now core.Instant, e Entry) (fresh bool) {
@@ -361,22 +300,6 @@
 	}
 }
 
-// ApplyRemoval removes a replica that another host has removed, unless it has a later
-// entry.
-func (s *Set) ApplyRemoval(now core.Instant, x Removal) {
-	r := s.byID[x.ID]
-	if r != nil && (r.Started > x.Started || r.Started == x.Started && r.Sequence > x.Sequence) {
-		return
-	}
-	if r != nil {
-		s.Remove(now, x.ID)
-		return
-	}
-	if known := s.removals[x.ID]; known == nil || known.Started < x.Started || known.Started == x.Started && known.Sequence < x.Sequence {
-		s.removals[x.ID] = &removal{Removal: x, at: now}
-	}
-}
-
 // Remove removes a replica that is no longer listed. Around a store outage it is only
 // marked as missing, unless it was leaving.
 func (s *Set) Remove(now core.Instant, id core.UpstreamID) {
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -18,11 +18,10 @@
 		log.SetLevelFromString(s.Log)
 	}
 	r.gateway.Notify(relaynode.SettingsChanged{
-		RetryShare:   s.Retry.Share,
-		RetrySlack:   s.Retry.Slack,
-		RetryWindow:  s.Retry.Window.Value(),
-		VersionGrace: versionGrace(s),
-
+		RetryShare:    s.Retry.Share,
+		RetrySlack:    s.Retry.Slack,
+		RetryWindow:   s.Retry.Window.Value(),
+		VersionGrace:  versionGrace(s),
 		VersionExpiry: versionExpiry(s),
 	})
 	r.settings.Store(s)
