An answer that a replica produced by running a request never counts as not run

Callers could be told that a request has not run, or it could be sent again, after an answer with the replica's mark of a run: a status of 421 or the field that says "not run" went before the mark.

Evidence: two cases of the test end as missing and as not run without it.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -321,6 +321,9 @@
 		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n":      relaynode.EndNotRun,
 		"HTTP/1.1 421 Misdirected\r\n":             relaynode.EndAdapterMissing,
 		"HTTP/1.1 500 Failed\r\nMade: 1\r\n":       relaynode.EndError,
+		// The replica ran it, whatever the status suggests:
+		"HTTP/1.1 421 Misdirected\r\nMade: 1\r\n":       relaynode.EndError,
+		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nMade: 1\r\n": relaynode.EndError,
 		"HTTP/1.1 503 Unavailable\r\nMade: 1\r\n":  relaynode.EndError,
 		"HTTP/1.1 503 Unavailable\r\nOther: 1\r\n": relaynode.EndBroken,
 	} {
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -202,19 +202,20 @@
 	return true
 }
 
-// endOfAnswer returns how an attempt with a complete answer ended.
+// endOfAnswer returns how an attempt with a complete answer ended. Invariant: an answer that
+// the replica produced by running the request never counts as "not run".
 func endOfAnswer(a AnswerFields) relaynode.AttemptEnded {
 	switch {
+	case a.Produced && a.Status >= 200 && a.Status < 300:
+		return relaynode.AttemptEnded{Kind: relaynode.EndOK}
+	case a.Produced:
+		return relaynode.AttemptEnded{Kind: relaynode.EndError}
 	case a.Misdirected:
 		return relaynode.AttemptEnded{Kind: relaynode.EndAdapterMissing}
 	case a.NotRun:
 		return relaynode.AttemptEnded{Kind: relaynode.EndNotRun, RetryAfter: a.RetryAfter}
-	case !a.Produced:
-		return relaynode.AttemptEnded{Kind: relaynode.EndBroken} // not produced by the replica
-	case a.Status >= 200 && a.Status < 300:
-		return relaynode.AttemptEnded{Kind: relaynode.EndOK}
 	}
-	return relaynode.AttemptEnded{Kind: relaynode.EndError}
+	return relaynode.AttemptEnded{Kind: relaynode.EndBroken} // not the replica's
 }
 
 // evidence describes an answer for the log.
