Only streams are withdrawn when a version expires, and explain names that cause

Whether a request has begun shows in the answers of streams alone: a whole answer of an engine comes at its end, and a run that began in time would have been cut. explain now tells such a request from one whose replica failed.

--- a/internal/core/relaynode/versions.go
+++ b/internal/core/relaynode/versions.go
@@ -5,6 +5,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/table"
 )
 
 // initialVersion is the version of an adapter before any is announced.
@@ -101,9 +102,9 @@
 }
 
 // versionExpired reports whether a request waits at its replica although the version of its
-// adapter there has expired.
+// adapter there has expired. Only the answers of streams show whether a request has begun.
 func (m *Machine) versionExpired(r *request) bool {
-	if r.arrival.Adapter == "" || r.answerStarted || r.moving {
+	if r.arrival.Adapter == "" || r.route.Kind != table.Streaming || r.answerStarted || r.moving {
 		return false
 	}
 	return r.version < m.versions[r.arrival.Adapter].newestAt(m.now.Add(-m.settings.VersionExpiry))
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,6 +49,7 @@
 	AdapterLoadTimeout Cause = "its adapter was not loaded in time"
 	ReplicasSaturated  Cause = "the replicas were saturated, rejected it or could not be reached"
 	AnswerIncomplete   Cause = "a replica accepted it and gave no complete answer"
+	VersionExpired     Cause = "it waited at a replica until the adapter's version there could no longer be used"
 	ReplicaFailed      Cause = "the replica answered with an error"
 	DeadlineExceeded   Cause = "its deadline passed before a replica answered"
 	CallerGone         Cause = "its caller hung up"
@@ -102,7 +103,7 @@
 }
 
 // finalCause returns the cause that a line determines. all distinguishes a late adapter from
-// saturated replicas.
+// saturated replicas, and an expired version from a failed replica.
 func finalCause(l Line, all []Line) (Cause, bool) {
 	switch l.Decision + " " + l.Reason {
 	case "admission unknown_route":
@@ -120,6 +121,9 @@
 	case "refusal deadline_exceeded":
 		return DeadlineExceeded, true
 	case "refusal upstream_failed":
+		if hasDecision(all, "retry", "version_expired") {
+			return VersionExpired, true
+		}
 		return AnswerIncomplete, true
 	case "refusal no_upstream":
 		if strings.HasPrefix(l.Detail, "nobody") {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,3 +45,13 @@
 	is.True(strings.Index(out.String(), "wait") < strings.Index(out.String(), "refusal"))
 	is.True(strings.HasSuffix(out.String(), "cause: "+string(AdapterLoadTimeout)+"\n"))
 }
+
+func TestRequestThatWaitedUntilItsVersionExpired(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Why([]Line{
+		{Decision: "dispatch", Reason: "least_occupied"},
+		{Decision: "retry", Reason: "version_expired"},
+		{Decision: "attempt", Reason: "cancelled"},
+		{Decision: "refusal", Reason: "upstream_failed"},
+	}), VersionExpired)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -318,14 +318,14 @@
 
 func TestNotRunAndMissingAreReported(t *testing.T) {
 	for head, want := range map[string]relaynode.EndKind{
-		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n":      relaynode.EndNotRun,
-		"HTTP/1.1 421 Misdirected\r\n":             relaynode.EndAdapterMissing,
-		"HTTP/1.1 500 Failed\r\nMade: 1\r\n":       relaynode.EndError,
+		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n": relaynode.EndNotRun,
+		"HTTP/1.1 421 Misdirected\r\n":        relaynode.EndAdapterMissing,
+		"HTTP/1.1 500 Failed\r\nMade: 1\r\n":  relaynode.EndError,
 		// The replica ran it, whatever the status suggests:
-		"HTTP/1.1 421 Misdirected\r\nMade: 1\r\n":       relaynode.EndError,
+		"HTTP/1.1 421 Misdirected\r\nMade: 1\r\n":        relaynode.EndError,
 		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nMade: 1\r\n": relaynode.EndError,
-		"HTTP/1.1 503 Unavailable\r\nMade: 1\r\n":  relaynode.EndError,
-		"HTTP/1.1 503 Unavailable\r\nOther: 1\r\n": relaynode.EndBroken,
+		"HTTP/1.1 503 Unavailable\r\nMade: 1\r\n":        relaynode.EndError,
+		"HTTP/1.1 503 Unavailable\r\nOther: 1\r\n":       relaynode.EndBroken,
 	} {
 		h := newHarness(t, func(c net.Conn, r *http.Request) {
 			_, _ = io.WriteString(c, head+"Id: 1\r\nContent-Length: 0\r\n\r\n")
