Console and command line: one reading of the accepted configuration each

Loading a section, reading a valid form, and connecting with the accepted configuration stood two or three times each. No behaviour changes, no host's code; tests are untouched.

--- a/cmd/gentiancroft/config.go
+++ b/cmd/gentiancroft/config.go
@@ -51,6 +51,20 @@
 	return admin.New(client), ctx, func() { cancel(); client.Close() }, nil
 }
 
+// withAccepted connects and calls f with the accepted configuration.
+func (o *adminOptions) withAccepted(ctx context.Context, f func(context.Context, *admin.Service, *admin.AcceptedConfiguration) error) error {
+	s, ctx, closeClient, err := o.connect(ctx)
+	if err != nil {
+		return err
+	}
+	defer closeClient()
+	accepted, err := s.Load(ctx)
+	if err != nil {
+		return err
+	}
+	return f(ctx, s, accepted)
+}
+
 // operatorFromFlags returns the operator that the flags name.
 func (o *adminOptions) operatorFromFlags() (admin.Operator, error) {
 	if o.operator == "" {
@@ -146,20 +160,13 @@
 			if err != nil {
 				return err
 			}
-			s, ctx, closeClient, err := o.connect(c.Context())
-			if err != nil {
-				return err
-			}
-			defer closeClient()
-			base, err := s.Load(ctx)
-			if err != nil {
-				return err
-			}
-			plan, err := s.Plan(base, next, nil)
-			if err != nil {
-				return err
-			}
-			return o.print(c.OutOrStdout(), summary{Version: base.Head.Version, Changes: plan.Changes, Warnings: plan.Warnings}, "")
+			return o.withAccepted(c.Context(), func(_ context.Context, s *admin.Service, base *admin.AcceptedConfiguration) error {
+				plan, err := s.Plan(base, next, nil)
+				if err != nil {
+					return err
+				}
+				return o.print(c.OutOrStdout(), summary{Version: base.Head.Version, Changes: plan.Changes, Warnings: plan.Warnings}, "")
+			})
 		},
 	}
 }
@@ -196,38 +203,44 @@
 	return c
 }
 
+// change is a document to apply, and the terms of its application.
+type change struct {
+	next           *config.Document
+	from           uint64 // version on which the document is based
+	operator       admin.Operator
+	acceptWarnings bool
+}
+
 func (o *adminOptions) apply(c *cobra.Command, next *config.Document, from uint64, acceptWarnings bool) error {
 	operator, err := o.operatorFromFlags()
 	if err != nil {
 		return err
 	}
-	s, ctx, closeClient, err := o.connect(c.Context())
-	if err != nil {
-		return err
-	}
-	defer closeClient()
-	base, err := s.Load(ctx)
-	if err != nil {
-		return err
-	}
-	if err := s.CheckBaseVersion(ctx, base, from); err != nil {
+	return o.withAccepted(c.Context(), func(ctx context.Context, s *admin.Service, base *admin.AcceptedConfiguration) error {
+		return o.applyTo(ctx, c.OutOrStdout(), s, base, change{next: next, from: from, operator: operator, acceptWarnings: acceptWarnings})
+	})
+}
+
+// applyTo applies a change to the accepted configuration.
+func (o *adminOptions) applyTo(ctx context.Context, w io.Writer, s *admin.Service, base *admin.AcceptedConfiguration, x change) error {
+	if err := s.CheckBaseVersion(ctx, base, x.from); err != nil {
 		return err
 	}
-	plan, err := s.Plan(base, next, nil)
+	plan, err := s.Plan(base, x.next, nil)
 	if err != nil {
 		return err
 	}
-	if len(plan.Warnings) > 0 && !acceptWarnings {
-		if err := o.print(c.OutOrStdout(), summary{Version: base.Head.Version, Changes: plan.Changes, Warnings: plan.Warnings}, ""); err != nil {
+	if len(plan.Warnings) > 0 && !x.acceptWarnings {
+		if err := o.print(w, summary{Version: base.Head.Version, Changes: plan.Changes, Warnings: plan.Warnings}, ""); err != nil {
 			return err
 		}
 		return admin.Invalid.New("%d warning(s), so nothing was applied; --accept-warnings applies the document anyway", len(plan.Warnings))
 	}
-	h, err := s.Apply(ctx, operator, plan)
+	h, err := s.Apply(ctx, x.operator, plan)
 	if err != nil {
 		return err
 	}
-	return o.print(c.OutOrStdout(), summary{Version: h.Version, Hash: h.Hash, Changes: plan.Changes, Warnings: plan.Warnings}, "accepted as version "+strconv.FormatUint(h.Version, 10))
+	return o.print(w, summary{Version: h.Version, Hash: h.Hash, Changes: plan.Changes, Warnings: plan.Warnings}, "accepted as version "+strconv.FormatUint(h.Version, 10))
 }
 
 func showCommand(o *adminOptions) *cobra.Command {
@@ -237,28 +250,26 @@
 		Example: "  gentiancroft config show --platform 10.0.0.5:7000 > document.yaml",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, ctx, closeClient, err := o.connect(c.Context())
-			if err != nil {
-				return err
-			}
-			defer closeClient()
-			now, err := s.Load(ctx)
-			if err != nil {
-				return err
-			}
-			if o.output == "json" {
-				return admin.Damaged.Wrap(json.NewEncoder(c.OutOrStdout()).Encode(showOutput{now.Head.Version, now.Head.Hash, now.Head.By, now.Head.At, now.Document}))
-			}
-			text, err := config.EncodeYAML(now.Document)
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(c.OutOrStdout(), "# gentiancroft configuration version %d by %s at %s\n%s", now.Head.Version, now.Head.By, now.Head.At.UTC().Format(time.RFC3339), text)
-			return err
+			return o.withAccepted(c.Context(), func(_ context.Context, _ *admin.Service, now *admin.AcceptedConfiguration) error {
+				return o.show(c.OutOrStdout(), now)
+			})
 		},
 	}
 }
 
+// show prints the accepted configuration.
+func (o *adminOptions) show(w io.Writer, now *admin.AcceptedConfiguration) error {
+	if o.output == "json" {
+		return admin.Damaged.Wrap(json.NewEncoder(w).Encode(showOutput{now.Head.Version, now.Head.Hash, now.Head.By, now.Head.At, now.Document}))
+	}
+	text, err := config.EncodeYAML(now.Document)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "# gentiancroft configuration version %d by %s at %s\n%s", now.Head.Version, now.Head.By, now.Head.At.UTC().Format(time.RFC3339), text)
+	return err
+}
+
 // showOutput is the JSON output of config show: the accepted document with its version.
 type showOutput struct {
 	Version  uint64           `json:"version"`
--- a/internal/console/change.go
+++ b/internal/console/change.go
@@ -135,12 +135,7 @@
 func (c *Console) edit(ctx *fasthttp.RequestCtx, sess session) {
 	callCtx, cancel := callContext()
 	defer cancel()
-	s := findSection(ctx.UserValue("section").(string))
-	if s == nil {
-		c.fail(ctx, sess, admin.Invalid.New("no such list"))
-		return
-	}
-	current, err := c.service.Load(callCtx)
+	s, current, err := c.loadSection(callCtx, ctx)
 	if err != nil {
 		c.fail(ctx, sess, err)
 		return
@@ -170,13 +165,8 @@
 func (c *Console) preview(ctx *fasthttp.RequestCtx, sess session) {
 	callCtx, cancel := callContext()
 	defer cancel()
-	e, err := c.readForm(callCtx, ctx)
-	if err != nil {
-		c.fail(ctx, sess, err)
-		return
-	}
-	if e.plan == nil {
-		c.showErrors(ctx, sess, e)
+	e := c.readValidForm(callCtx, ctx, sess)
+	if e == nil {
 		return
 	}
 	c.render(ctx, fasthttp.StatusOK, "confirm", "Confirm", sess, confirmBody{
@@ -204,6 +194,21 @@
 	return out
 }
 
+// readValidForm reads a form. It answers the request itself and returns nil where the form
+// can't be read or has errors.
+func (c *Console) readValidForm(callCtx context.Context, ctx *fasthttp.RequestCtx, sess session) *formEdit {
+	e, err := c.readForm(callCtx, ctx)
+	if err != nil {
+		c.fail(ctx, sess, err)
+		return nil
+	}
+	if e.plan == nil {
+		c.showErrors(ctx, sess, e)
+		return nil
+	}
+	return e
+}
+
 // showErrors shows a form again with its errors.
 func (c *Console) showErrors(ctx *fasthttp.RequestCtx, sess session, e *formEdit) {
 	c.render(ctx, fasthttp.StatusUnprocessableEntity, "edit", e.section.Title, sess, editBody{
@@ -228,13 +233,8 @@
 func (c *Console) apply(ctx *fasthttp.RequestCtx, sess session) {
 	callCtx, cancel := callContext()
 	defer cancel()
-	e, err := c.readForm(callCtx, ctx)
-	if err != nil {
-		c.fail(ctx, sess, err)
-		return
-	}
-	if e.plan == nil {
-		c.showErrors(ctx, sess, e)
+	e := c.readValidForm(callCtx, ctx, sess)
+	if e == nil {
 		return
 	}
 	h, err := c.service.Apply(callCtx, admin.Operator{Name: sess.operator, Via: "console"}, e.plan)
--- a/internal/console/lists.go
+++ b/internal/console/lists.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"context"
 	"strconv"
 	"strings"
 
@@ -27,15 +28,21 @@
 	Next    int // offset of the next page; 0: none
 }
 
-func (c *Console) list(ctx *fasthttp.RequestCtx, sess session) {
-	callCtx, cancel := callContext()
-	defer cancel()
+// loadSection returns the section that the request's path names, and the configuration that it
+// is read from.
+func (c *Console) loadSection(callCtx context.Context, ctx *fasthttp.RequestCtx) (*section, *admin.AcceptedConfiguration, error) {
 	s := findSection(ctx.UserValue("section").(string))
 	if s == nil {
-		c.fail(ctx, sess, admin.Invalid.New("no such list"))
-		return
+		return nil, nil, admin.Invalid.New("no such list")
 	}
 	current, err := c.service.Load(callCtx)
+	return s, current, err
+}
+
+func (c *Console) list(ctx *fasthttp.RequestCtx, sess session) {
+	callCtx, cancel := callContext()
+	defer cancel()
+	s, current, err := c.loadSection(callCtx, ctx)
 	if err != nil {
 		c.fail(ctx, sess, err)
 		return
