A replica that is thought to have the newest version must confirm it

Callers could get an answer from an old version at a replica that a host wrongly takes to have the new one: within the grace period no confirmation was asked for, and the request counted as safe, so that nothing withdrew it. By reading; not seen.

Evidence: the test, which failed before.

--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -345,13 +345,15 @@
 	return text + ", version " + strconv.Itoa(version) + " of " + strconv.Itoa(newest) + ", expected " + strconv.Itoa(m.expectedVersion(r, x))
 }
 
-// expectedVersion returns the adapter version that the replica must confirm; 0: any.
+// expectedVersion returns the adapter version that the replica must confirm; 0: any. One
+// that is thought to have the newest must confirm it: the request counts as safe there.
 func (m *Machine) expectedVersion(r *request, x *replicas.Replica) int {
-	if r.arrival.Adapter == "" || m.minVersion(r.arrival.Adapter) == 0 {
-		return 0
-	}
 	version, _ := x.AdapterVersion(r.arrival.Adapter)
-	return version
+	newest := m.versions[r.arrival.Adapter].newest()
+	if newest > 0 && (version == newest || m.minVersion(r.arrival.Adapter) > 0) {
+		return version
+	}
+	return 0
 }
 
 func (r *request) workspaceID() core.WorkspaceID {
--- a/internal/core/relaynode/versions_test.go
+++ b/internal/core/relaynode/versions_test.go
@@ -101,6 +101,20 @@
 	h.is.Equal(h.dispatch().ExpectedVersion, 2) // version 3 is new, so version 2 may be used
 }
 
+// Guards against a request on an old version at a replica that is wrongly thought to have the
+// new one, where nothing withdraws it.
+func TestReplicaThatIsThoughtToHaveTheNewestVersionMustConfirmIt(t *testing.T) {
+	h := newHost(t)
+	h.step(announce(2))
+	second := replica("e1", engines, core.AdapterRef{ID: "x", Version: 2})
+	second.Sequence = 1
+	h.step(ReplicaListed{Entry: second})
+	h.arrive(streamOfX())
+	d := h.dispatch()
+	h.is.Equal(d.Upstream, core.UpstreamID("e1"))
+	h.is.Equal(d.ExpectedVersion, 2)
+}
+
 func TestReplicaConfirmsTheVersionThatItIsThoughtToHave(t *testing.T) {
 	h := newHost(t)
 	h.step(announce(2))
