Serving mode: later attempts use another connection

Callers could be told that a request has not run although its second attempt did, if an engine's rejection of the first came twice. Requests that must not be repeated had a connection of their own already.

Evidence: the test, whose two attempts came on one connection before.

--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -131,6 +131,27 @@
 	}
 }
 
+// Guards against a refusal that says "not run" of a request that ran: an engine's rejection of the
+// first attempt that came twice would pass for the answer to the next one, which has the same id.
+func TestLaterAttemptsUseAnotherConnection(t *testing.T) {
+	connections := make(chan string, 2)
+	b := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		connections <- r.RemoteAddr
+		w.Header().Set("X-Ran", "no")
+		w.WriteHeader(503)
+	})
+	c := b.dial()
+	defer c.Close()
+	c.send(post("/v1/completions", `{"model":"quotes","prompt":"p"}`))
+	id := b.nextEnded().ID
+	x := <-b.exchange
+	x.decisions <- b.dispatch(id, 2)
+	b.is.Equal(b.nextEnded().Kind, node.EndNotRun)
+	x.decisions <- node.Refuse{Refusal: core.Refuse(core.CodeOverloaded, 1500e6, "full")}
+	b.is.Equal(c.response().StatusCode, 503)
+	b.is.True(<-connections != <-connections)
+}
+
 func TestUnreachedUpstreamIsNotRun(t *testing.T) {
 	b := newFixture(t, func(http.ResponseWriter, *http.Request) {})
 	b.upstream = "127.0.0.1:1"
