--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// Guards against a refusal that says "not run" of a request that ran: an engine's rejection of the
-// first attempt that came twice would pass for the answer to the next one, which has the same id.
+// Guards against a refusal that says "not run" of a request that ran: on one connection an engine's
+// rejection that came twice would pass for the answer to the next attempt, which has the same id.
 func TestLaterAttemptsUseAnotherConnection(t *testing.T) {
 	connections := make(chan string, 2)
 	b := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -235,7 +235,7 @@
 		Class:         d.Class,
 		Fence:         d.Fence,
 		SendBefore:    d.Until,
-		NewConnection: d.BufferAnswer || d.Attempt > 1, // all attempts have the same id
+		NewConnection: d.BufferAnswer,
 	}
 }
 
