--- a/internal/core/relaynode/host_test.go
+++ b/internal/core/relaynode/host_test.go
@@ -37,6 +37,7 @@
 		Routes: []table.Route{
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Streaming, Resumable: true, KeyOptional: true, Timeout: 10 * time.Second, LatencyTarget: 500 * time.Millisecond, MaxAttempts: 2, Targets: []table.Target{{Service: engines, Weight: 1}}},
 			{Name: "once-stream", Host: "h", Prefix: "/once-stream/", Kind: table.Streaming, KeyOptional: true, Timeout: 10 * time.Second, LatencyTarget: 500 * time.Millisecond, MaxAttempts: 1, Targets: []table.Target{{Service: engines, Weight: 1}}},
+			{Name: "whole", Host: "h", Prefix: "/whole/", Kind: table.NonIdempotent, KeyOptional: true, Timeout: 10 * time.Second, LatencyTarget: 500 * time.Millisecond, MaxAttempts: 1, Targets: []table.Target{{Service: engines, Weight: 1}}},
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: table.Idempotent, KeyOptional: true, Timeout: time.Second, LatencyTarget: 100 * time.Millisecond, MaxAttempts: 2, Targets: []table.Target{{Service: services, Weight: 1}}},
 			{Name: "act", Host: "h", Prefix: "/act/", Kind: table.NonIdempotent, KeyOptional: true, Timeout: time.Second, LatencyTarget: 100 * time.Millisecond, MaxAttempts: 1, Targets: []table.Target{{Service: services, Weight: 1}}},
 			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: table.NonIdempotent, Timeout: time.Second, LatencyTarget: 100 * time.Millisecond, MaxAttempts: 1, Targets: []table.Target{{Service: services, Weight: 1}}},
--- a/internal/core/relaynode/versions_test.go
+++ b/internal/core/relaynode/versions_test.go
@@ -67,6 +67,18 @@
 	h.is.Equal(r.Ran, core.RanUnknown)
 }
 
+// Guards against a lost answer: whether a request for a whole answer has begun is not seen, so it
+// is not withdrawn.
+func TestRequestForAWholeAnswerIsNotWithdrawn(t *testing.T) {
+	h := newHost(t)
+	h.step(announce(2))
+	h.arrive(RequestArrived{Path: "/whole/x", Model: model, Adapter: "x", Timeout: time.Minute})
+	h.dispatch()
+	h.advance(DefaultVersionExpiry)
+	_, cancelled := get[Cancel](h)
+	h.is.True(!cancelled)
+}
+
 // Guards against a request that begins on an old version: it was sent within the grace period to
 // a replica that already had more prompts to read than it could before the version expired.
 func TestRequestIsNotSentToAnOlderVersionWhereItWouldBeginTooLate(t *testing.T) {
