--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -149,7 +149,8 @@
 	b.is.Equal(b.nextEnded().Kind, node.EndNotRun)
 	x.decisions <- node.Refuse{Refusal: core.Refuse(core.CodeOverloaded, 1500e6, "full")}
 	b.is.Equal(c.response().StatusCode, 503)
-	b.is.True(<-connections != <-connections)
+	first, second := <-connections, <-connections
+	b.is.True(first != second)
 }
 
 func TestUnreachedUpstreamIsNotRun(t *testing.T) {
