--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -346,7 +346,7 @@
 }
 
 // expectedVersion returns the adapter version that the replica must confirm; 0: any. One
-// that is thought to have the newest must confirm it: the request counts as safe there.
+// that is thought to have the newest must confirm it, as requests are not withdrawn from it.
 func (m *Machine) expectedVersion(r *request, x *replicas.Replica) int {
 	version, _ := x.AdapterVersion(r.arrival.Adapter)
 	newest := m.versions[r.arrival.Adapter].newest()
