--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,6 +66,11 @@
 	// Matches tells by an answer's header whether it belongs to this call. Nil compares
 	// the answer's X-Request-Id, if it has one, with Request.
 	Matches func(*fasthttp.ResponseHeader) Match
+	// Unnamed is set where the answers to a kind of calls don't name them.
+	Unnamed bool
+	// Strict is set for an unnamed call for whose answer no late copy of another one may pass: it
+	// uses no kept connection on which the latest call was unnamed too.
+	Strict bool
 	// MaxIdle is how long a kept connection may have been idle at most; 0: as long as
 	// connections are kept.
 	MaxIdle time.Duration
@@ -180,6 +185,7 @@
 	writer            *bufio.Writer
 	idleSince         time.Time     // when it was put into the pool
 	use               Connection    // by the present call
+	unnamed           bool          // the latest call was Unnamed
 	serverIdleTimeout time.Duration // of the upstream, from its Keep-Alive header; 0: not given
 }
 
@@ -254,7 +260,7 @@
 	if call.Confirm != nil {
 		limit = 0
 	}
-	kept := c.pool.get(call.Address, limit)
+	kept := c.pool.get(call.Address, limit, !call.Strict)
 	if kept != nil {
 		kept.use = Connection{Kept: true}
 	}
@@ -283,7 +289,7 @@
 func (c *Client) confirm(ctx context.Context, kept *conn, call Call) (accepted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := c.attempt(ctx, kept, Call{Prepared: call.Confirm.Request, Matches: call.Confirm.Matches})
+	answer, err := c.attempt(ctx, kept, Call{Prepared: call.Confirm.Request, Matches: call.Confirm.Matches, Unnamed: true})
 	if err != nil {
 		return false, err
 	}
@@ -330,6 +336,7 @@
 
 func (c *Client) attempt(ctx context.Context, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	conn.unnamed = call.Unnamed
 	answer, err := exchange(conn, call)
 	c.reportStrays(conn, call)
 	if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,10 +30,11 @@
 }
 
 // get returns a kept connection that is still open and has been idle for less than
-// callLimit (0: as long as connections are kept), or nil if there is none.
-func (p *pool) get(address string, callLimit time.Duration) *conn {
+// callLimit (0: as long as connections are kept), or nil if there is none. Those whose latest
+// call was unnamed are left out unless afterUnnamed is set.
+func (p *pool) get(address string, callLimit time.Duration, afterUnnamed bool) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, afterUnnamed)
 		if c == nil {
 			return nil
 		}
@@ -56,16 +58,18 @@
 	return limit
 }
 
-func (p *pool) pop(address string) *conn {
+// pop removes and returns the most recently used connection that get may return.
+func (p *pool) pop(address string, afterUnnamed bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	stack := p.idle[address]
-	if len(stack) == 0 {
-		return nil
+	for i, c := range slices.Backward(stack) {
+		if afterUnnamed || !c.unnamed {
+			p.idle[address] = slices.Delete(stack, i, i+1)
+			return c
+		}
 	}
-	c := stack[len(stack)-1]
-	p.idle[address] = stack[:len(stack)-1]
-	return c
+	return nil
 }
 
 // isOpen reports whether the upstream has neither closed the connection nor sent
