A request is sent once for each decision to send it

Cause: placing a request demands adapters. Where this host owns the replica, the demand sends its orders at once, and where that changes a replica's residency, the waiting requests are placed, inside the placing of the first. A request that is being retried counts as waiting until it is dispatched, so it was dispatched there and again on return; so were requests of a list that the outer placing had made before. The second dispatch made the first attempt an earlier one, whose end is ignored: it breaks, the second is sent; the second is rejected, and the request is refused as not run.

Change: a change of replicas only marks that waiting requests may be placed. That is done at the end of the event, never within a placement.

--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -225,7 +225,7 @@
 		}
 	}
 	if len(changed) > 0 {
-		m.placeWaiting()
+		m.placementDue = true
 	}
 	m.sendUnsent()
 }
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -17,14 +17,14 @@
 	for _, id := range m.residency.Replicas() {
 		m.dropIfGone(id)
 	}
-	m.placeWaiting()
+	m.placementDue = true
 }
 
 func (m *Machine) applyReplicaEntry(e replicas.Entry) {
 	if m.updateReplica(e, replicas.FromChange) {
 		m.changes.replicas = append(m.changes.replicas, e)
 	}
-	m.placeWaiting()
+	m.placementDue = true
 }
 
 // updateReplica applies an entry of the list. It reports whether the replica is new
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -36,6 +36,7 @@
 	lastExtraDemand map[core.AdapterID]core.Instant // when another copy or a newer version was last demanded
 
 	requests      *requests
+	placementDue  bool // a replica may have become usable for waiting requests
 	writes        writes
 	loads         map[core.HostID]hostLoad
 	speeds        map[table.ServiceID]*forecast.Speed
@@ -165,6 +166,7 @@
 	case Query:
 		e.Read(m)
 	}
+	m.placeWaiting()
 	return m.effects
 }
 
@@ -183,6 +185,7 @@
 	m.register()
 	m.renewLeases()
 	m.sendOrders()
+	m.placeWaiting()
 	m.sendHeartbeat()
 	m.checkRequests()
 	m.finishLeaving()
--- a/internal/core/relaynode/notices.go
+++ b/internal/core/relaynode/notices.go
@@ -101,6 +101,6 @@
 func (m *Machine) endPauses() {
 	if m.pausesUntil != 0 && m.now >= m.pausesUntil {
 		m.pausesUntil = 0
-		m.placeWaiting()
+		m.placementDue = true
 	}
 }
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -127,6 +127,6 @@
 		m.sendOrders()
 	}
 	if len(e.Message.Residencies) > 0 {
-		m.placeWaiting()
+		m.placementDue = true
 	}
 }
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -296,11 +296,16 @@
 	}
 }
 
-// placeWaiting places the waiting requests that can run now, the most urgent first.
+// placeWaiting places the waiting requests that can run now, the most urgent first, if a
+// replica may have become usable. Invariant: it isn't called while a request is being placed;
+// placing one makes demands, which can change replicas again.
 func (m *Machine) placeWaiting() {
-	for _, r := range m.requests.waiting() {
-		if usable, _ := m.candidates(r); len(usable) > 0 {
-			m.place(r)
+	for m.placementDue {
+		m.placementDue = false
+		for _, r := range m.requests.waiting() {
+			if usable, _ := m.candidates(r); len(usable) > 0 {
+				m.place(r)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/relaynode/place_test.go
@@ -0,0 +1,107 @@
+package relaynode
+
+import (
+	"testing"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/residency"
+)
+
+// newOwner returns a host that owns the shards of its engines. Those at work are e1 and e2, which have
+// adapter x and no free slot; e3 is idle. A slot of e1 and e2 can be freed a moment later, which
+// the host notices, and announces, with its next orders.
+func newOwner(t *testing.T) *host {
+	h := newHost(t)
+	x, y := core.AdapterRef{ID: "x", Version: 1}, core.AdapterRef{ID: "y", Version: 1}
+	for _, e := range []replicas.Entry{replica("e1", engines, x, y), replica("e2", engines, x, y), replica("e3", engines)} {
+		e.Sequence = 5
+		h.step(ReplicaListed{Entry: e})
+	}
+	h.step(LeasesListed{})
+	for range 10 {
+		h.advance(time.Second)
+		h.acceptWrites()
+	}
+	_, owned := h.m.orderFence("e1")
+	h.is.True(owned)
+	for _, id := range []core.UpstreamID{"e1", "e2", "e3"} {
+		h.step(ReportReceived{Report: residency.Report{
+			Replica: id, OK: true, Started: 1, Sequence: 1, Models: h.m.replicas.Get(id).Models,
+		}})
+	}
+	h.m.replicas.Get("e1").OtherRequests = 3
+	h.m.replicas.Get("e2").OtherRequests = 3
+	return h
+}
+
+// acceptWrites answers the last step's writes to the store.
+func (h *host) acceptWrites() {
+	for _, e := range h.out {
+		if w, ok := e.(WriteObject); ok {
+			h.step(WriteDone{Result: core.ObjectResult{Tag: w.Call.Tag, Status: core.ObjectOK, Object: core.Object{Version: uint64(h.now)}}})
+		}
+	}
+}
+
+// sent returns the attempts that the last step has sent.
+func (h *host) sent() (all []Dispatch) {
+	for _, e := range h.out {
+		if d, ok := e.(Dispatch); ok {
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
+// sentPerRequest returns how many attempts of each request the last step has sent.
+func (h *host) sentPerRequest() map[core.RequestID]int {
+	number := map[core.RequestID]int{}
+	for _, d := range h.sent() {
+		number[d.ID]++
+	}
+	return number
+}
+
+// Guards against a request that runs twice, or is refused although it runs: its second attempt was sent
+// twice, and the end of the first of the two was ignored.
+func TestRetryWhoseDemandChangesAReplicaIsSentOnce(t *testing.T) {
+	h := newOwner(t)
+	id := h.arrive(RequestArrived{Path: "/once-stream/x", Model: model, Adapter: "x"})
+	first := h.dispatch()
+	h.now += time.Second // now slots can be freed
+	h.endAttempt(first, EndNotRun)
+	h.is.Equal(h.sentPerRequest(), map[core.RequestID]int{id: 1})
+}
+
+// Guards against the same for requests that wait for their adapter.
+func TestWaitingRequestsWhoseDemandsChangeAReplicaAreSentOnce(t *testing.T) {
+	h := newOwner(t)
+	want := map[core.RequestID]int{}
+	for range 5 {
+		want[h.arrive(RequestArrived{Path: "/once-stream/z", Model: model, Adapter: "z"})] = 1
+	}
+	h.is.Equal(len(h.sent()), 0)
+	h.now += time.Second
+	h.m.replicas.Get("e1").OtherRequests = 0
+	h.step(ReplicaListed{Entry: replica("e4", engines, core.AdapterRef{ID: "z", Version: 1})})
+	h.is.Equal(h.sentPerRequest(), want)
+}
+
+// Guards against a request that was refused with a promise and ran all the same: of an attempt that was
+// sent twice, the first broke, which was ignored, and the replica rejected the second.
+func TestRetriedRequestThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	h := newOwner(t)
+	h.arrive(RequestArrived{Path: "/once-stream/x", Model: model, Adapter: "x"})
+	first := h.dispatch()
+	h.now += time.Second
+	h.endAttempt(first, EndNotRun)
+	kind := EndBroken
+	for sent := h.sent(); len(sent) > 0; sent = append(sent[1:], h.sent()...) {
+		h.endAttempt(sent[0], kind)
+		kind = EndNotRun
+	}
+	refusal := h.refusal()
+	h.is.Equal(refusal.Ran, core.RanUnknown)
+}
