--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -105,3 +105,23 @@
 	refusal := h.refusal()
 	h.is.Equal(refusal.Ran, core.RanUnknown)
 }
+
+// Guards against pieces of a stream that come twice: its second attempt was sent twice, and the
+// second of the two began after the same event as the first.
+func TestResumedStreamContinuesAfterWhatTheLatestAttemptDelivered(t *testing.T) {
+	h := newOwner(t)
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	first := h.dispatch()
+	h.now += time.Second
+	h.step(AnswerStarted{ID: first.ID, Attempt: first.Attempt, PartDelivered: true})
+	delivered := "3"
+	h.step(AttemptEnded{ID: first.ID, Attempt: first.Attempt, Kind: EndBroken, LastEvent: delivered})
+	sent := h.sent()
+	h.is.True(len(sent) > 0)
+	for _, d := range sent { // a handler carries them out one after the other
+		h.is.Equal(d.LastEvent, delivered)
+		delivered += "0"
+		h.step(AnswerStarted{ID: d.ID, Attempt: d.Attempt, PartDelivered: true})
+		h.step(AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: EndBroken, LastEvent: delivered})
+	}
+}
