Test: waiting requests are placed before a tick checks how long they have waited

A mutant of that leaves that to the end of the tick passed all tests; it would refuse a request in the tick in which it can run. The test is red on it. The mutant that doesn't place at the end of an event was caught by three tests already.

--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -125,3 +125,17 @@
 		h.step(AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: EndBroken, LastEvent: delivered})
 	}
 }
+
+// Guards against refusals of requests that can run: a tick in which the wait for an adapter ends, and
+// the pause of the replicas that have it too, sends the request.
+func TestWaitingRequestIsPlacedBeforeItsWaitIsChecked(t *testing.T) {
+	h := newOwner(t)
+	const pause = minAdapterWait
+	for _, id := range []core.UpstreamID{"e1", "e2"} {
+		h.m.applyNotice(id, 1, replicas.Notice{Pause: pause})
+	}
+	id := h.arrive(RequestArrived{Path: "/once-stream/x", Model: model, Adapter: "x"})
+	h.is.Equal(len(h.sent()), 0)
+	h.advance(pause)
+	h.is.Equal(h.sentPerRequest(), map[core.RequestID]int{id: 1})
+}
