--- a/internal/core/relaynode/active_test.go
+++ b/internal/core/relaynode/active_test.go
@@ -125,11 +125,7 @@
 	h := newHostInLargeFleet(t, "s0")
 	h.lease("s0")
 	h.advance(20 * time.Millisecond) // the lease of an earlier process: written anew
-	for _, e := range h.out {
-		if o, ok := e.(WriteObject); ok {
-			h.step(WriteDone{Result: core.ObjectResult{Tag: o.Call.Tag, Status: core.ObjectOK, Object: core.Object{Version: 2}}})
-		}
-	}
+	h.acceptWrites()
 	h.advance(20 * time.Millisecond) // probes for the replicas' reports
 	x := core.AdapterRef{ID: "x", Version: 1}
 	h.step(ReportReceived{Report: residency.Report{
--- a/internal/core/relaynode/host_test.go
+++ b/internal/core/relaynode/host_test.go
@@ -154,6 +154,15 @@
 	h.step(LeasesListed{Objects: objects})
 }
 
+// acceptWrites answers the last step's writes to the store.
+func (h *host) acceptWrites() {
+	for _, e := range h.out {
+		if w, ok := e.(WriteObject); ok {
+			h.step(WriteDone{Result: core.ObjectResult{Tag: w.Call.Tag, Status: core.ObjectOK, Object: core.Object{Version: uint64(h.now)}}})
+		}
+	}
+}
+
 // demanded reports whether the last step sent another host a demand for a version of
 // adapter x on a replica.
 func (h *host) demanded(replica core.UpstreamID, version int) bool {
--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -36,15 +36,6 @@
 	return h
 }
 
-// acceptWrites answers the last step's writes to the store.
-func (h *host) acceptWrites() {
-	for _, e := range h.out {
-		if w, ok := e.(WriteObject); ok {
-			h.step(WriteDone{Result: core.ObjectResult{Tag: w.Call.Tag, Status: core.ObjectOK, Object: core.Object{Version: uint64(h.now)}}})
-		}
-	}
-}
-
 // sent returns the attempts that the last step has sent.
 func (h *host) sent() (all []Dispatch) {
 	for _, e := range h.out {
