--- a/internal/core/relaynode/attempts_test.go
+++ b/internal/core/relaynode/attempts_test.go
@@ -28,7 +28,7 @@
 	faults  []string // broken guarantees
 }
 
-// adapters that the requests of a random run name, more than there are slots.
+// randomAdapters are those that the requests of a random run name, more than a replica has slots for.
 var randomAdapters = []core.AdapterID{"x", "y", "z", "u", "v", "w"}
 
 // observe records the effects of the last step.
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -298,7 +298,8 @@
 
 // placeWaiting places the waiting requests that can run now, the most urgent first, if a
 // replica may have become usable. Invariant: it isn't called while a request is being placed;
-// placing one makes demands, which can change replicas again.
+// placing one makes demands, which can change replicas again. Each repetition follows a
+// request that was sent, so that they end.
 func (m *Machine) placeWaiting() {
 	for m.placementDue {
 		m.placementDue = false
