Log how the end of an answer was marked

An attempt whose answer has neither length nor chunks is now logged as unmarked_end; the detail says so for other ends too, and whether a stream ended inside an event. No decision changes.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -50,6 +50,7 @@
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
 		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Detail: "the attempt's number and the answer that ended it", Age: "the attempt", Reasons: []Reason{
 			{Name: "ok", Meaning: "a complete success", MetricsOnly: true},
+			{Name: "unmarked_end", Meaning: "a success whose end only the end of the connection marks"},
 			{Name: "not_reached", Meaning: "nothing was sent"},
 			{Name: "not_run", Meaning: "the replica answered that it did not run it"},
 			{Name: "missing", Meaning: "the replica lacks the adapter or version, or another replica answered"},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -82,6 +82,9 @@
 	Kept      bool // it came on a connection that had carried other requests
 	Confirmed bool // a confirmation was answered on the connection just before
 	Stray     int  // other answers that were discarded before it
+
+	EndUnmarked bool // only the end of the connection marks its end
+	InsideEvent bool // it is a stream that ended inside an event
 }
 
 // ReplicaNoticed is sent when the header of a replica's answer to an attempt says
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -154,7 +154,8 @@
 		return
 	}
 	m.releaseAttempt(r, e)
-	m.emit(LogDecision{Name: "attempt", Reason: endReasons[e.Kind], ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince), Detail: e.evidence(), MetricsOnly: e.Kind == EndOK})
+	reason := e.reason()
+	m.emit(LogDecision{Name: "attempt", Reason: reason, ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince), Detail: e.evidence(), MetricsOnly: reason == reasonOK})
 	if e.LastEvent != "" {
 		r.lastEvent = e.LastEvent
 	}
@@ -199,11 +200,31 @@
 	if e.Answer.Stray > 0 {
 		text += " after " + strconv.Itoa(e.Answer.Stray) + " stray answers"
 	}
+	if e.Answer.EndUnmarked {
+		text += ", ended with its connection"
+	}
+	if e.Answer.InsideEvent {
+		text += ", inside an event"
+	}
 	return text
 }
 
+// Reasons of the end of an attempt that ended well.
+const (
+	reasonOK          = "ok"
+	reasonUnmarkedEnd = "unmarked_end"
+)
+
+// reason returns the reason that the end of an attempt is logged with.
+func (e *AttemptEnded) reason() string {
+	if e.Kind == EndOK && e.Answer.EndUnmarked {
+		return reasonUnmarkedEnd
+	}
+	return endReasons[e.Kind]
+}
+
 var endReasons = map[EndKind]string{
-	EndOK:             "ok",
+	EndOK:             reasonOK,
 	EndNotReached:     "not_reached",
 	EndNotRun:         "not_run",
 	EndAdapterMissing: "missing",
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,18 +36,19 @@
 // complete ones, so that another replica can continue after the last. The HTTP server
 // reads and closes it.
 type stream struct {
-	task       *task
-	dispatch   relaynode.Dispatch
-	attempt    context.Context
-	cancel     context.CancelFunc
-	answer     *upstream.Answer
-	buffer     []byte
-	readyBytes int    // length of the complete events at the buffer's start
-	lastEvent  string // id of the last complete event
-	complete   bool   // the replica has ended the answer regularly
-	broken     error  // the answer has ended otherwise, perhaps after complete events; nil: it has not
-	forwarding bool
-	released   bool // the attempt's end has been reported to the node
+	task        *task
+	dispatch    relaynode.Dispatch
+	attempt     context.Context
+	cancel      context.CancelFunc
+	answer      *upstream.Answer
+	buffer      []byte
+	readyBytes  int    // length of the complete events at the buffer's start
+	lastEvent   string // id of the last complete event
+	complete    bool   // the replica has ended the answer regularly
+	broken      error  // the answer has ended otherwise, perhaps after complete events; nil: it has not
+	insideEvent bool   // the answer has ended inside an event
+	forwarding  bool
+	released    bool // the attempt's end has been reported to the node
 }
 
 // beginStream waits for the first complete event and starts the caller's answer. It
@@ -81,6 +82,8 @@
 	}
 	s.released = true
 	e.LastEvent = s.lastEvent
+	e.Answer = evidence(s.answer)
+	e.Answer.InsideEvent = s.insideEvent
 	s.answer.Close()
 	s.cancel()
 	s.task.attemptEnded(s.dispatch, e)
@@ -97,6 +100,7 @@
 	n, err := s.answer.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	s.findEvents()
+	s.insideEvent = err != nil && len(bytes.Trim(s.buffer[s.readyBytes:], "\r\n")) > 0
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -221,7 +221,13 @@
 // evidence describes an answer for the log.
 func evidence(a *upstream.Answer) relaynode.AnswerEvidence {
 	c := a.Connection
-	return relaynode.AnswerEvidence{Status: a.Status, Kept: c.Kept, Confirmed: c.Confirmed, Stray: c.Stray}
+	return relaynode.AnswerEvidence{
+		Status:      a.Status,
+		Kept:        c.Kept,
+		Confirmed:   c.Confirmed,
+		Stray:       c.Stray,
+		EndUnmarked: a.Framing == upstream.FramedByClose,
+	}
 }
 
 // endOfError returns how an attempt without a complete answer ended.
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -16,6 +16,16 @@
 	Stray     int  // answers on it that were discarded since they belong to other calls
 }
 
+// Framing is how the end of an answer's body is marked.
+type Framing uint8
+
+// Framings of answers.
+const (
+	FramedByLength Framing = iota // by its length, or it has no body
+	FramedByChunks                // by its last chunk
+	FramedByClose                 // by nothing but the end of the connection, which may as well be a failure
+)
+
 // Answer is a response with a streamed body. It must be closed in every case.
 type Answer struct {
 	Status      int
@@ -24,6 +34,7 @@
 	RetryAfter  string
 	Body        io.Reader
 	Connection  Connection
+	Framing     Framing
 
 	response           *fasthttp.Response
 	conn               *conn
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -134,12 +134,25 @@
 		RetryAfter:         string(response.Header.Peek("Retry-After")),
 		Body:               &trackedBody{Reader: body},
 		Connection:         conn.use,
+		Framing:            framing(response),
 		response:           response,
 		conn:               conn,
 		connectionReusable: sent && !response.ConnectionClose(),
 	}
 }
 
+// framing tells how the end of a response's body is marked.
+func framing(response *fasthttp.Response) Framing {
+	length := response.Header.ContentLength()
+	switch {
+	case response.BodyStream() == nil || length >= 0:
+		return FramedByLength
+	case length == -1:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // writeHeader sets the request line and the header. Invariant: only the call's filtered
 // headers and this host's own reach an upstream.
 func writeHeader(request *fasthttp.Request, call Call) {
