A stream that ends inside an event has been broken off

Cause: the relay took every end of an answer's bytes for the end of the stream. Where the answer has neither a length nor chunks, that end is the end of the connection, and a crash looks the same. What the stream itself says, that it is inside an event, wasn't looked at.

Change: an answer that ends inside an event is broken off, whatever its framing; without framing, so is one that ends before its first event. Such a stream is resumed where it may be, else the caller's answer ends without its last chunk. Events are now found with each of the three line ends that the format has: only LF was known, and a stream with CRLF would have counted as one event without an end.

--- a/internal/relay/answer_end_test.go
+++ b/internal/relay/answer_end_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gentiancroft/internal/core"
@@ -149,3 +150,30 @@
 	h.is.Equal(h.ended().Kind, relaynode.EndBroken)
 	h.is.Equal(h.ended().Kind, relaynode.EndOK)
 }
+
+// Guards against a framed answer whose connection ended early, at whatever byte, and that looks
+// complete.
+func TestFramedStreamIsBrokenWhereverItsConnectionEnds(t *testing.T) {
+	head := streamByClose
+	for _, whole := range []string{
+		head + "Transfer-Encoding: chunked\r\n\r\n1e\r\n" + wholeEvents + "\r\n0\r\n\r\n",
+		head + "Content-Length: 30\r\n\r\n" + wholeEvents,
+	} {
+		bodyStart := strings.Index(whole, "\r\n\r\n") + len("\r\n\r\n")
+		for cut := bodyStart; cut < len(whole); cut++ {
+			h := newHarness(t, rawAnswer(whole[:cut]))
+			h.script(h.dispatch(1, ""), func(a relaynode.RequestArrived) relaynode.Effect {
+				if strings.Contains(whole[bodyStart:cut], "\n\n") {
+					return relaynode.AbortAnswer{ID: a.ID}
+				}
+				return refuseFailed(a)
+			})
+			r, _ := h.request(get("1"))
+			_, err := body(r)
+			if r.StatusCode == http.StatusOK && err == nil {
+				t.Errorf("%q looks complete", whole[bodyStart:cut])
+			}
+			h.is.Equal(h.ended().Kind, relaynode.EndBroken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/events.go
@@ -0,0 +1,41 @@
+package relay
+
+import "bytes"
+
+// lineEnds are the bytes that end a line of an event stream: LF, CRLF or CR.
+const lineEnds = "\r\n"
+
+var idField = []byte("id:")
+
+// scanEvent finds the first complete event in b: its length, including the blank line that
+// ends it, and the id that it sets, nil where it sets none. The length is 0 where b holds
+// no complete event.
+func scanEvent(b []byte) (length int, id []byte) {
+	hasLine := false
+	for rest := b; ; {
+		end := bytes.IndexAny(rest, lineEnds)
+		if end < 0 {
+			return 0, nil
+		}
+		line := rest[:end]
+		rest = rest[end+lineEndLength(rest[end:]):]
+		if len(line) == 0 && hasLine {
+			return len(b) - len(rest), id
+		}
+		hasLine = hasLine || len(line) > 0
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			id = bytes.TrimSpace(value)
+		}
+	}
+}
+
+// lineEndLength returns the length of the line end that b begins with.
+func lineEndLength(b []byte) int {
+	if bytes.HasPrefix(b, []byte("\r\n")) {
+		return 2
+	}
+	return 1
+}
+
+// isInsideEvent reports whether the bytes after the last complete event begin another one.
+func isInsideEvent(b []byte) bool { return len(bytes.Trim(b, lineEnds)) > 0 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"io"
 	"slices"
 	"strings"
@@ -46,6 +44,7 @@
 	lastEvent   string // id of the last complete event
 	complete    bool   // the replica has ended the answer regularly
 	broken      error  // the answer has ended otherwise, perhaps after complete events; nil: it has not
+	hasEvent    bool   // the answer has had a complete event
 	insideEvent bool   // the answer has ended inside an event
 	forwarding  bool
 	released    bool // the attempt's end has been reported to the node
@@ -100,39 +99,49 @@
 	n, err := s.answer.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	s.findEvents()
-	s.insideEvent = err != nil && len(bytes.Trim(s.buffer[s.readyBytes:], "\r\n")) > 0
-	switch {
-	case err == nil:
-	case errors.Is(err, io.EOF):
+	if err == nil {
+		return
+	}
+	s.insideEvent = isInsideEvent(s.buffer[s.readyBytes:])
+	if err != io.EOF { // which is never wrapped where the framing marks the end
+		s.broken = upstream.Broken.Wrap(err)
+		return
+	}
+	if s.broken = s.checkEnd(); s.broken == nil {
 		s.complete = true
 		s.readyBytes = len(s.buffer)
-	default:
-		s.broken = upstream.Broken.Wrap(err)
 	}
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
 // findEvents finds the complete events in the buffer and the last event id in them.
 func (s *stream) findEvents() {
 	for {
-		end := bytes.Index(s.buffer[s.readyBytes:], eventEnd)
-		if end < 0 {
+		length, id := scanEvent(s.buffer[s.readyBytes:])
+		if length == 0 {
 			return
 		}
-		event := s.buffer[s.readyBytes : s.readyBytes+end]
-		for line := range bytes.SplitSeq(event, []byte("\n")) {
-			if id, ok := bytes.CutPrefix(line, idField); ok {
-				s.lastEvent = string(bytes.TrimSpace(id))
-			}
+		if id != nil {
+			s.lastEvent = string(id)
 		}
-		s.readyBytes += end + len(eventEnd)
+		s.readyBytes += length
+		s.hasEvent = true
 	}
 }
 
+// checkEnd returns the error of an answer that has ended regularly by its framing and is
+// broken off all the same, nil where it is not. Where only the end of the connection marks the
+// end, an answer without any event is broken off too.
+func (s *stream) checkEnd() error {
+	unmarked := s.answer.Framing == upstream.FramedByClose
+	switch {
+	case unmarked && (s.insideEvent || !s.hasEvent):
+		return upstream.Broken.Wrap(io.ErrUnexpectedEOF)
+	case s.insideEvent:
+		return upstream.Broken.New("the answer ended inside an event")
+	}
+	return nil
+}
+
 // Read implements io.Reader. It blocks until a complete event is buffered.
 func (s *stream) Read(p []byte) (int, error) {
 	for s.readyBytes == 0 {
@@ -186,7 +195,7 @@
 		}
 		s.task.server.node.Notify(relaynode.AnswerStarted{ID: d.ID, Attempt: d.Attempt})
 		s.dispatch, s.attempt, s.cancel, s.answer = d, attempt, cancel, answer
-		s.released, s.complete, s.broken = false, false, nil
+		s.released, s.complete, s.broken, s.hasEvent = false, false, nil, false
 		return true
 	}
 }
