An answer's end is marked to the caller only where the replica marked it

What callers saw: an answer with neither length nor chunks, which ends with its connection, reached them with a length or a last chunk. Whether it was whole or cut between two events, or in the middle of a plain body, nobody knows; the host vouched for it.

Change: such an answer goes out as it came, with neither length nor chunks, and ends with the caller's connection; where the host knows that it broke, the connection is reset instead. A stream that is resumed keeps the framing of its first answer: a chunked one isn't ended by a replica that marks no end, but resumed again or broken off. Failures of replicas likewise.

Weighed: always chunks, without the last one where the end is inferred (whole answers would look broken); a further attempt after the last event, to learn whether there is more (each such stream would take a retry and a prompt); refusing unmarked answers (a replica that writes no other would never serve). The price is a new connection of the caller for each such answer.

--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -169,3 +169,15 @@
 	_ = c.SetWriteDeadline(time.Now().Add(c.stallTimeout))
 	return c.Conn.Write(p)
 }
+
+// ResetOnClose makes the close of a connection that a Listener accepted reset it, so that the
+// caller doesn't take the end of what was sent for the end of the answer.
+func ResetOnClose(c net.Conn) {
+	w, ok := c.(*Conn)
+	if !ok {
+		return
+	}
+	if tcp, ok := w.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -46,8 +46,8 @@
 	broken      error  // the answer has ended otherwise, perhaps after complete events; nil: it has not
 	hasEvent    bool   // the answer has had a complete event
 	insideEvent bool   // the answer has ended inside an event
-	forwarding  bool
-	released    bool // the attempt's end has been reported to the node
+	endMarked   bool   // the caller's answer marks its end, by its last chunk
+	released    bool   // the attempt's end has been reported to the node
 }
 
 // beginStream waits for the first complete event and starts the caller's answer. It
@@ -68,9 +68,13 @@
 	}
 	t.server.metrics.firstByte.Update(time.Since(t.started).Microseconds())
 	t.server.node.Notify(relaynode.AnswerStarted{ID: t.id, Attempt: d.Attempt, PartDelivered: true})
-	s.forwarding = true
 	t.server.dialect.CopyAnswerHeader(&ctx.Response.Header, answer.Header())
-	ctx.SetBodyStream(s, -1)
+	s.endMarked = answer.Framing != upstream.FramedByClose
+	if s.endMarked {
+		ctx.SetBodyStream(s, -1)
+	} else {
+		sendUntilClose(ctx, s)
+	}
 	return true
 }
 
@@ -130,7 +134,8 @@
 
 // checkEnd returns the error of an answer that has ended regularly by its framing and is
 // broken off all the same, nil where it is not. Where only the end of the connection marks the
-// end, an answer without any event is broken off too.
+// end, an answer without any event is broken off too, and so is one that would have to mark the
+// end of the caller's answer.
 func (s *stream) checkEnd() error {
 	unmarked := s.answer.Framing == upstream.FramedByClose
 	switch {
@@ -138,6 +143,8 @@
 		return upstream.Broken.Wrap(io.ErrUnexpectedEOF)
 	case s.insideEvent:
 		return upstream.Broken.New("the answer ended inside an event")
+	case unmarked && s.endMarked:
+		return upstream.Broken.New("the answer that goes on with a stream marks no end")
 	}
 	return nil
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -44,8 +44,9 @@
 
 // failure is a replica's complete error answer.
 type failure struct {
-	header fasthttp.ResponseHeader
-	body   []byte
+	header  fasthttp.ResponseHeader
+	body    []byte
+	framing upstream.Framing
 }
 
 // hangUp reports, once, that the caller hung up and cancels the task.
@@ -186,7 +187,7 @@
 	end := endOfAnswer(answered)
 	end.Answer = evidence(answer)
 	if end.Kind == relaynode.EndError {
-		t.failure = &failure{body: body}
+		t.failure = &failure{body: body, framing: answer.Framing}
 		answer.Header().CopyTo(&t.failure.header)
 	}
 	if end.Kind != relaynode.EndOK {
@@ -195,7 +196,7 @@
 	}
 	t.server.metrics.firstByte.Update(time.Since(t.started).Microseconds())
 	t.server.dialect.CopyAnswerHeader(&ctx.Response.Header, answer.Header())
-	ctx.SetBody(body)
+	setBody(ctx, body, answer.Framing)
 	answer.Close() // before finish, whose end of the context would close its connection
 	t.attemptEnded(d, end)
 	t.finish()
@@ -259,7 +260,17 @@
 		return
 	}
 	t.server.dialect.CopyAnswerHeader(&ctx.Response.Header, &f.header)
-	ctx.SetBody(f.body)
+	setBody(ctx, f.body, f.framing)
+}
+
+// setBody sets the body of the caller's answer. Its end is marked only where the replica
+// marked it.
+func setBody(ctx *fasthttp.RequestCtx, body []byte, framing upstream.Framing) {
+	if framing == upstream.FramedByClose {
+		sendBodyUntilClose(ctx, body)
+		return
+	}
+	ctx.SetBody(body)
 }
 
 // impliesNotRun reports whether callers take a status to mean that the request has
