Serving mode: an answer's end is marked only where the upstream marked it

The same cause as at the relay, in serve's relay of whole answers: an answer with neither length nor chunks got a length, and was recorded as complete for replays. The recorded outcome now says that nothing marked its end, and the caller's answer, also a replayed one, ends with its connection. The code that sends such answers is a package that both modes use (internal/untilclose). Streams of this mode end with [DONE] and were not affected. TestEndThatOnlyTheConnectionMarksIsForwardedAsSuch in internal/entry fails without the change.

--- a/internal/core/upstream.go
+++ b/internal/core/upstream.go
@@ -45,4 +45,5 @@
 	Status      int    `cbor:"1,keyasint"`
 	ContentType string `cbor:"2,keyasint,omitempty"`
 	Body        []byte `cbor:"3,keyasint,omitempty"`
+	EndUnmarked bool   `cbor:"4,keyasint,omitempty"` // nothing but the end of the connection marked its end: it may be a part
 }
--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -199,3 +199,39 @@
 	b.is.True(strings.Contains(text, `gentiancroft_upstream_calls{upstream="drafter-0"} 2`))
 	b.is.True(strings.Contains(text, `gentiancroft_entry_total_us{quantile="0.99"} 7`))
 }
+
+// Guards against an answer that is declared complete though nobody knows: where only the end of
+// the connection marks its end, the caller's answer and its replays are marked by nothing else.
+func TestEndThatOnlyTheConnectionMarksIsForwardedAsSuch(t *testing.T) {
+	b := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nall or a part")
+		_ = c.Close()
+	})
+	b.node.script = func(x *fakeExchange, a node.RequestArrived) {
+		b.exchange <- x
+		d := b.dispatch(a.ID, 1)
+		d.BufferAnswer = true
+		x.decisions <- d
+	}
+	checkUnmarked := func(r *http.Response, body string) {
+		b.is.Helper()
+		b.is.Equal(body, "all or a part")
+		b.is.True(r.ContentLength == -1 && len(r.TransferEncoding) == 0 && r.Close)
+		b.is.True(r.Header.Get("X-Request-Id") != "")
+	}
+	r, body := b.roundTrip(post("/v1/completions", `{"model":"quotes","prompt":"p"}`))
+	checkUnmarked(r, body)
+	recorded := b.nextEnded().Outcome
+	b.is.True(recorded.EndUnmarked)
+
+	b.node.script = func(x *fakeExchange, a node.RequestArrived) {
+		x.decisions <- node.ReplayOutcome{ID: a.ID, Outcome: recorded}
+	}
+	r, body = b.roundTrip(post("/v1/completions", `{"model":"quotes","prompt":"p"}`))
+	checkUnmarked(r, body)
+	b.is.Equal(r.Header.Get("X-Replayed"), "true")
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,6 +14,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/node"
 	"gentiancroft/internal/hangup"
+	"gentiancroft/internal/untilclose"
 	"gentiancroft/internal/upstream"
 )
 
@@ -171,6 +172,10 @@
 func (t *task) writeOutcome(ctx *fasthttp.RequestCtx, o core.Outcome) {
 	ctx.SetStatusCode(o.Status)
 	ctx.SetContentType(o.ContentType)
+	if o.EndUnmarked {
+		untilclose.SendBytes(ctx, o.Body)
+		return
+	}
 	ctx.SetBody(o.Body)
 }
 
@@ -292,7 +297,7 @@
 		t.attemptEnded(endOfError(d, attempt, err))
 		return false
 	}
-	outcome := core.Outcome{Status: answer.Status, ContentType: answer.ContentType, Body: body}
+	outcome := core.Outcome{Status: answer.Status, ContentType: answer.ContentType, Body: body, EndUnmarked: answer.Framing == upstream.FramedByClose}
 	e := node.AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: node.EndOK}
 	t.countTokens(&e, jsonUsage(body), t.request.arrival.MaxTokens)
 	if d.BufferAnswer {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"gentiancroft/internal/core/relaynode"
+	"gentiancroft/internal/untilclose"
 	"gentiancroft/internal/upstream"
 )
 
@@ -73,7 +74,7 @@
 	if s.endMarked {
 		ctx.SetBodyStream(s, -1)
 	} else {
-		sendUntilClose(ctx, s)
+		untilclose.Send(ctx, s)
 	}
 	return true
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -12,6 +12,7 @@
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/hangup"
+	"gentiancroft/internal/untilclose"
 	"gentiancroft/internal/upstream"
 )
 
@@ -267,7 +268,7 @@
 // marked it.
 func setBody(ctx *fasthttp.RequestCtx, body []byte, framing upstream.Framing) {
 	if framing == upstream.FramedByClose {
-		sendBodyUntilClose(ctx, body)
+		untilclose.SendBytes(ctx, body)
 		return
 	}
 	ctx.SetBody(body)
