An adapter version that another host reports counts from its announcement

In the trace the host that watches for the others had read the announcement at 11.166 and sent it with its next heartbeat; the receiver counted it from 11.303, 137 ms later, and so withdrew what waited 137 ms late.

Change: a watcher sends an announcement with its age, and the receiver counts from then. What the message itself takes isn't counted: at most 3 s, after which a queued message is dropped. TestReportedVersionCountsFromItsAnnouncement and TestWatcherSendsTheAgeOfAnAnnouncement failed before.

--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -118,7 +118,8 @@
 type VersionAnnounced struct {
 	Model   core.BaseModel
 	Adapter core.AdapterRef
-	Listed  bool // read from a list or after a failed call: it may have been announced long ago
+	Listed  bool          // read from a list or after a failed call: it may have been announced long ago
+	Age     time.Duration // from the announcement, as far as the sender knows, to the sending of the message
 }
 
 // VersionsRead is sent when the whole list of the adapters' newest versions has been
--- a/internal/core/relaynode/versions.go
+++ b/internal/core/relaynode/versions.go
@@ -75,7 +75,7 @@
 	}
 	m.versionSum += uint64(e.Adapter.Version - h.newest())
 	longAgo := m.now.Add(-max(m.settings.VersionGrace, m.settings.VersionExpiry))
-	at := m.now
+	at := m.now.Add(-e.Age)
 	if e.Listed {
 		at = longAgo
 	}
@@ -88,6 +88,19 @@
 	return true
 }
 
+// withAges returns announcements with their ages, for a message that is sent now.
+func (m *Machine) withAges(announced []VersionAnnounced) []VersionAnnounced {
+	aged := slices.Clone(announced)
+	for i, e := range aged {
+		for _, a := range m.versions[e.Adapter.ID] {
+			if a.version == e.Adapter.Version {
+				aged[i].Age = m.now.Sub(a.at)
+			}
+		}
+	}
+	return aged
+}
+
 // minVersion returns the oldest version of an adapter that a request may be sent to now;
 // 0: any.
 func (m *Machine) minVersion(a core.AdapterID) int {
--- a/internal/core/relaynode/versions_test.go
+++ b/internal/core/relaynode/versions_test.go
@@ -156,3 +156,41 @@
 		}
 	})
 }
+
+// Guards against a request that begins on an old version: a host that heard of an announcement
+// from a watcher counted it from then on, although it had been made before.
+func TestReportedVersionCountsFromItsAnnouncement(t *testing.T) {
+	const age = 150 * time.Millisecond
+	h := newHost(t)
+	reported := announce(2)
+	reported.Age = age
+	h.step(MessageReceived{From: "b/1", Message: Message{Versions: []VersionAnnounced{reported}}})
+	h.advance(DefaultVersionGrace - age - time.Millisecond)
+	h.arrive(streamOfX())
+	h.dispatch()
+	h.advance(time.Millisecond)
+	h.arrive(streamOfX())
+	_, sent := get[Dispatch](h)
+	h.is.True(!sent)
+}
+
+// The age that a watcher gives is the time since it has read the announcement itself.
+func TestWatcherSendsTheAgeOfAnAnnouncement(t *testing.T) {
+	watch, _ := watchersOf(t)
+	h := newHostInLargeFleet(t, watch[0])
+	h.advanceFleet(2 * time.Second)
+	h.step(StoreAnswered{})
+	h.step(announce(2))
+	read := h.now
+	sent := false
+	for !sent {
+		h.advance(10 * time.Millisecond)
+		for _, e := range h.out {
+			if p, ok := e.(SendToPeers); ok && len(p.Message.Versions) > 0 {
+				h.is.Equal(p.Message.Versions[0].Age, h.now-read)
+				sent = true
+			}
+		}
+	}
+	h.is.True(h.now > read)
+}
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -269,7 +269,7 @@
 	}
 	message := Message{Replicas: c.replicas, RemovedReplicas: c.gone}
 	if m.isFirstWatcher() {
-		message.Hosts, message.Versions = c.hosts, c.versions
+		message.Hosts, message.Versions = c.hosts, m.withAges(c.versions)
 	}
 	if len(message.Replicas)+len(message.RemovedReplicas)+len(message.Hosts)+len(message.Versions) > 0 {
 		m.sendToAll(message)
