The withdrawal of a request has at least 250 ms to reach its replica

Where that time is 1 s, a tenth is 100 ms for a message that takes no less than with 5 s.

Change: a host lets nothing begin on an old version later than 250 ms before the configured time's end, as far as it decides that; with 5 s nothing changes (4.5 s).

--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -61,6 +61,9 @@
 	versionExpiryFraction = 0.9 // after which none may begin on it
 )
 
+// minWithdrawalTime is the least time for the withdrawal of a request from its replica.
+const minWithdrawalTime = 250 * time.Millisecond
+
 // bootTime reads CLOCK_BOOTTIME, which also advances while the machine is suspended.
 func bootTime() core.Instant {
 	var t unix.Timespec
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -45,7 +45,11 @@
 	return time.Duration(versionGraceFraction * float64(s.Version.Value()))
 }
 
-// versionExpiry is how long requests may still begin on an older version of an adapter.
+// versionExpiry is how long requests may still begin on an older version of an adapter, as far
+// as this host decides it. What is left of the configured time is for the withdrawal to reach
+// the replica, which takes no less where that time is short.
 func versionExpiry(s *settings.Relay) time.Duration {
-	return time.Duration(versionExpiryFraction * float64(s.Version.Value()))
+	configured := s.Version.Value()
+	expiry := time.Duration(versionExpiryFraction * float64(configured))
+	return max(min(expiry, configured-minWithdrawalTime), versionGrace(s))
 }
