Read and log the version of replicas' software, and what a stream takes up

The line that a replica has started now names its version, and a dispatch that goes on with a stream names the request where it began and the version where it goes on. No decision changes.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -46,7 +46,7 @@
 			Reasons: append([]Reason{{Name: "admitted", Meaning: "it is placed on a replica", MetricsOnly: true}}, refusalReasons...)},
 		{Name: "wait", Subject: "a request that no replica can run now", Detail: "the adapter", Reasons: []Reason{
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
-		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any)", Age: "the request", Reasons: []Reason{
+		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
 		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Detail: "the attempt's number and the answer that ended it", Age: "the attempt", Reasons: []Reason{
 			{Name: "ok", Meaning: "a complete success", MetricsOnly: true},
@@ -71,7 +71,7 @@
 			{Name: "elsewhere", Meaning: "another replica has the address"},
 			{Name: "invalid", Meaning: "the replica can't carry it out at all"},
 			{Name: "unknown", Meaning: "no answer: it may still be carried out"}}},
-		{Name: "replica", Subject: "`upstream` in the platform's list", Detail: "its service", Reasons: []Reason{
+		{Name: "replica", Subject: "`upstream` in the platform's list", Detail: "its service; if it is new, the version of its software", Reasons: []Reason{
 			{Name: "started", Meaning: "it is new or has restarted"},
 			{Name: "leaving", Meaning: "it is sent no more requests"},
 			{Name: "says_leaving", Meaning: "an answer of the replica says so; it is sent no more requests"},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -39,6 +39,7 @@
 	Fingerprint uint64         // hash of what a replica would run
 	TargetHash  uint64         // uniform over all requests: selects one of the route's services by weight
 	LastEvent   string         // the stream resumes after it
+	Resumes     string         // id of the caller's request that brought the stream's first event; "": not given
 }
 
 // CallerGone is sent when the caller has hung up.
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -41,7 +41,7 @@
 	fresh := m.replicas.Update(m.now, e)
 	m.residency.UpdateReplica(e)
 	if fresh {
-		m.emit(LogDecision{Name: "replica", Reason: "started", Upstream: e.ID, Detail: string(e.Service)})
+		m.emit(LogDecision{Name: "replica", Reason: "started", Upstream: e.ID, Detail: string(e.Service) + " at " + string(e.Software)})
 	}
 	leaves := e.Leaving && (fresh || !wasLeaving)
 	if leaves {
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -343,6 +343,12 @@
 // dispatchDetail describes a dispatch for the log.
 func (m *Machine) dispatchDetail(r *request, x *replicas.Replica) string {
 	text := "load " + utoa(uint64(x.Load()))
+	switch {
+	case r.partDelivered:
+		text += ", goes on at " + string(x.Software)
+	case r.lastEvent != "":
+		text += ", goes on from " + r.arrival.Resumes + " at " + string(x.Software)
+	}
 	newest := m.versions[r.arrival.Adapter].newest()
 	if newest == 0 {
 		return text
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -22,10 +22,15 @@
 	Adapters []core.AdapterRef
 }
 
+// SoftwareVersion is the version of the software that a replica runs, as opposed to the
+// versions of its models and adapters. Versions have no order.
+type SoftwareVersion string
+
 // Entry is a replica in the platform's list.
 type Entry struct {
 	ID       core.UpstreamID
 	Service  table.ServiceID
+	Software SoftwareVersion
 	Address  string // ip:port
 	Domain   core.Domain
 	Batch    int // requests that it runs concurrently
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,7 @@
 	Prompt      core.Tokens   // of these, the prompt
 	Timeout     time.Duration // how long the caller waits; 0: not declared
 	LastEventID string        // id of the event after which the stream continues; empty: from the start
+	Resumes     string        // id of the request of the same caller that brought the stream's first event; empty: not given
 }
 
 // AttemptFields is what the header of a request to a replica says in addition to the
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -104,6 +104,7 @@
 		Timeout:    d.Timeout,
 		TargetHash: xxhash.Sum64String(d.RequestID),
 		LastEvent:  d.LastEventID,
+		Resumes:    d.Resumes,
 	}
 	if a.HasKey {
 		a.Key = table.HashKey(d.Key)
