--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -27,6 +27,7 @@
 // RequestArrived is a caller's request, read to its end and within the size limits.
 type RequestArrived struct {
 	ID          core.RequestID // chosen by this host, unique on it
+	CallerID    string         // the caller's id of the request
 	Host        string
 	Path        string // without the query
 	Key         table.KeyHash
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -94,6 +94,7 @@
 func (s *Server) arrival(ctx *fasthttp.RequestCtx, d RequestFields) relaynode.RequestArrived {
 	a := relaynode.RequestArrived{
 		ID:         core.RequestID(strconv.FormatUint(s.requestCount.Add(1), 10) + " " + d.RequestID),
+		CallerID:   d.RequestID,
 		Host:       string(ctx.Request.Header.Host()),
 		Path:       path(ctx.Request.Header.RequestURI()),
 		HasKey:     len(d.Key) > 0,
