A stream goes on only at the software version that began it

What two versions write doesn't fit together.

Cause: a replica's software version was not known to the machine (S1), so that a broken stream was resumed on any replica (S2), and a stream that its caller took up again was sent to any (S3).

Change: a request that goes on with a stream is bound to the version that brought its first event, and goes on there or not at all; it goes before new work. Every host remembers for a minute where the streams that it began did so (core/origin), by the caller's id of the request that brought the first event. While a service's replicas have run several versions within that minute, hosts send these records to each other with their heartbeats, those from before at once, and to hosts that start; standby hosts get them in relays. A host that finds no record refuses at once, unless the service has run one version alone: by a list that the store or a watcher has lately confirmed, and by the leases, which tell a host that starts what ran before. Until the first event is delivered, a request may change its version.

Weighed, per stream and at 350 hosts: a record at a few hosts chosen by the id (two messages a stream and a question before each resumption, which then depends on other hosts); the store (a write a stream, hundreds a second); asking the host that had it (it is what was killed). Records in heartbeats cost no message, 13 bytes a stream and active host, none while one version runs; lost with a killed host are the streams of its last heartbeat interval.

--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -56,6 +56,9 @@
 	if r.service == nil {
 		return nil, core.Refuse(core.CodeNoUpstream, retryAfterSaturated, "the route leads to no service")
 	}
+	if refusal := m.bindToOrigin(r); refusal != nil {
+		return r, refusal
+	}
 	if m.isSuspect(e.Fingerprint) {
 		return nil, core.Refuse(core.CodeOverloaded, retryAfterSuspect, "replicas were lost while they ran this request")
 	}
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -16,6 +16,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/residency"
 	"gentiancroft/internal/core/table"
@@ -216,6 +217,8 @@
 	RemovedReplicas       []replicas.Removal `cbor:"11,keyasint,omitempty"` // removed entries
 	LeavingReplicas       []replicas.Removal `cbor:"12,keyasint,omitempty"` // replicas that have said that they are leaving
 	ConfigurationRestored uint64             `cbor:"13,keyasint,omitempty"` // of Configuration: see Heartbeat.ConfigRestored
+
+	Origins []origin.Record `cbor:"14,keyasint,omitempty"` // streams that began lately
 }
 
 // Heartbeat is the state that a host sends to other hosts at regular intervals.
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -78,6 +78,9 @@
 	}
 	r.moving = false // it started before it could be cancelled
 	r.partDelivered = r.partDelivered || e.PartDelivered
+	if e.PartDelivered {
+		m.recordOrigin(r)
+	}
 }
 
 // handleCallerGone ends a request whose caller has hung up.
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -63,7 +63,7 @@
 func (m *Machine) sendAsActive(own Heartbeat) {
 	peers := m.fleet.ActivePeers()
 	m.due.heartbeat = m.now.Add(m.settings.HeartbeatInterval + time.Duration(len(peers))*heartbeatIntervalPerHost)
-	m.send(peers, Message{Heartbeats: append([]Heartbeat{own}, m.takeStandbyHeartbeats()...)})
+	m.send(peers, Message{Heartbeats: append([]Heartbeat{own}, m.takeStandbyHeartbeats()...), Origins: m.takeUnsentRecords()})
 	if !m.fleet.HasStandbys() || m.now < m.due.relay {
 		return
 	}
@@ -79,7 +79,7 @@
 			all = append(all, known.summary())
 		}
 	}
-	m.send(m.fleet.Standbys(m.now), Message{Heartbeats: all})
+	m.send(m.fleet.Standbys(m.now), Message{Heartbeats: all, Origins: m.takeUnrelayedRecords()})
 }
 
 // summary returns the fields of a heartbeat that standby hosts need.
@@ -94,7 +94,7 @@
 	if len(m.requests.byID) > 0 {
 		m.due.heartbeat = m.now.Add(busyStandbyHeartbeatInterval)
 	}
-	m.send(m.fleet.StandbyContacts(), Message{Heartbeats: []Heartbeat{own}})
+	m.send(m.fleet.StandbyContacts(), Message{Heartbeats: []Heartbeat{own}, Origins: m.takeUnsentRecords()})
 }
 
 func (m *Machine) send(to []fleet.Registration, message Message) {
--- a/internal/core/relaynode/host_test.go
+++ b/internal/core/relaynode/host_test.go
@@ -55,7 +55,7 @@
 }
 
 func replica(id core.UpstreamID, service table.ServiceID, adapters ...core.AdapterRef) replicas.Entry {
-	e := replicas.Entry{ID: id, Service: service, Address: string(id), Domain: "a", Batch: 4, Started: 1}
+	e := replicas.Entry{ID: id, Service: service, Software: "v1", Address: string(id), Domain: "a", Batch: 4, Started: 1}
 	if service == engines {
 		e.Models = []replicas.Model{{Name: model, Version: 1, Adapters: adapters}}
 	}
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -39,6 +39,7 @@
 	moved := before != nil && before.Address != e.Address
 	wasLeaving := before != nil && before.Leaving
 	fresh := m.replicas.Update(m.now, e)
+	m.origins.versions.Observe(m.now, e.Service, e.Software)
 	m.residency.UpdateReplica(e)
 	if fresh {
 		m.emit(LogDecision{Name: "replica", Reason: "started", Upstream: e.ID, Detail: string(e.Service) + " at " + string(e.Software)})
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -30,6 +30,7 @@
 	shards          *shard.Machine
 	residency       *residency.Machine
 	versions        map[core.AdapterID]versionHistory
+	origins         origins
 	retries         map[table.ServiceID]*retry.Budget
 	crashes         map[uint64]*crashRecord
 	failures        map[core.UpstreamID]*core.Decaying
@@ -101,6 +102,7 @@
 		m.due.selection, m.due.heartbeat = core.Instant(discoveryTime), core.Instant(discoveryTime)
 	}
 	m.shards.SetLevels(func() map[core.WorkspaceID]float64 { return m.quota.Levels(m.now) })
+	m.shards.SetSoftwareAges(m.softwareAges)
 	return m
 }
 
@@ -138,12 +140,14 @@
 	case HostListed:
 		if m.fleet.UpdateRegistration(m.now, e.Host, m.watch.era) {
 			m.changes.hosts = append(m.changes.hosts, e.Host)
+			m.origins.resendOwn = true
 		}
 	case HostUnlisted:
 		m.fleet.RemoveRegistration(e.Name)
 	case LeasesListed:
 		m.shards.ApplyList(m.now, e.Era, e.Objects)
 		m.restoreQuota()
+		m.inheritSoftware()
 	case StoreCallFailed:
 		m.watch.storeLost = true
 		m.replicas.StoreLost(m.now)
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -106,6 +106,7 @@
 	for i := range e.Message.Heartbeats {
 		m.receiveHeartbeat(e.From, &e.Message.Heartbeats[i])
 	}
+	m.receiveRecords(e.From, e.Message.Origins)
 	m.applyListChanges(e.Message)
 	m.applyDocuments(e)
 	for _, d := range e.Message.Demands {
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -68,6 +68,10 @@
 		m.refuseNoReplica(r)
 		return
 	}
+	if r.software != 0 && len(m.preferredReplicas(r)) == 0 {
+		m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterSaturated, "no replica has the software version at which the stream began"))
+		return
+	}
 	if r.stage != stageWaiting {
 		r.stage, r.stageSince = stageWaiting, m.now
 		m.emit(LogDecision{Name: "wait", Reason: "adapter", ID: r.id(), Detail: string(r.arrival.Adapter)})
@@ -88,7 +92,7 @@
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
 		case x.Unavailable() || x.Pause(m.now) > 0 || !m.canRun(r, x):
-		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold:
+		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
 			saturated = true
 		case x.Unconfirmed():
 			unconfirmed = append(unconfirmed, x)
@@ -103,8 +107,11 @@
 }
 
 // canRun reports whether a replica has loaded what a request needs, at a version
-// that may still be used.
+// that may still be used, and has the software that a stream must go on at.
 func (m *Machine) canRun(r *request, x *replicas.Replica) bool {
+	if !r.mayGoOnAt(x) {
+		return false
+	}
 	if r.service.Engine == nil || r.arrival.Model == "" {
 		return true
 	}
@@ -172,7 +179,7 @@
 	name := string(r.arrival.Adapter)
 	var all []scored
 	for _, x := range m.replicas.ByService(r.service.ID) {
-		if !x.Unavailable() && x.Pause(m.now) == 0 && x.HasModel(r.arrival.Model) {
+		if !x.Unavailable() && x.Pause(m.now) == 0 && x.HasModel(r.arrival.Model) && r.mayGoOnAt(x) {
 			all = append(all, scored{x, core.Score(core.HostID(x.ID), preferenceKind, name)})
 		}
 	}
@@ -316,6 +323,7 @@
 	r.attempt++
 	r.upstream, r.upstreamStarted = x.ID, x.Started
 	r.version, _ = x.AdapterVersion(r.arrival.Adapter)
+	r.sentTo = softwareOf(x)
 	r.stage, r.stageSince = stageRunning, m.now
 	r.answerStarted, r.moving = false, false
 	x.OwnRequests++
@@ -336,7 +344,7 @@
 		LastEvent:       r.lastEvent,
 		NonRepeatable:   !r.route.Repeatable(),
 		Confirmable:     r.service.Engine != nil,
-		Priority:        r.route.Priority,
+		Priority:        r.priorityAtReplica(),
 	})
 }
 
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/table"
 )
 
@@ -37,6 +38,8 @@
 	upstream        core.UpstreamID // of the latest attempt
 	upstreamStarted int64           // start of its incarnation at that time
 	version         int             // of its adapter there at that time; 0: unknown, or no adapter
+	sentTo          origin.Software // of its replica at that time
+	software        origin.Software // at which alone the request may run, since it goes on with a stream; 0: any
 	tried           []core.UpstreamID
 	answerStarted   bool // the replica has started to answer the latest attempt
 	partDelivered   bool // a part of the answer has been sent to the caller
@@ -98,16 +101,28 @@
 	return all
 }
 
-// priority returns the request's rank; 0 is the most urgent. The workspace's
-// priority goes before the route's.
+// priority returns the request's rank; the lowest is the most urgent. Streams that go on are
+// before all others; the workspace's priority goes before the route's.
 func (r *request) priority() int {
 	const priorities = 10
+	if r.software != 0 {
+		return -1
+	}
 	if r.workspace == nil {
 		return r.route.Priority
 	}
 	return r.workspace.Priority*priorities + r.route.Priority
 }
 
+// priorityAtReplica returns the request's rank among those that wait at its replica. A stream
+// that goes on is before all others: its caller has a part of the answer.
+func (r *request) priorityAtReplica() int {
+	if r.software != 0 {
+		return 0
+	}
+	return r.route.Priority
+}
+
 // ranState returns whether a replica has run the request, as far as that is certain.
 func (r *request) ranState() core.Ran {
 	switch {
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -287,7 +287,9 @@
 		m.applyVersion(v, versionReported)
 	}
 	for _, r := range e.Message.Hosts {
-		m.fleet.UpdateRegistration(m.now, r, m.watch.era)
+		if m.fleet.UpdateRegistration(m.now, r, m.watch.era) {
+			m.origins.resendOwn = true
+		}
 	}
 	if e.Message.NewerConfiguration > m.configVersion() {
 		m.requestReread("newer_elsewhere", string(e.From))
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -232,6 +232,9 @@
 		return true
 	}
 	r.missing = false
+	if e.Software == "" {
+		e.Software = r.Software // a host of an earlier build sends none
+	}
 	leaving := r.Leaving || e.Leaving // a leaving replica stays so until it restarts
 	if !e.Newer(&r.Entry) {
 		r.Leaving = leaving
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -68,8 +68,16 @@
 	// Levels are the workspaces' bucket levels at the renewal, as fractions of the
 	// bursts, for hosts that start.
 	Levels map[core.WorkspaceID]float64 `json:"levels,omitempty"`
+
+	// Software is which software versions the replicas had at the renewal or before, for
+	// hosts that start.
+	Software SoftwareAges `json:"software,omitempty"`
 }
 
+// SoftwareAges is how long ago, in ms, a version of replicas' software was last observed, by
+// service and version.
+type SoftwareAges = map[string]map[string]int64
+
 // lease is a shard's lease as last observed or written by this host.
 type lease struct {
 	record     Record
@@ -99,6 +107,7 @@
 	listed   bool                    // the leases have been read in this era
 	leaving  bool
 	levels   func() map[core.WorkspaceID]float64 // nil: leases are written without levels
+	software func() SoftwareAges                 // nil: leases are written without it
 }
 
 // New returns a machine that owns no shard.
@@ -170,6 +179,18 @@
 // SetLevels sets the function that returns the bucket levels stored with each lease.
 func (m *Machine) SetLevels(levels func() map[core.WorkspaceID]float64) { m.levels = levels }
 
+// SetSoftwareAges sets the function that returns the software versions stored with each lease.
+func (m *Machine) SetSoftwareAges(ages func() SoftwareAges) { m.software = ages }
+
+// SoftwareAges returns the software versions stored with the known leases, one element a lease.
+func (m *Machine) SoftwareAges() []SoftwareAges {
+	var all []SoftwareAges
+	for i := range m.leases {
+		all = append(all, m.leases[i].record.Software)
+	}
+	return all
+}
+
 // Levels returns the bucket levels of the lease with the latest known revision, nil if
 // no lease has any. Levels of an earlier era don't count: the store may have lost later
 // ones.
@@ -275,6 +296,9 @@
 	if m.levels != nil {
 		r.Levels = m.levels()
 	}
+	if m.software != nil {
+		r.Software = m.software()
+	}
 	r.Era = m.era
 	value, err := json.Marshal(r)
 	if err != nil {
