A killed host's answer doesn't look complete where its end is unmarked

Since the answers of such streams end with the caller's connection, and the kernel closes a killed process's connections in order, the callers took what they had for the whole.

Change: the caller's connection is set to be reset on close, which holds for the kernel too, and is closed in order only once the whole answer has been written. A host that loses power sends nothing, as before.

--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -170,14 +170,25 @@
 	return c.Conn.Write(p)
 }
 
-// ResetOnClose makes the close of a connection that a Listener accepted reset it, so that the
-// caller doesn't take the end of what was sent for the end of the answer.
-func ResetOnClose(c net.Conn) {
+// Values of TCP's linger option, in seconds.
+const (
+	resetAtClose = 0
+	closeInOrder = -1 // the default
+)
+
+// ResetOnClose makes the close of a connection that a Listener accepted reset it, also where
+// the process is killed, so that the caller doesn't take the end of what was sent for the end of
+// the answer. With reset false, the connection is closed in order again.
+func ResetOnClose(c net.Conn, reset bool) {
 	w, ok := c.(*Conn)
 	if !ok {
 		return
 	}
+	linger := closeInOrder
+	if reset {
+		linger = resetAtClose
+	}
 	if tcp, ok := w.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+		_ = tcp.SetLinger(linger)
 	}
 }
--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,3 +74,29 @@
 		is.Equal(calls, 1)
 	})
 }
+
+// Guards against an answer that looks complete: its end is marked by the connection's end, and the
+// process that sent it was killed, so that the kernel closed the connection.
+func TestCloseResetsUnlessTheAnswerIsComplete(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	for complete, want := range map[bool]error{true: nil, false: syscall.ECONNRESET} {
+		theirs, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		ours, err := Listener{Listener: l, StallTimeout: time.Second}.Accept()
+		is.NoErr(err)
+		ResetOnClose(ours, true)
+		_, err = ours.Write([]byte("part"))
+		is.NoErr(err)
+		if complete {
+			ResetOnClose(ours, false)
+		}
+		is.NoErr(ours.Close())
+		got, err := io.ReadAll(theirs)
+		is.True(errors.Is(err, want))
+		is.True(!complete || string(got) == "part")
+		is.NoErr(theirs.Close())
+	}
+}
--- a/internal/untilclose/untilclose.go
+++ b/internal/untilclose/untilclose.go
@@ -13,20 +13,21 @@
 	"gentiancroft/internal/hangup"
 )
 
-// Send answers the caller with the header in ctx and a body. Where reading the body fails, the
-// connection is reset. The answer is sent, and the body closed, after the request's handler has
+// Send answers the caller with the header in ctx and a body. Unless all of it has been read and
+// written, the connection is reset, also where the process ends meanwhile. The answer is sent, and the body closed, after the request's handler has
 // returned.
 func Send(ctx *fasthttp.RequestCtx, body io.ReadCloser) {
 	ctx.SetConnectionClose()
 	conn := ctx.Conn()
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(to net.Conn) { // the server closes the connection afterwards
+		hangup.ResetOnClose(conn, true)
 		_, err := to.Write(ctx.Response.Header.Header())
 		if err == nil {
 			_, err = io.Copy(to, body)
 		}
-		if err != nil {
-			hangup.ResetOnClose(conn)
+		if err == nil {
+			hangup.ResetOnClose(conn, false)
 		}
 		_ = body.Close()
 	})
