A stream goes on only at the incarnation that has just confirmed itself

The wrong assumption is that an id is a process: replicas may start again under their id, and the list tells it later, to a host that is out of touch not at all.

Change: a request that goes on with a stream names the incarnation that is to run it. The host asks the replica for its report, on a new connection too, and sends the request on that connection only if the start in the report is the one that it knows; else nothing is sent. The price is a round trip and a report for each resumption.

--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -263,6 +263,7 @@
 	LastEvent       string        // the stream resumes after it
 	NonRepeatable   bool          // the request must not run twice
 	Confirmable     bool          // the replica answers a confirmation without running anything
+	Incarnation     int64         // start of the incarnation that alone may run it, which is to be confirmed; 0: any
 	Priority        int           // among the requests that wait at the replica; 0 is the most urgent
 }
 
--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -120,6 +120,16 @@
 	return r.software == 0 || r.software == softwareOf(x)
 }
 
+// requiredIncarnation returns the start of the replica's incarnation that alone may run a request,
+// 0 for any. A replica that has restarted under its id may have another software version, and
+// its list entry may not have reached this host yet.
+func (m *Machine) requiredIncarnation(r *request, x *replicas.Replica) int64 {
+	if r.software == 0 || r.service.Engine == nil {
+		return 0
+	}
+	return x.Started
+}
+
 // recordOrigin records where a stream began, once its first event has been delivered. From then
 // on the request is bound to that version.
 func (m *Machine) recordOrigin(r *request) {
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -344,6 +344,7 @@
 		LastEvent:       r.lastEvent,
 		NonRepeatable:   !r.route.Repeatable(),
 		Confirmable:     r.service.Engine != nil,
+		Incarnation:     m.requiredIncarnation(r, x),
 		Priority:        r.priorityAtReplica(),
 	})
 }
--- a/internal/core/relaynode/software_test.go
+++ b/internal/core/relaynode/software_test.go
@@ -328,3 +328,12 @@
 	}
 	return active, standby
 }
+
+// A request that goes on with a stream names the incarnation that is to run it; new work doesn't.
+func TestIncarnationIsConfirmedWhereAStreamGoesOn(t *testing.T) {
+	h := newHostWithEngines(t, engineAt("e1", "v1"))
+	h.arrive(streamOfX())
+	h.is.Equal(h.dispatch().Incarnation, int64(0))
+	h.takeUp("q")
+	h.is.Equal(h.dispatch().Incarnation, int64(1))
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -52,6 +53,11 @@
 	return upstream.Foreign
 }
 
+func (fakeDialect) ParseIncarnation(body []byte) int64 {
+	n, _ := strconv.ParseInt(string(body), 10, 64)
+	return n
+}
+
 func (fakeDialect) MatchConfirmation(*fasthttp.ResponseHeader) upstream.Match { return upstream.Own }
 
 func (fakeDialect) ParseAnswer(h *fasthttp.ResponseHeader) AnswerFields {
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -130,24 +130,27 @@
 	t.sentTo = append(t.sentTo, d.Address)
 	if d.NonRepeatable {
 		call.MaxIdle = t.server.maxConnIdle
-		if d.Confirmable {
-			call.Confirm = t.confirmation(d)
-		}
+	}
+	if d.NonRepeatable && d.Confirmable || d.Incarnation != 0 {
+		call.Confirm = t.confirmation(d)
 	}
 	return t.server.client.Do(ctx, call)
 }
 
 // confirmation returns a request that shows whether an idle connection to the attempt's
-// replica still works. What the replica says about itself goes to the node.
+// replica still works, or which incarnation of the replica answers on any connection. What the
+// replica says about itself goes to the node.
 func (t *task) confirmation(d relaynode.Dispatch) *upstream.Confirmation {
 	request := &fasthttp.Request{}
 	request.Header.SetHost(d.Address)
 	t.server.dialect.BuildConfirmation(request, AttemptFields{Upstream: d.Upstream})
-	return &upstream.Confirmation{Request: request, Matches: t.server.dialect.MatchConfirmation, Accept: func(h *fasthttp.ResponseHeader) bool {
+	accept := func(h *fasthttp.ResponseHeader, body []byte) bool {
 		answered := t.server.dialect.ParseAnswer(h)
 		t.reportNotice(d, answered.Notice)
-		return answered.Notice.Pause == 0 && !answered.Misdirected
-	}}
+		sameIncarnation := d.Incarnation == 0 || d.Incarnation == t.server.dialect.ParseIncarnation(body)
+		return answered.Notice.Pause == 0 && !answered.Misdirected && sameIncarnation
+	}
+	return &upstream.Confirmation{Request: request, Matches: t.server.dialect.MatchConfirmation, Accept: accept, Always: d.Incarnation != 0}
 }
 
 // reportNotice reports to the node what a replica says about itself.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,8 +74,8 @@
 	// connections are kept.
 	MaxIdle time.Duration
 	// Confirm is a harmless request that is sent first on a kept connection that has been
-	// idle for longer than MaxIdle, to learn whether it still works. Nil: no such
-	// connection is used.
+	// idle for longer than MaxIdle, to learn whether it still works, or on every connection.
+	// Nil: no such connection is used.
 	Confirm *Confirmation
 }
 
@@ -84,8 +84,11 @@
 	Request *fasthttp.Request
 	// Matches is as in Call.
 	Matches func(*fasthttp.ResponseHeader) Match
-	// Accept reports whether the call may follow an answer with this header.
-	Accept func(*fasthttp.ResponseHeader) bool
+	// Accept reports whether the call may follow an answer with this header and body.
+	Accept func(h *fasthttp.ResponseHeader, body []byte) bool
+	// Always is set where every connection is to be confirmed, also a new one: the call goes
+	// to the process that has answered.
+	Always bool
 }
 
 // conn is a connection to an upstream with its read buffer.
@@ -163,7 +166,14 @@
 		}
 	}
 	c.count(call, "dials")
-	return c.dial(ctx, call.Address)
+	dialled, err := c.dial(ctx, call.Address)
+	if err != nil || call.Confirm == nil || !call.Confirm.Always {
+		return dialled, err
+	}
+	if err := c.confirm(ctx, dialled, call); err != nil {
+		return nil, err
+	}
+	return dialled, nil
 }
 
 // keptConn returns a kept connection that the call may use, or nil.
@@ -176,40 +186,53 @@
 	if kept != nil {
 		kept.use = Connection{Kept: true}
 	}
-	if kept == nil || call.Confirm == nil || time.Since(kept.idleSince) < call.MaxIdle {
+	if kept == nil || call.Confirm == nil || time.Since(kept.idleSince) < call.MaxIdle && !call.Confirm.Always {
 		return kept, nil
 	}
-	c.count(call, "confirmations")
-	accepted, err := c.confirm(ctx, kept, call)
-	if err != nil {
-		c.count(call, "confirmations_failed")
-		_ = kept.Close()
+	err := c.confirm(ctx, kept, call)
+	switch {
+	case Refused.Has(err):
+		return nil, err
+	case err != nil:
 		return nil, nil // another connection may work
 	}
-	if !accepted {
-		_ = kept.Close()
-		return nil, Refused.New("by the answer to a confirmation")
-	}
-	kept.use.Confirmed = true
 	return kept, nil
 }
 
 // confirmTimeout is how long an upstream may take to answer a confirmation.
 const confirmTimeout = 100 * time.Millisecond
 
-// confirm sends a confirmation on a connection and reads its whole answer.
-func (c *Client) confirm(ctx context.Context, kept *conn, call Call) (accepted bool, err error) {
+// confirm makes a call's confirmation on a connection. Where it fails or isn't accepted, the
+// connection is closed; the error is Refused if the answer isn't accepted.
+func (c *Client) confirm(ctx context.Context, conn *conn, call Call) error {
+	c.count(call, "confirmations")
+	accepted, err := c.askConfirmation(ctx, conn, call)
+	if err == nil && accepted {
+		conn.use = Connection{Kept: true, Confirmed: true}
+		return nil
+	}
+	_ = conn.Close()
+	if err != nil {
+		c.count(call, "confirmations_failed")
+		return err
+	}
+	return Refused.New("by the answer to a confirmation")
+}
+
+// askConfirmation sends a confirmation on a connection and reads its whole answer.
+func (c *Client) askConfirmation(ctx context.Context, conn *conn, call Call) (accepted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := c.attempt(ctx, kept, Call{Prepared: call.Confirm.Request, Matches: call.Confirm.Matches, Unnamed: true})
+	answer, err := c.attempt(ctx, conn, Call{Prepared: call.Confirm.Request, Matches: call.Confirm.Matches, Unnamed: true})
 	if err != nil {
 		return false, err
 	}
-	accepted = call.Confirm.Accept(answer.Header())
-	if _, err := ReadBody(answer, MaxReportBytes); err != nil {
+	body, err := ReadBody(answer, MaxReportBytes)
+	if err != nil {
 		answer.Close()
 		return false, err
 	}
+	accepted = call.Confirm.Accept(answer.Header(), body)
 	if !answer.detach() {
 		return false, Broken.New("the connection can't be used again")
 	}
--- a/internal/upstream/confirm_test.go
+++ b/internal/upstream/confirm_test.go
@@ -53,7 +53,7 @@
 	confirm.Header.SetHost(address(s.Server))
 	a, err := c.Do(context.Background(), Call{
 		Address: address(s.Server), Method: "GET", Path: "/", MaxIdle: time.Nanosecond,
-		Confirm: &Confirmation{Request: confirm, Accept: func(*fasthttp.ResponseHeader) bool { return accept }},
+		Confirm: &Confirmation{Request: confirm, Accept: func(*fasthttp.ResponseHeader, []byte) bool { return accept }},
 	})
 	if err != nil {
 		return err
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -127,7 +127,7 @@
 	_, err := bodyOf(client, call)
 	is.NoErr(err)
 	call.MaxIdle = time.Nanosecond
-	call.Confirm = &Confirmation{Request: prepared(""), Matches: func(*fasthttp.ResponseHeader) Match { return Own }, Accept: func(*fasthttp.ResponseHeader) bool { return true }}
+	call.Confirm = &Confirmation{Request: prepared(""), Matches: func(*fasthttp.ResponseHeader) Match { return Own }, Accept: func(*fasthttp.ResponseHeader, []byte) bool { return true }}
 	got, err := bodyOf(client, call)
 	is.NoErr(err) // on another connection
 	is.Equal(got, "right")
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -142,7 +142,7 @@
 			}
 			return Own
 		},
-		Accept: func(*fasthttp.ResponseHeader) bool { return true },
+		Accept: func(*fasthttp.ResponseHeader, []byte) bool { return true },
 	}
 	got, err := bodyOf(client, Call{Address: address, Prepared: prepared("2"), Matches: idMatcher("2"), MaxIdle: time.Nanosecond, Confirm: confirmation})
 	is.NoErr(err)
