--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -12,9 +12,10 @@
 
 // A stream goes on only at the software version that began it, within one answer and over a
 // caller's requests. Every host remembers the streams that it began. While a service's replicas
-// run several versions, the hosts send these records to each other with their heartbeats; until
-// then none is needed, and none is sent. A host that doesn't know where a stream began refuses
-// to go on with it, unless every stream of its service began at the same version.
+// run several versions, or a host can't know whether they do, it sends these records to the others
+// with its heartbeats; until then none is needed, and none is sent. A host that doesn't know where a
+// stream began refuses to go on with it, unless every stream of its service began at the same
+// version.
 
 // retryAfterUnknownOrigin is the Retry-After time of a request that goes on with a stream of
 // unknown software version: another host may know it, or this one soon.
@@ -29,8 +30,8 @@
 	own       origin.Records  // by this host
 	versions  origin.Versions // of replicas' software
 	inherited bool            // what earlier processes have observed has been read
-	mixed     bool            // a service's replicas run several versions
-	resendOwn bool            // another host has started, or versions have become mixed
+	shared    bool            // records are sent to the other hosts
+	resendOwn bool            // those of before are to be sent too: they have begun to be shared, or a host has started
 	unsent    []origin.Record // for the other active hosts
 	unrelayed []origin.Record // for the standby hosts that report to this host
 }
@@ -40,11 +41,16 @@
 	for _, x := range m.replicas.All() {
 		m.origins.versions.Observe(m.now, x.Service, x.Software)
 	}
-	mixed := m.origins.versions.Mixed(m.now)
-	if mixed && !m.origins.mixed {
+}
+
+// decideSharing decides whether the other hosts need this host's records.
+func (m *Machine) decideSharing() {
+	m.observeSoftware()
+	needed := m.origins.versions.Mixed(m.now) || !m.listIsFresh()
+	if needed && !m.origins.shared {
 		m.origins.resendOwn = true
 	}
-	m.origins.mixed = mixed
+	m.origins.shared = needed
 }
 
 // inheritSoftware reads from the shards' leases, once, which software versions ran before this
@@ -144,7 +150,7 @@
 	x := origin.Record{Stream: origin.StreamOf(began), Software: r.software}
 	m.origins.known.Put(m.now, x)
 	m.origins.own.Put(m.now, x)
-	if m.origins.mixed {
+	if m.origins.shared {
 		m.queueRecords(x)
 	}
 }
@@ -170,8 +176,8 @@
 
 // takeUnsentRecords returns and clears the records for the next heartbeat.
 func (m *Machine) takeUnsentRecords() []origin.Record {
-	m.observeSoftware()
-	if m.origins.resendOwn && m.origins.mixed {
+	m.decideSharing()
+	if m.origins.resendOwn && m.origins.shared {
 		m.queueRecords(m.origins.own.All(m.now)...)
 	}
 	m.origins.resendOwn = false
--- a/internal/core/relaynode/software_test.go
+++ b/internal/core/relaynode/software_test.go
@@ -123,6 +123,23 @@
 	h.is.Equal(len(h.sentRecords()), 2)
 }
 
+// Guards against lost streams in an outage of the store, in which no host can know whether one
+// version alone runs: the records are sent.
+func TestRecordsAreSentWhileTheStoreIsAway(t *testing.T) {
+	h := newHostWithEngines(t, engineAt("e1", "v1"), engineAt("e2", "v1"))
+	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
+	h.beginStream("before")
+	h.is.Equal(len(h.sentRecords()), 0)
+	h.step(StoreCallFailed{})
+	h.is.Equal(len(h.sentRecords()), 1)
+	h.beginStream("meanwhile")
+	h.is.Equal(len(h.sentRecords()), 1)
+	h.step(StoreAnswered{})
+	h.sentRecords()
+	h.beginStream("after")
+	h.is.Equal(len(h.sentRecords()), 0)
+}
+
 // sentRecords returns the records in the next heartbeat.
 func (h *host) sentRecords() []origin.Record {
 	h.is.Helper()
