--- a/internal/untilclose/untilclose.go
+++ b/internal/untilclose/untilclose.go
@@ -14,8 +14,8 @@
 )
 
 // Send answers the caller with the header in ctx and a body. Unless all of it has been read and
-// written, the connection is reset, also where the process ends meanwhile. The answer is sent, and the body closed, after the request's handler has
-// returned.
+// written, the connection is reset, also where the process ends meanwhile. The answer is sent,
+// and the body closed, after the request's handler has returned.
 func Send(ctx *fasthttp.RequestCtx, body io.ReadCloser) {
 	ctx.SetConnectionClose()
 	conn := ctx.Conn()
