A stream's version is recorded at a confirmed incarnation only

Change: while records are shared, a stream that can be resumed begins only at the incarnation that the host knows, confirmed as for one that goes on. A connection ends with its process, so each is confirmed once and not for each request. While one version runs, nothing is asked; then a replica that restarts under its id with the first other version may get streams recorded wrongly until its entry arrives. TestIncarnationIsConfirmedWhereAStreamsVersionCounts fails before.

--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -128,9 +128,11 @@
 
 // requiredIncarnation returns the start of the replica's incarnation that alone may run a request,
 // 0 for any. A replica that has restarted under its id may have another software version, and
-// its list entry may not have reached this host yet.
+// its list entry may not have reached this host yet: neither may a stream go on there, nor may
+// one that begins there be recorded at the former version.
 func (m *Machine) requiredIncarnation(r *request, x *replicas.Replica) int64 {
-	if r.software == 0 || r.service.Engine == nil {
+	begins := r.software == 0
+	if !r.route.Resumable || r.service.Engine == nil || begins && !m.origins.shared {
 		return 0
 	}
 	return x.Started
--- a/internal/core/relaynode/software_test.go
+++ b/internal/core/relaynode/software_test.go
@@ -346,11 +346,27 @@
 	return active, standby
 }
 
-// A request that goes on with a stream names the incarnation that is to run it; new work doesn't.
-func TestIncarnationIsConfirmedWhereAStreamGoesOn(t *testing.T) {
+// A request that goes on with a stream names the incarnation that is to run it; so does one that
+// begins a stream whose record other hosts need.
+func TestIncarnationIsConfirmedWhereAStreamsVersionCounts(t *testing.T) {
 	h := newHostWithEngines(t, engineAt("e1", "v1"))
+	h.sentHeartbeat()
 	h.arrive(streamOfX())
 	h.is.Equal(h.dispatch().Incarnation, int64(0))
 	h.takeUp("q")
 	h.is.Equal(h.dispatch().Incarnation, int64(1))
+
+	h.step(ReplicaListed{Entry: engineAt("e2", "v2")})
+	h.sentHeartbeat()
+	h.arrive(streamOfX())
+	h.is.Equal(h.dispatch().Incarnation, int64(1))
+	h.arrive(RequestArrived{Path: "/once-stream/x", Model: model, Adapter: "x"}) // can't be resumed
+	h.is.Equal(h.dispatch().Incarnation, int64(0))
+}
+
+// sentHeartbeat advances the time beyond the next heartbeat.
+func (h *host) sentHeartbeat() {
+	for range 20 {
+		h.advance(10 * time.Millisecond)
+	}
 }
--- a/internal/relay/incarnation_test.go
+++ b/internal/relay/incarnation_test.go
@@ -15,9 +15,10 @@
 func TestStreamGoesOnAtTheConfirmedIncarnationOnly(t *testing.T) {
 	const running = "2"
 	var confirmedOn net.Conn
-	runs := 0
+	runs, confirmations := 0, 0
 	h := newHarness(t, func(c net.Conn, r *http.Request) {
 		if r.URL.Path == "/confirm" {
+			confirmations++
 			confirmedOn = c
 			answer(c, "", "", running)
 			return
@@ -47,4 +48,9 @@
 		h.is.Equal(h.ended().Kind, relaynode.EndOK)
 	}
 	h.is.Equal(runs, 2)
+	h.is.Equal(confirmations, 4)
+	h.script(goOnAt(2))
+	r, _ := h.request(get("1"))
+	h.is.Equal(r.StatusCode, http.StatusOK)
+	h.is.Equal(confirmations, 4) // the connection leads to that incarnation as long as it lasts
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -138,7 +139,7 @@
 }
 
 // confirmation returns a request that shows whether an idle connection to the attempt's
-// replica still works, or which incarnation of the replica answers on any connection. What the
+// replica still works, or to which incarnation of the replica a connection leads. What the
 // replica says about itself goes to the node.
 func (t *task) confirmation(d relaynode.Dispatch) *upstream.Confirmation {
 	request := &fasthttp.Request{}
@@ -150,7 +151,11 @@
 		sameIncarnation := d.Incarnation == 0 || d.Incarnation == t.server.dialect.ParseIncarnation(body)
 		return answered.Notice.Pause == 0 && !answered.Misdirected && sameIncarnation
 	}
-	return &upstream.Confirmation{Request: request, Matches: t.server.dialect.MatchConfirmation, Accept: accept, Always: d.Incarnation != 0}
+	confirmation := &upstream.Confirmation{Request: request, Matches: t.server.dialect.MatchConfirmation, Accept: accept}
+	if d.Incarnation != 0 {
+		confirmation.Process = string(d.Upstream) + " " + strconv.FormatInt(d.Incarnation, 10)
+	}
+	return confirmation
 }
 
 // reportNotice reports to the node what a replica says about itself.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,8 +74,8 @@
 	// connections are kept.
 	MaxIdle time.Duration
 	// Confirm is a harmless request that is sent first on a kept connection that has been
-	// idle for longer than MaxIdle, to learn whether it still works, or on every connection.
-	// Nil: no such connection is used.
+	// idle for longer than MaxIdle, to learn whether it still works, or once on every
+	// connection, to learn which process it leads to. Nil: no such connection is used.
 	Confirm *Confirmation
 }
 
@@ -86,9 +86,9 @@
 	Matches func(*fasthttp.ResponseHeader) Match
 	// Accept reports whether the call may follow an answer with this header and body.
 	Accept func(h *fasthttp.ResponseHeader, body []byte) bool
-	// Always is set where every connection is to be confirmed, also a new one: the call goes
-	// to the process that has answered.
-	Always bool
+	// Process names the process that Accept requires. Where it is set, every connection is
+	// confirmed for it once, also a new one: a connection ends with its process. "": any.
+	Process string
 }
 
 // conn is a connection to an upstream with its read buffer.
@@ -99,6 +99,7 @@
 	writer            *bufio.Writer
 	idleSince         time.Time     // when it was put into the pool
 	use               Connection    // by the present call
+	process           string        // that was confirmed on it; "": none was
 	unnamed           bool          // the latest call was Unnamed
 	serverIdleTimeout time.Duration // of the upstream, from its Keep-Alive header; 0: not given
 }
@@ -167,7 +168,7 @@
 	}
 	c.count(call, "dials")
 	dialled, err := c.dial(ctx, call.Address)
-	if err != nil || call.Confirm == nil || !call.Confirm.Always {
+	if err != nil || !confirmsProcess(dialled, call) {
 		return dialled, err
 	}
 	if err := c.confirm(ctx, dialled, call); err != nil {
@@ -186,7 +187,11 @@
 	if kept != nil {
 		kept.use = Connection{Kept: true}
 	}
-	if kept == nil || call.Confirm == nil || time.Since(kept.idleSince) < call.MaxIdle && !call.Confirm.Always {
+	if kept == nil || call.Confirm == nil {
+		return kept, nil
+	}
+	wasIdle := call.MaxIdle > 0 && time.Since(kept.idleSince) >= call.MaxIdle
+	if !wasIdle && !confirmsProcess(kept, call) {
 		return kept, nil
 	}
 	err := c.confirm(ctx, kept, call)
@@ -199,8 +204,24 @@
 	return kept, nil
 }
 
-// confirmTimeout is how long an upstream may take to answer a confirmation.
-const confirmTimeout = 100 * time.Millisecond
+// confirmsProcess reports whether a call requires a process that has not been confirmed on a
+// connection.
+func confirmsProcess(conn *conn, call Call) bool {
+	return call.Confirm != nil && call.Confirm.Process != "" && conn.process != call.Confirm.Process
+}
+
+// How long an upstream may take to answer a confirmation.
+const (
+	confirmTimeout        = 100 * time.Millisecond // another connection may work
+	processConfirmTimeout = 400 * time.Millisecond // no connection may do without
+)
+
+func (c *Confirmation) timeout() time.Duration {
+	if c.Process != "" {
+		return processConfirmTimeout
+	}
+	return confirmTimeout
+}
 
 // confirm makes a call's confirmation on a connection. Where it fails or isn't accepted, the
 // connection is closed; the error is Refused if the answer isn't accepted.
@@ -209,6 +230,7 @@
 	accepted, err := c.askConfirmation(ctx, conn, call)
 	if err == nil && accepted {
 		conn.use = Connection{Kept: true, Confirmed: true}
+		conn.process = call.Confirm.Process
 		return nil
 	}
 	_ = conn.Close()
@@ -221,7 +243,7 @@
 
 // askConfirmation sends a confirmation on a connection and reads its whole answer.
 func (c *Client) askConfirmation(ctx context.Context, conn *conn, call Call) (accepted bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, call.Confirm.timeout())
 	defer cancel()
 	answer, err := c.attempt(ctx, conn, Call{Prepared: call.Confirm.Request, Matches: call.Confirm.Matches, Unnamed: true})
 	if err != nil {
