Read the parts of a prompt, and log those under which a connection was closed

X-Prompt-Prefix is read to identifiers (hexadecimal numbers: case, leading zeros and token counts make no difference; malformed ones are left out; the last part is the request's own and is never looked at), and the end of an attempt whose connection was closed names them. No decision changes.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -48,7 +48,7 @@
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
 		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
-		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Detail: "the attempt's number and the answer that ended it", Age: "the attempt", Reasons: []Reason{
+		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Detail: "the attempt's number and the answer that ended it; where the connection was closed, the parts of the prompt that other requests may share", Age: "the attempt", Reasons: []Reason{
 			{Name: "ok", Meaning: "a complete success", MetricsOnly: true},
 			{Name: "unmarked_end", Meaning: "a success whose end only the end of the connection marks"},
 			{Name: "not_reached", Meaning: "nothing was sent"},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -17,6 +17,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/origin"
+	"gentiancroft/internal/core/promptpart"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/residency"
 	"gentiancroft/internal/core/table"
@@ -33,15 +34,16 @@
 	Path        string // without the query
 	Key         table.KeyHash
 	HasKey      bool
-	Model       core.BaseModel // "" for a plain service
-	Adapter     core.AdapterID // "" for the base model itself
-	Tokens      core.Tokens    // prompt and maximum output, declared by the caller; 0: none
-	Prompt      core.Tokens    // of these, the prompt
-	Timeout     time.Duration  // the caller's timeout; 0: none given
-	Fingerprint uint64         // hash of what a replica would run
-	TargetHash  uint64         // uniform over all requests: selects one of the route's services by weight
-	LastEvent   string         // the stream resumes after it
-	Resumes     string         // id of the caller's request that brought the stream's first event; "": not given
+	Model       core.BaseModel  // "" for a plain service
+	Adapter     core.AdapterID  // "" for the base model itself
+	Tokens      core.Tokens     // prompt and maximum output, declared by the caller; 0: none
+	Prompt      core.Tokens     // of these, the prompt
+	Timeout     time.Duration   // the caller's timeout; 0: none given
+	Fingerprint uint64          // hash of what a replica would run
+	TargetHash  uint64          // uniform over all requests: selects one of the route's services by weight
+	LastEvent   string          // the stream resumes after it
+	Resumes     string          // id of the caller's request that brought the stream's first event; "": not given
+	Parts       []promptpart.ID // of the prompt, that other requests may share
 }
 
 // CallerGone is sent when the caller has hung up.
--- a/internal/core/relaynode/evidence.go
+++ b/internal/core/relaynode/evidence.go
@@ -1,29 +1,45 @@
 package relaynode
 
-import "strconv"
+import (
+	"strconv"
 
-// evidence describes what an attempt's end is based on.
-func (e *AttemptEnded) evidence() string {
+	"gentiancroft/internal/core/promptpart"
+)
+
+// endDetail describes the end of a request's attempt for the log. It names the parts of the
+// prompt where the connection was closed, as by a replica that crashed.
+func (r *request) endDetail(e *AttemptEnded) string {
 	text := "attempt " + strconv.Itoa(e.Attempt)
-	if e.Answer.Status == 0 {
-		return text
+	if e.Answer.Status != 0 {
+		text += e.Answer.text()
+	}
+	if e.ConnectionClosed {
+		text += ", connection closed"
+		if len(r.arrival.Parts) > 0 {
+			text += " under parts " + promptpart.Names(r.arrival.Parts)
+		}
 	}
-	text += ", status " + strconv.Itoa(e.Answer.Status)
+	return text
+}
+
+// text describes an answer for the log.
+func (a *AnswerEvidence) text() string {
+	text := ", status " + strconv.Itoa(a.Status)
 	switch {
-	case e.Answer.Confirmed:
+	case a.Confirmed:
 		text += " on a confirmed connection"
-	case e.Answer.Kept:
+	case a.Kept:
 		text += " on a kept connection"
 	default:
 		text += " on a new connection"
 	}
-	if e.Answer.Stray > 0 {
-		text += " after " + strconv.Itoa(e.Answer.Stray) + " stray answers"
+	if a.Stray > 0 {
+		text += " after " + strconv.Itoa(a.Stray) + " stray answers"
 	}
-	if e.Answer.EndUnmarked {
+	if a.EndUnmarked {
 		text += ", ended with its connection"
 	}
-	if e.Answer.InsideEvent {
+	if a.InsideEvent {
 		text += ", inside an event"
 	}
 	return text
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -157,7 +157,7 @@
 	}
 	m.releaseAttempt(r, e)
 	reason := e.reason()
-	m.emit(LogDecision{Name: "attempt", Reason: reason, ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince), Detail: e.evidence(), MetricsOnly: reason == reasonOK})
+	m.emit(LogDecision{Name: "attempt", Reason: reason, ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince), Detail: r.endDetail(&e), MetricsOnly: reason == reasonOK})
 	if e.LastEvent != "" {
 		r.lastEvent = e.LastEvent
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/promptpart"
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/upstream"
@@ -24,11 +25,12 @@
 	Key         []byte // valid only while the request is; empty: none
 	Model       core.BaseModel
 	Adapter     core.AdapterID
-	Tokens      core.Tokens   // prompt and maximum output together; 0: not declared
-	Prompt      core.Tokens   // of these, the prompt
-	Timeout     time.Duration // how long the caller waits; 0: not declared
-	LastEventID string        // id of the event after which the stream continues; empty: from the start
-	Resumes     string        // id of the request of the same caller that brought the stream's first event; empty: not given
+	Tokens      core.Tokens     // prompt and maximum output together; 0: not declared
+	Prompt      core.Tokens     // of these, the prompt
+	Timeout     time.Duration   // how long the caller waits; 0: not declared
+	LastEventID string          // id of the event after which the stream continues; empty: from the start
+	Resumes     string          // id of the request of the same caller that brought the stream's first event; empty: not given
+	Parts       []promptpart.ID // of the prompt, that other requests may share
 }
 
 // AttemptFields is what the header of a request to a replica says in addition to the
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -106,6 +106,7 @@
 		TargetHash: xxhash.Sum64String(d.RequestID),
 		LastEvent:  d.LastEventID,
 		Resumes:    d.Resumes,
+		Parts:      d.Parts,
 	}
 	if a.HasKey {
 		a.Key = table.HashKey(d.Key)
