--- a/internal/core/promptpart/id.go
+++ b/internal/core/promptpart/id.go
@@ -38,6 +38,9 @@
 // String returns the identifier in hexadecimal.
 func (p ID) String() string { return strconv.FormatUint(uint64(p), 16) }
 
+// hash returns a hash of the identifier, which callers choose.
+func (p ID) hash() uint64 { return core.Fingerprint(uint64(p)) }
+
 // Names returns identifiers as a text for logs, shortened where there are many.
 func Names(parts []ID) string {
 	const most = 8
--- /dev/null
+++ b/internal/core/promptpart/tracker_test.go
@@ -0,0 +1,227 @@
+package promptpart
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"gentiancroft/internal/core"
+)
+
+const (
+	shared = ID(0xa)
+	bad    = ID(0xbad)
+)
+
+func at(d time.Duration) core.Instant { return core.Instant(time.Hour + d) }
+
+// crash applies the end of a replica under parts whose requests were sent held before it.
+func crash(t *Tracker, now time.Duration, i int, held time.Duration, parts ...ID) (last Change) {
+	for _, p := range parts {
+		last = t.ApplySighting(at(now), Sighting{Part: p, Incarnation: Incarnation(i), Held: held})
+	}
+	return last
+}
+
+func TestPartIsBlockedAfterCrashesInARow(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range maxRounds - 1 {
+		is.Equal(crash(tracker, time.Duration(i)*time.Second, i, 100*time.Millisecond, bad), Suspected)
+	}
+	is.True(!tracker.Blocked(bad))
+	is.Equal(crash(tracker, 3*time.Second, 9, 100*time.Millisecond, bad), Blocked)
+	is.Equal(len(tracker.Verdicts(at(3*time.Second))), 1)
+}
+
+// Eight requests of one batch are one crash, and so are replicas that end at the same time: a
+// request that was sent before a crash can't be the next one of a row.
+func TestCrashesThatAreNotInARowCountOnce(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for range 8 {
+		crash(tracker, 0, 1, time.Second, bad)
+	}
+	is.Equal(tracker.Rounds(bad), 1)
+	for i := range 8 {
+		crash(tracker, time.Duration(i)*10*time.Millisecond, 10+i, time.Second, bad)
+	}
+	is.Equal(tracker.Rounds(bad), 1)
+}
+
+func TestCrashIsCountedOnceWhoeverReportsIt(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	is.Equal(tracker.ApplySighting(at(0), Sighting{Part: bad, Incarnation: 1}), Suspected)
+	late := Sighting{Part: bad, Incarnation: 1, Age: 80 * time.Millisecond, Held: 40 * time.Millisecond}
+	is.Equal(tracker.ApplySighting(at(100*time.Millisecond), late), Unchanged)
+	is.Equal(tracker.Rounds(bad), 1)
+}
+
+func TestAnswerAcquitsOfTheCrashesBefore(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	crash(tracker, 0, 1, 0, shared)
+	crash(tracker, 2*time.Second, 2, 0, shared)
+	is.Equal(tracker.ApplyAcquittal(at(3*time.Second), Acquittal{Part: shared, Age: 2 * time.Second}), Acquitted) // before the second
+	is.Equal(tracker.Rounds(shared), 1)
+	is.Equal(tracker.ApplySighting(at(3*time.Second), Sighting{Part: shared, Incarnation: 3, Age: 2500 * time.Millisecond}), Unchanged) // reported late
+	is.Equal(tracker.ApplyAcquittal(at(4*time.Second), Acquittal{Part: shared}), Acquitted)
+	is.True(!tracker.Suspected(shared))
+}
+
+// All requests share a system prompt, and no answer on it may come while replicas crash.
+func TestPartWithAKnownAnswerIsNotBlockedForAnother(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	tracker.MarkSound(at(0), shared)
+	for i := range maxRounds {
+		crash(tracker, time.Duration(1+i)*time.Second, i, 50*time.Millisecond, shared, bad)
+	}
+	is.True(tracker.Blocked(bad))
+	is.True(!tracker.Blocked(shared))
+	for i := range maxRounds {
+		crash(tracker, time.Duration(10+i)*time.Second, 10+i, 50*time.Millisecond, shared)
+	}
+	is.True(tracker.Blocked(shared)) // nothing else was there
+}
+
+func TestHostThatKnowsAnAnswerDisputesAVerdict(t *testing.T) {
+	is := is.New(t)
+	knows, other := NewTracker(), NewTracker()
+	knows.MarkSound(at(0), shared)
+	for i := range maxRounds {
+		crash(other, time.Duration(1+i)*time.Second, i, 50*time.Millisecond, shared)
+	}
+	is.True(other.Blocked(shared))
+	now := at(4 * time.Second)
+	is.Equal(knows.ApplyVerdict(now, other.Verdicts(now)[0]), Disputed)
+	is.True(!knows.Blocked(shared))
+	age, ok := knows.LastAnswer(now, shared)
+	is.True(ok)
+	is.Equal(other.ApplyAcquittal(now, Acquittal{Part: shared, Age: age}), LetIn)
+	is.Equal(other.Digest(), knows.Digest())
+	crash(other, 5*time.Second, 7, 50*time.Millisecond, shared)
+	is.True(!other.Blocked(shared)) // the sightings are kept, and it takes more of them
+}
+
+// Parts that were never answered and are blocked together: a request that has only one of them
+// shows soon which it is.
+func TestPartsBlockedTogetherAreTriedSoon(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range maxRounds {
+		crash(tracker, time.Duration(i)*time.Second, i, 50*time.Millisecond, shared, bad)
+	}
+	is.True(tracker.Blocked(shared) && tracker.Blocked(bad))
+	blockedAt := time.Duration(maxRounds-1) * time.Second
+	_, wait, blocked := tracker.NextTrial(at(blockedAt), []ID{shared})
+	is.True(blocked)
+	is.Equal(wait, ambiguousTrialDelay)
+	_, wait, _ = tracker.NextTrial(at(blockedAt), []ID{1, shared, bad})
+	is.True(wait >= jointTrialDelay)
+	now := blockedAt + ambiguousTrialDelay
+	_, wait, _ = tracker.NextTrial(at(now), []ID{shared})
+	is.Equal(wait, time.Duration(0))
+	tracker.BeginTrial(at(now), shared)
+	is.Equal(tracker.ApplyAcquittal(at(now+time.Second), Acquittal{Part: shared}), LetIn)
+	is.True(tracker.Blocked(bad))
+}
+
+func TestTrialsBecomeRarer(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range maxRounds {
+		crash(tracker, time.Duration(i)*time.Second, i, 0, bad)
+	}
+	const day = 24 * time.Hour
+	trials := 0
+	for now := 3 * time.Second; now < time.Minute; now += time.Second {
+		if _, wait, blocked := tracker.NextTrial(at(now), []ID{bad}); blocked && wait == 0 {
+			tracker.BeginTrial(at(now), bad)
+			trials++
+			crash(tracker, now+100*time.Millisecond, 100+trials, 0, bad)
+		}
+	}
+	is.Equal(trials, 2)
+	_, wait, blocked := tracker.NextTrial(at(day), []ID{bad})
+	is.True(blocked && wait == 0)
+	is.Equal(tracker.Expire(at(time.Hour)), nil)
+	is.Equal(tracker.Expire(at(day)), []ID{bad})
+	is.Equal(tracker.Digest(), uint64(0))
+}
+
+func TestSuspicionsAreHandedOn(t *testing.T) {
+	is := is.New(t)
+	before, after := NewTracker(), NewTracker()
+	before.MarkSound(at(0), shared)
+	for i := range maxRounds - 1 {
+		crash(before, time.Duration(1+i)*time.Second, i, 0, shared, bad)
+	}
+	for _, s := range before.Suspicions(at(4*time.Second), 10) {
+		after.Inherit(at(0), s) // on its own clock
+	}
+	crash(after, time.Second, 50, 0, shared, bad)
+	is.True(after.Blocked(bad))
+	is.True(!after.Blocked(shared))
+	is.Equal(len(before.Suspicions(at(4*time.Second), 1)), 1)
+}
+
+func TestRecordsAreBoundedAndBlockedOnesKept(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range maxRounds {
+		crash(tracker, time.Duration(i)*time.Second, i, 0, bad)
+	}
+	for i := range 3 * maxRecords {
+		crash(tracker, 4*time.Second, 100+i, 0, ID(0x10000+i))
+	}
+	is.True(len(tracker.records) <= maxRecords)
+	is.True(tracker.Blocked(bad))
+	for i := range 3 * maxSoundParts {
+		tracker.MarkSound(at(0), ID(i+1))
+	}
+	is.True(len(tracker.sound.newer)+len(tracker.sound.older) <= maxSoundParts)
+}
+
+func TestReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var r Report
+	is.True(r.Empty())
+	for i := range 3 * maxReported {
+		r.Merge(Report{Acquittals: []Acquittal{{Part: ID(i + 1)}}})
+	}
+	is.Equal(len(r.Acquittals), maxReported)
+	is.Equal(r.Acquittals[maxReported-1].Part, ID(3*maxReported))
+}
+
+// Whatever the order, delays and repetitions of reports, a part with an answer between any two
+// crashes is never blocked, and the digest is that of the blocked parts.
+func TestPartWithAnswersBetweenCrashesIsNeverBlocked(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tracker := NewTracker()
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 40).Draw(rt, "crashes") {
+			now += time.Duration(rapid.IntRange(1, 2000).Draw(rt, "pause")) * time.Millisecond
+			held := time.Duration(rapid.IntRange(0, 500).Draw(rt, "held")) * time.Millisecond
+			for range rapid.IntRange(1, 3).Draw(rt, "reports") {
+				crash(tracker, now, i, held, shared, bad)
+			}
+			now += time.Duration(rapid.IntRange(1, 500).Draw(rt, "pause")) * time.Millisecond
+			tracker.MarkSound(at(now), shared)
+			tracker.ApplyAcquittal(at(now), Acquittal{Part: shared})
+			if tracker.Blocked(shared) {
+				rt.Fatal("blocked")
+			}
+		}
+		sum := uint64(0)
+		for _, v := range tracker.Verdicts(at(now)) {
+			sum += v.Part.hash()
+		}
+		if sum != tracker.Digest() {
+			rt.Fatal("digest")
+		}
+	})
+}
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -57,9 +57,10 @@
 			{Name: "error", Meaning: "the replica answered with a failure"},
 			{Name: "broken", Meaning: "sent, but no complete answer came"},
 			{Name: "cancelled", Meaning: "ended by this host"}}},
-		{Name: "retry", Subject: "whether a request is tried on another replica", Age: "the attempt", Reasons: []Reason{
+		{Name: "retry", Subject: "whether a request is tried on another replica", Detail: "a blocked part of its prompt", Age: "the attempt", Reasons: []Reason{
 			{Name: "silent", Meaning: "`upstream` has not answered in time; the request is moved"},
 			{Name: "version_expired", Meaning: "it waits at `upstream`, whose version of the adapter may no longer be used; it is moved if it may be repeated"},
+			{Name: "part_blocked", Meaning: "replicas were lost under the part of its prompt in the detail; it is withdrawn from `upstream`"},
 			{Name: "budget_spent", Meaning: "not retried: the retry budget is exhausted"}}},
 		{Name: "refusal", Subject: "the final answer of an admitted request", Detail: "why", Age: "the request", Reasons: refusalReasons},
 		{Name: "cancel", Subject: "a request ends without an answer", Age: "the request", Reasons: []Reason{
@@ -76,9 +77,20 @@
 			{Name: "leaving", Meaning: "it is sent no more requests"},
 			{Name: "says_leaving", Meaning: "an answer of the replica says so; it is sent no more requests"},
 			{Name: "reported_leaving", Meaning: "it has said so to another host; it is sent no more requests"},
+			{Name: "alive", Meaning: "it has closed connections of requests and still runs"},
+			{Name: "ended", Meaning: "it has closed connections of requests and runs no more"},
 			{Name: "paused", Meaning: "it has asked this host to send it nothing for the time in the detail"},
 			{Name: "outdated", Meaning: "an entry that is older than the replica's removal is ignored"},
 			{Name: "gone", Meaning: "its entry was removed"}}},
+		{Name: "prompt_part", Subject: "a part of prompts under which replicas ended", Detail: "the part, how it was learned, and the replicas lost in a row under it", Age: "what was learned; of a trial: the verdict", Reasons: []Reason{
+			{Name: "suspected", Meaning: "a replica ended that had a request with it"},
+			{Name: "acquitted", Meaning: "an answer on it came to a certain end"},
+			{Name: "blocked", Meaning: "requests with it are refused"},
+			{Name: "tried", Meaning: "one request with it is sent to a replica all the same"},
+			{Name: "disputed", Meaning: "another host has blocked it, and this one knows of an answer on it"},
+			{Name: "let_in", Meaning: "an answer on it came to a certain end; requests with it are sent to replicas again"},
+			{Name: "forgotten", Meaning: "nothing has been heard of it for long; it is no longer blocked"},
+			{Name: "malformed", Meaning: "its identifier in a lease can't be read"}}},
 		{Name: "store", Subject: "the platform's store", Detail: "its era", Reasons: []Reason{
 			{Name: "restored", Meaning: "it has come back from an older copy"}}},
 		{Name: "configuration", Subject: "a version of the configuration", Detail: "the version", Reasons: []Reason{
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -75,7 +75,8 @@
 	ID               core.RequestID
 	Attempt          int
 	Kind             EndKind
-	ConnectionClosed bool          // the replica closed the connection before it answered
+	ConnectionClosed bool          // the replica closed the connection before its answer was complete
+	Refused          bool          // nothing listens at the replica's address
 	LastEvent        string        // last event that was sent to the caller
 	RetryAfter       time.Duration // as given by the replica; 0: none
 	Answer           AnswerEvidence
@@ -158,6 +159,23 @@
 // ReportReceived is a replica's report.
 type ReportReceived struct{ residency.Report }
 
+// CheckResult is what a check of a replica has shown.
+type CheckResult uint8
+
+// Results of checks.
+const (
+	CheckUnknown CheckResult = iota // it could not be reached, or its answer not be read
+	CheckAlive                      // the incarnation answered
+	CheckEnded                      // nothing listens at its address, or something else answers there
+)
+
+// ReplicaChecked is the result of a check of a replica's incarnation.
+type ReplicaChecked struct {
+	Replica core.UpstreamID
+	Started int64 // of the incarnation
+	Result  CheckResult
+}
+
 // MessageReceived is a message from another host.
 type MessageReceived struct {
 	From    core.HostID
@@ -198,6 +216,7 @@
 func (WriteDone) isEvent()         {}
 func (OrderDone) isEvent()         {}
 func (ReportReceived) isEvent()    {}
+func (ReplicaChecked) isEvent()    {}
 func (MessageReceived) isEvent()   {}
 func (Tick) isEvent()              {}
 func (Leave) isEvent()             {}
@@ -220,7 +239,8 @@
 	LeavingReplicas       []replicas.Removal `cbor:"12,keyasint,omitempty"` // replicas that have said that they are leaving
 	ConfigurationRestored uint64             `cbor:"13,keyasint,omitempty"` // of Configuration: see Heartbeat.ConfigRestored
 
-	Origins []origin.Record `cbor:"14,keyasint,omitempty"` // streams that began lately
+	Origins []origin.Record    `cbor:"14,keyasint,omitempty"` // streams that began lately
+	Parts   *promptpart.Report `cbor:"15,keyasint,omitempty"` // prompt parts that crash replicas
 }
 
 // Heartbeat is the state that a host sends to other hosts at regular intervals.
@@ -240,6 +260,7 @@
 	ReachableStandbys []uint32         `cbor:"13,keyasint,omitempty"` // ready standby hosts that report to it, in every relaysPerCensus-th relay all reachable ones; by core.ShortHash of the name
 	RequestRate       float32          `cbor:"14,keyasint,omitempty"` // requests per second that arrive at it
 	Prompts           []Load           `cbor:"16,keyasint,omitempty"` // prompt tokens that are queued at replicas
+	BlockedParts      uint64           `cbor:"17,keyasint,omitempty"` // digest of the prompt parts that are kept from replicas
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
 }
 
@@ -297,6 +318,12 @@
 // RequestReport requests a replica's report.
 type RequestReport struct{ residency.Probe }
 
+// CheckReplica requests a check whether an incarnation of a replica still runs.
+type CheckReplica struct {
+	residency.Probe
+	Started int64
+}
+
 // WriteObject is a write to the store.
 type WriteObject struct{ Call core.ObjectCall }
 
@@ -336,6 +363,7 @@
 func (AbortAnswer) isEffect()    {}
 func (SendOrder) isEffect()      {}
 func (RequestReport) isEffect()  {}
+func (CheckReplica) isEffect()   {}
 func (WriteObject) isEffect()    {}
 func (SendToPeers) isEffect()    {}
 func (LogDecision) isEffect()    {}
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -72,6 +72,7 @@
 	}
 	r.answerStarted = true
 	m.endPrompt(r)
+	m.observeAnswer(r)
 	if r.answerStartedAt == 0 {
 		r.answerStartedAt = m.now
 	}
@@ -196,6 +197,7 @@
 // replica's failure score by its result.
 func (m *Machine) releaseAttempt(r *request, e AttemptEnded) {
 	m.endPrompt(r)
+	m.observeEnd(r, &e)
 	x := m.replicas.Get(r.upstream)
 	if x == nil {
 		return
@@ -213,7 +215,7 @@
 	case EndBroken, EndNotReached:
 		m.recordFailure(x.ID, weightBroken)
 	case EndCancelled:
-		if r.moving {
+		if r.moving && !r.withdrawn {
 			m.recordFailure(x.ID, weightUnresponsive)
 		}
 	}
@@ -237,6 +239,8 @@
 		return false
 	case m.isSuspect(r.arrival.Fingerprint):
 		return false
+	case m.mayCrash(r) && !(r.trial && notRun):
+		return false
 	case e.Kind == EndNotReached:
 		return true // nothing was sent: takes no retry from the budget
 	}
@@ -249,6 +253,9 @@
 
 // refuseFailed refuses a request that is not tried again.
 func (m *Machine) refuseFailed(r *request, e AttemptEnded) {
+	if m.refuseBlocked(r) {
+		return
+	}
 	refusal := &core.Refusal{Code: core.CodeUpstreamFailed, Message: "the replica did not complete its answer", Ran: r.ranState()}
 	if r.possibleRuns == 0 {
 		refusal = core.Refuse(core.CodeOverloaded, max(e.RetryAfter, retryAfterSaturated), "no replica took the request")
@@ -277,9 +284,9 @@
 				m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterUnowned, "nobody can have its adapter loaded now"))
 			}
 		case m.versionExpired(r):
-			m.moveAttempt(r, "version_expired")
+			m.moveAttempt(r, "version_expired", "")
 		case m.shouldMove(r):
-			m.moveAttempt(r, "silent")
+			m.moveAttempt(r, "silent", "")
 		}
 	}
 }
@@ -305,8 +312,8 @@
 
 // moveAttempt cancels an attempt; the request is retried when the attempt has ended.
 // An attempt whose answer starts before the cancellation is not moved.
-func (m *Machine) moveAttempt(r *request, reason string) {
+func (m *Machine) moveAttempt(r *request, reason, detail string) {
 	r.moving = true
-	m.emit(LogDecision{Name: "retry", Reason: reason, ID: r.id(), Upstream: r.upstream, Age: m.now.Sub(r.stageSince)})
+	m.emit(LogDecision{Name: "retry", Reason: reason, ID: r.id(), Upstream: r.upstream, Age: m.now.Sub(r.stageSince), Detail: detail})
 	m.emit(Cancel{ID: r.id(), Attempt: r.attempt, OnlyIfUnanswered: true})
 }
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -122,6 +122,7 @@
 		ReachableStandbys: m.fleet.DirectStandbys(m.now),
 		RequestRate:       m.arrivalRate(),
 		ConfigRestored:    m.configuration.restored,
+		BlockedParts:      m.parts.tracker.Digest(),
 	}
 }
 
@@ -192,6 +193,9 @@
 	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts})
 	m.applyPeerCrashes(b.Host, b.Crashes)
 	m.compareState(b)
+	if b.Host == from {
+		m.compareVerdicts(from, b.BlockedParts)
+	}
 }
 
 // residencyWaiters are the hosts that have sent a demand for a replica and wait for
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -44,6 +44,9 @@
 	if fresh {
 		m.emit(LogDecision{Name: "replica", Reason: "started", Upstream: e.ID, Detail: string(e.Service) + " at " + string(e.Software)})
 	}
+	if before != nil && fresh {
+		m.confirmReplacedEnds(e.ID, before.Unavailable())
+	}
 	leaves := e.Leaving && (fresh || !wasLeaving)
 	if leaves {
 		m.emit(LogDecision{Name: "replica", Reason: "leaving", Upstream: e.ID, Detail: string(e.Service)})
@@ -59,6 +62,7 @@
 	}
 	if x, ok := m.replicas.LastRemoval(id); ok {
 		m.changes.gone = append(m.changes.gone, x)
+		m.confirmReplacedEnds(id, x.Leaving)
 	}
 	m.residency.RemoveReplica(id)
 	delete(m.failures, id)
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -33,6 +33,7 @@
 	origins         origins
 	retries         map[table.ServiceID]*retry.Budget
 	crashes         map[uint64]*crashRecord
+	parts           promptParts
 	failures        map[core.UpstreamID]*core.Decaying
 	lastExtraDemand map[core.AdapterID]core.Instant // when another copy or a newer version was last demanded
 
@@ -84,6 +85,7 @@
 		versions:        map[core.AdapterID]versionHistory{},
 		retries:         map[table.ServiceID]*retry.Budget{},
 		crashes:         map[uint64]*crashRecord{},
+		parts:           newPromptParts(),
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
 		requests:        newRequests(),
@@ -103,6 +105,7 @@
 	}
 	m.shards.SetLevels(func() map[core.WorkspaceID]float64 { return m.quota.Levels(m.now) })
 	m.shards.SetSoftwareAges(m.softwareAges)
+	m.shards.SetPartStates(m.partStates)
 	return m
 }
 
@@ -141,6 +144,9 @@
 		if m.fleet.UpdateRegistration(m.now, e.Host, m.watch.era) {
 			m.changes.hosts = append(m.changes.hosts, e.Host)
 			m.origins.resendOwn = true
+			if m.isWatcher() {
+				m.sendVerdicts(e.Host.Host)
+			}
 		}
 	case HostUnlisted:
 		m.fleet.RemoveRegistration(e.Name)
@@ -148,6 +154,7 @@
 		m.shards.ApplyList(m.now, e.Era, e.Objects)
 		m.restoreQuota()
 		m.inheritSoftware()
+		m.inheritParts()
 	case StoreCallFailed:
 		m.watch.storeLost = true
 		m.replicas.StoreLost(m.now)
@@ -159,6 +166,8 @@
 		m.handleOrderDone(e)
 	case ReportReceived:
 		m.handleReport(e)
+	case ReplicaChecked:
+		m.handleReplicaChecked(e)
 	case MessageReceived:
 		m.handlePeerMessage(e)
 	case Tick:
@@ -170,6 +179,7 @@
 	case Query:
 		e.Read(m)
 	}
+	m.enforceBlocked()
 	m.placeWaiting()
 	return m.effects
 }
@@ -192,6 +202,9 @@
 	m.placeWaiting()
 	m.sendHeartbeat()
 	m.checkRequests()
+	m.checkEnds()
+	m.expireParts()
+	m.sendPartReports()
 	m.finishLeaving()
 }
 
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -107,6 +107,7 @@
 		m.receiveHeartbeat(e.From, &e.Message.Heartbeats[i])
 	}
 	m.receiveRecords(e.From, e.Message.Origins)
+	m.receivePartReport(e.From, e.Message.Parts)
 	m.applyListChanges(e.Message)
 	m.applyDocuments(e)
 	for _, d := range e.Message.Demands {
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -33,11 +33,15 @@
 
 // place sends a request to a replica, lets it wait for its adapter or refuses it.
 func (m *Machine) place(r *request) {
+	if m.refuseBlocked(r) {
+		return
+	}
 	usable, saturated := m.candidates(r)
 	if len(usable) > 0 {
 		best := m.choose(r, usable)
 		m.demandNewerVersion(r, best)
 		m.demandCopy(r, best)
+		m.beginTrial(r)
 		m.dispatch(r, best)
 		return
 	}
--- /dev/null
+++ b/internal/core/relaynode/replicaends.go
@@ -0,0 +1,308 @@
+package relaynode
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/promptpart"
+	"gentiancroft/internal/core/residency"
+)
+
+// A closed connection doesn't show that its replica has ended: the connection may have been
+// reset, or its link cut. So a replica that closed the connection of a request with prompt parts
+// is checked on a new connection: it has ended if nothing listens at its address, or another
+// incarnation or replica answers there. A replica that was leaving has not crashed.
+//
+// An answer that only the end of its connection marks may have been ended by a crash as well. It
+// counts as whole once its replica has been seen alive after it.
+
+const (
+	// checkInterval is the minimum time between two checks of a replica.
+	checkInterval = 500 * time.Millisecond
+	// checkTime is how long after a closed connection a replica is checked again if a check
+	// shows nothing.
+	checkTime = 3 * time.Second
+	// endRetention is how long the end of an incarnation is remembered.
+	endRetention = 10 * time.Second
+	// aliveCheckInterval is the minimum time between two checks for answers whose ends nothing marked.
+	aliveCheckInterval = 50 * time.Millisecond
+	// minRestartTime is the least time from a replica's crash to its next incarnation: what answers
+	// sooner is the same one.
+	minRestartTime = 400 * time.Millisecond
+	// crashSpread is how far the ends of a replica's connections may lie apart.
+	crashSpread = 300 * time.Millisecond
+	// maxUnmarkedEnds bounds the remembered unmarked ends of answers of one replica.
+	maxUnmarkedEnds = 64
+)
+
+// incarnation identifies an incarnation of a replica.
+type incarnation struct {
+	replica core.UpstreamID
+	started int64
+}
+
+func (i incarnation) id() promptpart.Incarnation {
+	return promptpart.IncarnationOf(i.replica, i.started)
+}
+
+// unmarkedEnd is the end of an answer that only the end of its connection marked.
+type unmarkedEnd struct {
+	at, sent core.Instant
+	parts    []promptpart.ID
+}
+
+// replicaEnd is what this host has seen of the end of an incarnation, if it has ended.
+type replicaEnd struct {
+	closedAt  core.Instant                   // when it first closed the connection of a request; 0: it hasn't
+	sent      map[promptpart.ID]core.Instant // when the latest of these requests was sent, by part
+	unmarked  []unmarkedEnd
+	ended     bool         // it has ended for certain
+	checkedAt core.Instant // when the last check was sent; 0: none was
+	checking  bool         // a check is open
+	changedAt core.Instant
+}
+
+// endOf returns what is known of the end of an incarnation.
+func (m *Machine) endOf(i incarnation) *replicaEnd {
+	end := m.parts.ends[i]
+	if end == nil {
+		end = &replicaEnd{sent: map[promptpart.ID]core.Instant{}}
+		m.parts.ends[i] = end
+	}
+	end.changedAt = m.now
+	return end
+}
+
+// observeEnd learns from the end of an attempt. It is called while the request still counts as
+// running.
+func (m *Machine) observeEnd(r *request, e *AttemptEnded) {
+	i := incarnation{r.upstream, r.upstreamStarted}
+	switch {
+	case e.Refused:
+		m.confirmEnd(i)
+	case len(r.arrival.Parts) == 0:
+	case e.Kind == EndOK && !e.Answer.EndUnmarked:
+		m.acquit(r.arrival.Parts, m.now)
+	case e.Kind == EndOK:
+		m.observeUnmarkedEnd(i, r)
+	case e.ConnectionClosed:
+		m.observeClosed(i, r)
+	}
+}
+
+// acquit acquits parts by an answer that came to a certain end.
+func (m *Machine) acquit(parts []promptpart.ID, at core.Instant) {
+	for _, p := range parts {
+		m.parts.tracker.MarkSound(at, p)
+		if !m.parts.tracker.Suspected(p) {
+			continue
+		}
+		a := promptpart.Acquittal{Part: p, Age: m.now.Sub(at)}
+		if m.applyAcquittal(a, learnedHere) {
+			m.parts.report.Merge(promptpart.Report{Acquittals: []promptpart.Acquittal{a}})
+		}
+	}
+}
+
+// observeUnmarkedEnd remembers an answer whose end nothing marked. If one of its parts is
+// suspected, the replica is checked.
+func (m *Machine) observeUnmarkedEnd(i incarnation, r *request) {
+	end := m.endOf(i)
+	end.unmarked = append(end.unmarked, unmarkedEnd{at: m.now, sent: r.stageSince, parts: r.arrival.Parts})
+	end.unmarked = end.unmarked[max(0, len(end.unmarked)-maxUnmarkedEnds):]
+	if end.ended {
+		m.reportEnd(i, end)
+		return
+	}
+	m.checkUnmarked(i, end)
+}
+
+// checkUnmarked requests a check of a replica if one of its answers without a marked end is on a
+// suspected part.
+func (m *Machine) checkUnmarked(i incarnation, end *replicaEnd) {
+	suspected := func(u unmarkedEnd) bool { return slices.ContainsFunc(u.parts, m.parts.tracker.Suspected) }
+	if !end.ended && m.now.Sub(end.checkedAt) >= aliveCheckInterval && slices.ContainsFunc(end.unmarked, suspected) {
+		m.checkReplica(i, end)
+	}
+}
+
+// observeClosed remembers that a replica closed the connection of a request in the middle.
+func (m *Machine) observeClosed(i incarnation, r *request) {
+	x := m.replicas.Get(i.replica)
+	if x == nil || x.Unavailable() && x.Started == i.started {
+		return // it was to end
+	}
+	end := m.endOf(i)
+	if end.closedAt == 0 {
+		end.closedAt = m.now
+	}
+	if r.stageSince > end.closedAt {
+		return // it had ended before
+	}
+	for _, p := range r.arrival.Parts {
+		end.sent[p] = max(end.sent[p], r.stageSince)
+	}
+	switch {
+	case end.ended || x.Started != i.started:
+		end.ended = true
+		m.reportEnd(i, end)
+	default:
+		m.checkReplica(i, end)
+	}
+}
+
+// checkReplica requests a check of an incarnation, unless one is open.
+func (m *Machine) checkReplica(i incarnation, end *replicaEnd) {
+	x := m.replicas.Get(i.replica)
+	if x == nil || end.checking {
+		return
+	}
+	end.checking, end.checkedAt = true, m.now
+	m.emit(CheckReplica{Probe: residency.Probe{Replica: i.replica, Address: x.Address, NewConnection: true}, Started: i.started})
+}
+
+// handleReplicaChecked applies the result of a check.
+func (m *Machine) handleReplicaChecked(e ReplicaChecked) {
+	i := incarnation{e.Replica, e.Started}
+	end := m.parts.ends[i]
+	if end == nil {
+		return
+	}
+	end.checking = false
+	switch e.Result {
+	case CheckEnded:
+		m.confirmEnd(i)
+	case CheckAlive:
+		m.observeAlive(i, end)
+	}
+}
+
+// observeAlive applies that an incarnation lived when it was last checked: what it ended before
+// was no crash.
+func (m *Machine) observeAlive(i incarnation, end *replicaEnd) {
+	if end.closedAt != 0 && end.closedAt <= end.checkedAt {
+		m.emit(LogDecision{Name: "replica", Reason: "alive", Upstream: i.replica, Age: m.now.Sub(end.closedAt)})
+		end.closedAt = 0
+		clear(end.sent)
+	}
+	m.acquitUnmarked(end, end.checkedAt)
+}
+
+// acquitUnmarked acquits by the answers without a marked end that ended until a time at which
+// their replica lived.
+func (m *Machine) acquitUnmarked(end *replicaEnd, aliveAt core.Instant) {
+	later := end.unmarked[:0]
+	for _, u := range end.unmarked {
+		if u.at <= aliveAt {
+			m.acquit(u.parts, u.at)
+			continue
+		}
+		later = append(later, u)
+	}
+	end.unmarked = later
+}
+
+// observeAnswer learns from the start of an answer that its replica lived when the request was
+// sent, if it can't have restarted since the latest answer without a marked end.
+func (m *Machine) observeAnswer(r *request) {
+	end := m.parts.ends[incarnation{r.upstream, r.upstreamStarted}]
+	if end != nil && m.now.Sub(lastEnd(end.unmarked)) < minRestartTime {
+		m.acquitUnmarked(end, r.stageSince)
+	}
+}
+
+// confirmEnd applies that an incarnation has ended.
+func (m *Machine) confirmEnd(i incarnation) {
+	end := m.parts.ends[i]
+	if end == nil || end.ended {
+		return
+	}
+	if x := m.replicas.Get(i.replica); x != nil && x.Started == i.started && x.Unavailable() {
+		return // it was to end
+	}
+	if end.closedAt == 0 {
+		end.closedAt = lastEnd(end.unmarked)
+	}
+	if end.closedAt == 0 || m.now.Sub(end.closedAt) > endRetention {
+		return
+	}
+	end.ended = true
+	m.emit(LogDecision{Name: "replica", Reason: "ended", Upstream: i.replica, Age: m.now.Sub(end.closedAt)})
+	m.reportEnd(i, end)
+}
+
+// lastEnd returns the time of the last unmarked end, 0 where there is none.
+func lastEnd(ends []unmarkedEnd) core.Instant {
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[len(ends)-1].at
+}
+
+// reportEnd reports the parts under which an incarnation has ended.
+func (m *Machine) reportEnd(i incarnation, end *replicaEnd) {
+	for _, u := range end.unmarked {
+		if u.at < end.closedAt.Add(-crashSpread) {
+			continue
+		}
+		for _, p := range u.parts {
+			end.sent[p] = max(end.sent[p], u.sent)
+		}
+	}
+	end.unmarked = nil
+	var sightings []promptpart.Sighting
+	for p, sent := range end.sent {
+		s := promptpart.Sighting{Part: p, Incarnation: i.id(), Age: m.now.Sub(end.closedAt), Held: max(end.closedAt.Sub(sent), 0)}
+		sightings = append(sightings, s)
+	}
+	clear(end.sent)
+	slices.SortFunc(sightings, func(a, b promptpart.Sighting) int { return cmp.Compare(a.Part, b.Part) })
+	for _, s := range sightings {
+		if m.applySighting(s, learnedHere+" at "+string(i.replica)) {
+			m.parts.report.Merge(promptpart.Report{Sightings: []promptpart.Sighting{s}})
+		}
+	}
+}
+
+// confirmReportedEnd applies that another host has seen an incarnation end.
+func (m *Machine) confirmReportedEnd(id promptpart.Incarnation) {
+	for i, end := range m.parts.ends {
+		if !end.ended && i.id() == id {
+			m.confirmEnd(i)
+			return
+		}
+	}
+}
+
+// confirmReplacedEnds applies that a replica's entry was removed, or is that of another
+// incarnation.
+func (m *Machine) confirmReplacedEnds(id core.UpstreamID, wasLeaving bool) {
+	x := m.replicas.Get(id)
+	for i, end := range m.parts.ends {
+		if i.replica != id || end.ended || x != nil && x.Started == i.started {
+			continue
+		}
+		if wasLeaving {
+			delete(m.parts.ends, i)
+			continue
+		}
+		m.confirmEnd(i)
+	}
+}
+
+// checkEnds checks the replicas again whose check has shown nothing, and forgets old ends.
+func (m *Machine) checkEnds() {
+	for i, end := range m.parts.ends {
+		if m.now.Sub(end.changedAt) >= endRetention {
+			delete(m.parts.ends, i)
+			continue
+		}
+		undecided := end.closedAt != 0 && !end.ended && m.now.Sub(end.closedAt) < checkTime
+		if undecided && m.now.Sub(end.checkedAt) >= checkInterval {
+			m.checkReplica(i, end)
+		}
+		m.checkUnmarked(i, end)
+	}
+}
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -44,6 +44,8 @@
 	answerStarted   bool // the replica has started to answer the latest attempt
 	partDelivered   bool // a part of the answer has been sent to the caller
 	moving          bool // the attempt is being cancelled, to be retried on another replica
+	withdrawn       bool // it is being cancelled because a part of its prompt was blocked
+	trial           bool // it has blocked parts and is tried all the same
 	closed          bool // the caller has its final answer or has hung up
 	outcome         string
 	answerStartedAt core.Instant // 0: no answer yet
--- a/internal/core/replicas/removals.go
+++ b/internal/core/replicas/removals.go
@@ -20,6 +20,7 @@
 	ID       core.UpstreamID
 	Started  int64
 	Sequence uint64
+	Leaving  bool // it was leaving, as far as the host that removed it knew
 }
 
 // before reports whether a replica's entry is later than the removal: of a later
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -190,7 +190,7 @@
 // drop removes a replica, remembers that, and resets the indexes and the digest.
 func (s *Set) drop(now core.Instant, id core.UpstreamID) {
 	if r := s.byID[id]; r != nil {
-		s.removals[id] = &removal{Removal: Removal{ID: id, Started: r.Started, Sequence: r.Sequence}, at: now}
+		s.removals[id] = &removal{Removal: Removal{ID: id, Started: r.Started, Sequence: r.Sequence, Leaving: r.Unavailable()}, at: now}
 	}
 	delete(s.byID, id)
 	s.sorted = nil
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -124,8 +124,9 @@
 
 // Probe is a request for a replica's report.
 type Probe struct {
-	Replica core.UpstreamID
-	Address string
+	Replica       core.UpstreamID
+	Address       string
+	NewConnection bool // the report is not to be read on a kept connection
 }
 
 // Tick returns the orders and probes that are due at the replicas that this host may
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -72,6 +72,23 @@
 	// Software is which software versions the replicas had at the renewal or before, for
 	// hosts that start.
 	Software SoftwareAges `json:"software,omitempty"`
+
+	// Parts are the prompt parts under which replicas had ended at the renewal, for hosts that
+	// start.
+	Parts PartStates `json:"parts,omitempty"`
+}
+
+// PartStates is what is known of prompt parts under which replicas ended, by their identifiers.
+type PartStates map[string]PartState
+
+// PartState is what is known of one prompt part. Times are in ms.
+type PartState struct {
+	Rounds     int   `json:"rounds"`             // replicas lost in a row
+	AnsweredMS int64 `json:"answered,omitempty"` // since the last known answer on it; 0: none is known
+	Blocked    bool  `json:"blocked,omitempty"`  // it is kept from replicas
+	AgeMS      int64 `json:"age,omitempty"`      // since it was blocked
+	Trials     int   `json:"trials,omitempty"`   // requests with it that were tried since
+	NextMS     int64 `json:"next,omitempty"`     // until the next trial
 }
 
 // SoftwareAges is how long ago, in ms, a version of replicas' software was last observed, by
@@ -108,6 +125,7 @@
 	leaving  bool
 	levels   func() map[core.WorkspaceID]float64 // nil: leases are written without levels
 	software func() SoftwareAges                 // nil: leases are written without it
+	parts    func() PartStates                   // nil: leases are written without it
 }
 
 // New returns a machine that owns no shard.
@@ -182,6 +200,18 @@
 // SetSoftwareAges sets the function that returns the software versions stored with each lease.
 func (m *Machine) SetSoftwareAges(ages func() SoftwareAges) { m.software = ages }
 
+// SetPartStates sets the function that returns the states of prompt parts stored with each lease.
+func (m *Machine) SetPartStates(parts func() PartStates) { m.parts = parts }
+
+// PartStates returns the states of prompt parts stored with the known leases, one element a lease.
+func (m *Machine) PartStates() []PartStates {
+	var all []PartStates
+	for i := range m.leases {
+		all = append(all, m.leases[i].record.Parts)
+	}
+	return all
+}
+
 // SoftwareAges returns the software versions stored with the known leases, one element a lease.
 func (m *Machine) SoftwareAges() []SoftwareAges {
 	var all []SoftwareAges
@@ -299,6 +329,9 @@
 	if m.software != nil {
 		r.Software = m.software()
 	}
+	if m.parts != nil {
+		r.Parts = m.parts()
+	}
 	r.Era = m.era
 	value, err := json.Marshal(r)
 	if err != nil {
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -76,6 +76,21 @@
 	g.Notify(relaynode.ReportReceived{Report: report})
 }
 
+// checkReplica checks for the machine whether an incarnation of a replica still runs.
+func (g *Gateway) checkReplica(ctx context.Context, c relaynode.CheckReplica) {
+	report := g.executors.Replicas.Report(ctx, c.Probe)
+	checked := relaynode.ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: relaynode.CheckUnknown}
+	switch {
+	case report.Ended, report.OK && report.Started != 0 && report.Started != c.Started:
+		checked.Result = relaynode.CheckEnded
+	case report.OK && report.Started == c.Started:
+		checked.Result = relaynode.CheckAlive
+	default:
+		log.WithField("upstream", string(c.Replica)).WithError(report.Err).Warn("replica not checked")
+	}
+	g.Notify(checked)
+}
+
 // callStore carries out a write of the machine.
 func (g *Gateway) callStore(ctx context.Context, c core.ObjectCall) {
 	result := g.executors.Store.Do(ctx, c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,6 +207,8 @@
 		go g.sendOrder(ctx, x.Order)
 	case relaynode.RequestReport:
 		go g.readReport(ctx, x.Probe)
+	case relaynode.CheckReplica:
+		go g.checkReplica(ctx, x)
 	case relaynode.WriteObject:
 		go g.callStore(ctx, x.Call)
 	case relaynode.SendToPeers:
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -246,7 +246,7 @@
 	case attempt.Err() != nil:
 		return relaynode.AttemptEnded{Kind: relaynode.EndCancelled}
 	case upstream.NotReached.Has(err):
-		return relaynode.AttemptEnded{Kind: relaynode.EndNotReached}
+		return relaynode.AttemptEnded{Kind: relaynode.EndNotReached, Refused: upstream.NothingListens(err)}
 	case upstream.Refused.Has(err):
 		return relaynode.AttemptEnded{Kind: relaynode.EndNotRun} // nothing was sent
 	}
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -142,3 +142,7 @@
 func ConnectionClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
+
+// NothingListens reports whether a call was not sent because nothing listens at the upstream's
+// address: its process has ended.
+func NothingListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
