--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -70,7 +70,7 @@
 	if !r.answerStarted {
 		m.observeSpeed(r)
 	}
-	r.answerStarted = true
+	r.answerStarted, r.answeringSince = true, m.now
 	m.endPrompt(r)
 	m.observeAnswer(r)
 	if r.answerStartedAt == 0 {
--- a/internal/core/relaynode/parts_test.go
+++ b/internal/core/relaynode/parts_test.go
@@ -88,6 +88,32 @@
 	h.is.True(!h.m.parts.tracker.Suspected(badPart))
 }
 
+// A part crashes a replica when an answer on it begins, not in the middle of one.
+func TestAnswerThatWasLongUnderWayIsNoCause(t *testing.T) {
+	h := newHost(t)
+	h.streamWith(sharedPart)
+	long := h.dispatch()
+	h.step(AnswerStarted{ID: long.ID, Attempt: 1, PartDelivered: true})
+	h.now += maxCrashDelay
+	h.step(ReplicaUnlisted{ID: other(long.Upstream)})
+	h.streamWith(badPart)
+	short := h.dispatch()
+	h.now += 20 * time.Millisecond
+	h.closeConnection(long)
+	h.closeConnection(short)
+	h.step(ReplicaChecked{Replica: long.Upstream, Started: 1, Result: CheckEnded})
+	h.is.Equal(h.m.parts.tracker.Rounds(sharedPart), 0)
+	h.is.Equal(h.m.parts.tracker.Rounds(badPart), 1)
+}
+
+// other returns the other one of the two engines.
+func other(id core.UpstreamID) core.UpstreamID {
+	if id == "e1" {
+		return "e2"
+	}
+	return "e1"
+}
+
 func TestReplicaThatWasToEndIsNoCrash(t *testing.T) {
 	h := newHost(t)
 	h.streamWith(badPart)
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -33,6 +33,9 @@
 	minRestartTime = 400 * time.Millisecond
 	// crashSpread is how far the ends of a replica's connections may lie apart.
 	crashSpread = 300 * time.Millisecond
+	// maxCrashDelay is how long an answer may have been under way when its replica ended, if it is
+	// to count as the cause: a part crashes a replica when an answer on it begins.
+	maxCrashDelay = 500 * time.Millisecond
 	// maxUnmarkedEnds bounds the remembered unmarked ends of answers of one replica.
 	maxUnmarkedEnds = 64
 )
@@ -51,6 +54,7 @@
 type unmarkedEnd struct {
 	at, sent core.Instant
 	parts    []promptpart.ID
+	short    bool // it may have ended its replica
 }
 
 // replicaEnd is what this host has seen of the end of an incarnation, if it has ended.
@@ -110,7 +114,7 @@
 // suspected, the replica is checked.
 func (m *Machine) observeUnmarkedEnd(i incarnation, r *request) {
 	end := m.endOf(i)
-	end.unmarked = append(end.unmarked, unmarkedEnd{at: m.now, sent: r.stageSince, parts: r.arrival.Parts})
+	end.unmarked = append(end.unmarked, unmarkedEnd{at: m.now, sent: r.stageSince, parts: r.arrival.Parts, short: m.mayHaveCrashed(r)})
 	end.unmarked = end.unmarked[max(0, len(end.unmarked)-maxUnmarkedEnds):]
 	if end.ended {
 		m.reportEnd(i, end)
@@ -119,6 +123,11 @@
 	m.checkUnmarked(i, end)
 }
 
+// mayHaveCrashed reports whether the answer to a request may have ended its replica just now.
+func (m *Machine) mayHaveCrashed(r *request) bool {
+	return !r.answerStarted || m.now.Sub(r.answeringSince) <= maxCrashDelay
+}
+
 // checkUnmarked requests a check of a replica if one of its answers without a marked end is on a
 // suspected part.
 func (m *Machine) checkUnmarked(i incarnation, end *replicaEnd) {
@@ -141,8 +150,10 @@
 	if r.stageSince > end.closedAt {
 		return // it had ended before
 	}
-	for _, p := range r.arrival.Parts {
-		end.sent[p] = max(end.sent[p], r.stageSince)
+	if m.mayHaveCrashed(r) {
+		for _, p := range r.arrival.Parts {
+			end.sent[p] = max(end.sent[p], r.stageSince)
+		}
 	}
 	switch {
 	case end.ended || x.Started != i.started:
@@ -244,7 +255,7 @@
 // reportEnd reports the parts under which an incarnation has ended.
 func (m *Machine) reportEnd(i incarnation, end *replicaEnd) {
 	for _, u := range end.unmarked {
-		if u.at < end.closedAt.Add(-crashSpread) {
+		if !u.short || u.at < end.closedAt.Add(-crashSpread) {
 			continue
 		}
 		for _, p := range u.parts {
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -41,12 +41,13 @@
 	sentTo          origin.Software // of its replica at that time
 	software        origin.Software // at which alone the request may run, since it goes on with a stream; 0: any
 	tried           []core.UpstreamID
-	answerStarted   bool // the replica has started to answer the latest attempt
-	partDelivered   bool // a part of the answer has been sent to the caller
-	moving          bool // the attempt is being cancelled, to be retried on another replica
-	withdrawn       bool // it is being cancelled because a part of its prompt was blocked
-	trial           bool // it has blocked parts and is tried all the same
-	closed          bool // the caller has its final answer or has hung up
+	answerStarted   bool         // the replica has started to answer the latest attempt
+	answeringSince  core.Instant // when it did
+	partDelivered   bool         // a part of the answer has been sent to the caller
+	moving          bool         // the attempt is being cancelled, to be retried on another replica
+	withdrawn       bool         // it is being cancelled because a part of its prompt was blocked
+	trial           bool         // it has blocked parts and is tried all the same
+	closed          bool         // the caller has its final answer or has hung up
 	outcome         string
 	answerStartedAt core.Instant // 0: no answer yet
 	lastEvent       string
