--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -18,6 +18,8 @@
 	// noOwnerTimeout is how long a request waits while no replica that could load its
 	// adapter has a reachable owner.
 	noOwnerTimeout = 300 * time.Millisecond
+	// downTime is how long a replica at whose address nothing listens gets nothing.
+	downTime = time.Second
 	// saturationThreshold is the utilization from which a replica is sent no more
 	// requests.
 	saturationThreshold = 1.6
@@ -74,13 +76,13 @@
 }
 
 // candidates returns the replicas that can run a request now: those that the platform's
-// list confirms or, if there are none, the others. Saturated is true if replicas were
+// list confirms or, if there are none, the others. None of them is down. Saturated is true if replicas were
 // left out because they are saturated.
 func (m *Machine) candidates(r *request) (usable []*replicas.Replica, saturated bool) {
 	var unconfirmed []*replicas.Replica
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
-		case x.Unavailable() || x.Pause(m.now) > 0 || !m.canRun(r, x):
+		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x):
 		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
 			saturated = true
 		case x.Unconfirmed():
--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -130,3 +130,81 @@
 	h.advance(pause)
 	h.is.Equal(h.sentPerRequest(), map[core.RequestID]int{id: 1})
 }
+
+// Guards against issue 33, first matter: for seconds, until its entry was gone, requests were sent to
+// the address of a replica that had ended, since it was the least loaded.
+func TestReplicaWhereNothingListensIsNotChosen(t *testing.T) {
+	h := newHost(t)
+	h.arrive(RequestArrived{Path: "/act/x"})
+	first := h.dispatch()
+	h.step(AttemptEnded{ID: first.ID, Attempt: first.Attempt, Kind: EndNotReached, Refused: true})
+	h.is.Equal(h.dispatch().Upstream, otherService(first.Upstream))
+	for range 12 {
+		h.arrive(RequestArrived{Path: "/act/x"})
+		h.is.Equal(h.dispatch().Upstream, otherService(first.Upstream))
+	}
+	h.advance(downTime)
+	h.arrive(RequestArrived{Path: "/act/x"})
+	h.is.Equal(h.dispatch().Upstream, first.Upstream) // its entry still says that it is ready
+}
+
+// otherService returns the other one of the two replicas of the plain service.
+func otherService(id core.UpstreamID) core.UpstreamID {
+	if id == "s1" {
+		return "s2"
+	}
+	return "s1"
+}
+
+// A request whose adapter only that replica had loaded was sent to it five times within
+// milliseconds, and then refused. It waits for another replica to load the adapter.
+func TestRequestWaitsWhereItsOnlyReplicaIsDown(t *testing.T) {
+	h := newHost(t)
+	h.lease("a")
+	h.step(ReplicaListed{Entry: withSequence(replica("e2", engines), 1)}) // without adapter x
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	d := h.dispatch()
+	h.is.Equal(d.Upstream, core.UpstreamID("e1"))
+	h.step(AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: EndNotReached, Refused: true})
+	_, sent := get[Dispatch](h)
+	h.is.True(!sent)
+	h.step(ReplicaListed{Entry: withSequence(replica("e2", engines, core.AdapterRef{ID: "x", Version: 1}), 2)})
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e2"))
+}
+
+func withSequence(e replicas.Entry, n uint64) replicas.Entry {
+	e.Sequence = n
+	return e
+}
+
+func TestRequestIsRefusedAtOnceWhereEveryReplicaIsDown(t *testing.T) {
+	h := newHost(t)
+	h.step(ReplicaUnlisted{ID: "s2"})
+	h.arrive(RequestArrived{Path: "/act/x"})
+	d := h.dispatch()
+	h.step(AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: EndNotReached, Refused: true})
+	r := h.refusal()
+	h.is.Equal(r.Ran, core.RanNo)
+	h.is.True(r.RetryAfter > 0)
+}
+
+func TestAdapterIsNotLoadedWhereNothingListens(t *testing.T) {
+	h := newHost(t)
+	r := &request{arrival: RequestArrived{Model: model, Adapter: "y"}, service: testTable().Services[engines]}
+	first := h.m.preferredReplicas(r)[0]
+	h.step(ReplicaChecked{Replica: first.ID, Started: first.Started, Result: CheckEnded})
+	preferred := h.m.preferredReplicas(r)
+	h.is.Equal(len(preferred), 1)
+	h.is.True(preferred[0].ID != first.ID)
+}
+
+func TestNextIncarnationIsChosenAtOnce(t *testing.T) {
+	h := newHost(t)
+	h.step(ReplicaUnlisted{ID: "e2"})
+	h.step(ReplicaChecked{Replica: "e1", Started: 1, Result: CheckEnded})
+	h.restart("e1")
+	h.streamWith()
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e1"))
+	h.step(ReplicaChecked{Replica: "e1", Started: 1, Result: CheckEnded}) // of the earlier one
+	h.is.True(!h.m.replicas.Get("e1").Down(core.Instant(h.now)))
+}
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -85,6 +85,7 @@
 	i := incarnation{r.upstream, r.upstreamStarted}
 	switch {
 	case e.Refused:
+		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
 		m.confirmEnd(i)
 	case len(r.arrival.Parts) == 0:
 	case e.Kind == EndOK && !e.Answer.EndUnmarked:
@@ -177,6 +178,9 @@
 // handleReplicaChecked applies the result of a check.
 func (m *Machine) handleReplicaChecked(e ReplicaChecked) {
 	i := incarnation{e.Replica, e.Started}
+	if e.Result == CheckEnded {
+		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
+	}
 	end := m.parts.ends[i]
 	if end == nil {
 		return
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -65,6 +65,7 @@
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
 	pausedUntil    core.Instant           // it has asked this host to send it nothing until then
+	downUntil      core.Instant           // its process has ended, as far as this host has seen, and is tried again then
 	adapters       map[core.AdapterID]int // versions of the loaded adapters
 	baseModels     map[core.BaseModel]bool
 	reportedAt     core.Instant // when its owner last reported its residency; 0: never
@@ -99,6 +100,9 @@
 // Pause is how much longer the replica wants nothing from this host; 0: it is not paused.
 func (r *Replica) Pause(now core.Instant) time.Duration { return max(r.pausedUntil.Sub(now), 0) }
 
+// Down reports whether nothing listened at the replica's address a moment ago.
+func (r *Replica) Down(now core.Instant) bool { return now < r.downUntil }
+
 // HasModel reports whether a base model is loaded on the replica.
 func (r *Replica) HasModel(m core.BaseModel) bool { return r.baseModels[m] }
 
@@ -308,6 +312,14 @@
 	}
 }
 
+// MarkDown records that nothing listens at the address of an incarnation of a replica, which is to
+// be tried again after d.
+func (s *Set) MarkDown(now core.Instant, id core.UpstreamID, started int64, d time.Duration) {
+	if r := s.byID[id]; r != nil && r.Started == started {
+		r.downUntil = now.Add(d)
+	}
+}
+
 // Remove removes a replica that is no longer listed. Around a store outage it is only
 // marked as missing, unless it was leaving.
 func (s *Set) Remove(now core.Instant, id core.UpstreamID) {
