Read and log the limit that a replica names

A stream that is taken up within an answer now reports what its replica says of itself too, which it didn't. No limit is kept yet.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -79,6 +79,8 @@
 			{Name: "reported_leaving", Meaning: "it has said so to another host; it is sent no more requests"},
 			{Name: "alive", Meaning: "it has closed connections of requests and still runs"},
 			{Name: "ended", Meaning: "it has closed connections of requests and runs no more"},
+			{Name: "limited", Meaning: "an answer of the replica names how many requests a second it takes from all hosts"},
+			{Name: "limit_malformed", Meaning: "a limit that an answer of the replica names can't be read"},
 			{Name: "paused", Meaning: "it has asked this host to send it nothing for the time in the detail"},
 			{Name: "outdated", Meaning: "an entry that is older than the replica's removal is ignored"},
 			{Name: "gone", Meaning: "its entry was removed"}}},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -99,6 +99,8 @@
 	ID      core.RequestID
 	Attempt int
 	Notice  replicas.Notice
+
+	Confirmation bool // it was said in the answer to a confirmation, not in that to the request
 }
 
 // ConfigurationRead is a version of the configuration.
@@ -287,6 +289,7 @@
 	NonRepeatable   bool          // the request must not run twice
 	Confirmable     bool          // the replica answers a confirmation without running anything
 	Incarnation     int64         // start of the incarnation that alone may run it, which is to be confirmed; 0: any
+	Limited         bool          // the replica has named a limit: whether its answer does is to be reported
 	Priority        int           // among the requests that wait at the replica; 0 is the most urgent
 }
 
--- a/internal/core/relaynode/notices.go
+++ b/internal/core/relaynode/notices.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"strconv"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -24,6 +25,9 @@
 	if n.Leaving && m.replicas.MarkLeaving(id, started) {
 		m.recordLeaving(replicas.Removal{ID: id, Started: started}, "says_leaving")
 	}
+	if n.Limit != (replicas.NamedLimit{}) && m.replicas.MarkLimit(id, started, n.Limit) {
+		m.emit(LogDecision{Name: "replica", Reason: limitReason(n.Limit), Upstream: id, Detail: strconv.FormatFloat(n.Limit.PerSecond, 'g', -1, 64) + " a second"})
+	}
 	if n.Pause > 0 {
 		m.replicas.MarkPaused(m.now, id, started, n.Pause)
 		m.pausesUntil = max(m.pausesUntil, m.now.Add(n.Pause))
@@ -31,6 +35,13 @@
 	}
 }
 
+func limitReason(l replicas.NamedLimit) string {
+	if l.Malformed {
+		return "limit_malformed"
+	}
+	return "limited"
+}
+
 // applyCurrentNotice is applyNotice for the present incarnation of a replica.
 func (m *Machine) applyCurrentNotice(id core.UpstreamID, n replicas.Notice) {
 	if x := m.replicas.Get(id); x != nil {
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -53,6 +53,15 @@
 type Notice struct {
 	Leaving bool
 	Pause   time.Duration // how long it wants nothing from the host that it answers; 0: no pause
+	Limit   NamedLimit
+}
+
+// NamedLimit is the rate limit that a replica names in an answer: how many requests it takes from
+// all hosts together, for as long as its answers name it.
+type NamedLimit struct {
+	Named     bool
+	PerSecond float64 // not negative, and finite
+	Malformed bool    // a value can't be read
 }
 
 // Replica is an entry with the state that this host keeps for it.
@@ -65,6 +74,7 @@
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
 	pausedUntil    core.Instant           // it has asked this host to send it nothing until then
+	limit          NamedLimit             // as last named in an answer to this host
 	downUntil      core.Instant           // its process has ended, as far as this host has seen, and is tried again then
 	adapters       map[core.AdapterID]int // versions of the loaded adapters
 	baseModels     map[core.BaseModel]bool
@@ -320,6 +330,17 @@
 	}
 }
 
+// MarkLimit records the limit that an incarnation of a replica names, and reports whether another
+// one was known.
+func (s *Set) MarkLimit(id core.UpstreamID, started int64, limit NamedLimit) (changed bool) {
+	r := s.byID[id]
+	if r == nil || r.Started != started || r.limit == limit {
+		return false
+	}
+	r.limit = limit
+	return true
+}
+
 // Remove removes a replica that is no longer listed. Around a store outage it is only
 // marked as missing, unless it was leaving.
 func (s *Set) Remove(now core.Instant, id core.UpstreamID) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -190,6 +190,7 @@
 			continue
 		}
 		answered := s.task.server.dialect.ParseAnswer(answer.Header())
+		s.task.reportNotice(d, answered.Notice, false)
 		if !isEventStream(answer, answered) || !s.task.exchange.StartAnswer(d.Attempt) {
 			end := endOfAnswer(answered)
 			end.Answer = evidence(answer)
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -147,7 +147,7 @@
 	t.server.dialect.BuildConfirmation(request, AttemptFields{Upstream: d.Upstream})
 	accept := func(h *fasthttp.ResponseHeader, body []byte) bool {
 		answered := t.server.dialect.ParseAnswer(h)
-		t.reportNotice(d, answered.Notice)
+		t.reportNotice(d, answered.Notice, true)
 		sameIncarnation := d.Incarnation == 0 || d.Incarnation == t.server.dialect.ParseIncarnation(body)
 		return answered.Notice.Pause == 0 && !answered.Misdirected && sameIncarnation
 	}
@@ -158,10 +158,11 @@
 	return confirmation
 }
 
-// reportNotice reports to the node what a replica says about itself.
-func (t *task) reportNotice(d relaynode.Dispatch, n replicas.Notice) {
-	if n != (replicas.Notice{}) {
-		t.server.node.Notify(relaynode.ReplicaNoticed{ID: d.ID, Attempt: d.Attempt, Notice: n})
+// reportNotice reports to the node what a replica says about itself; where it is limited, also that
+// it names no limit.
+func (t *task) reportNotice(d relaynode.Dispatch, n replicas.Notice, confirmation bool) {
+	if n != (replicas.Notice{}) || d.Limited {
+		t.server.node.Notify(relaynode.ReplicaNoticed{ID: d.ID, Attempt: d.Attempt, Notice: n, Confirmation: confirmation})
 	}
 }
 
@@ -176,7 +177,7 @@
 		return false
 	}
 	answered := t.server.dialect.ParseAnswer(answer.Header())
-	t.reportNotice(d, answered.Notice)
+	t.reportNotice(d, answered.Notice, false)
 	if isEventStream(answer, answered) {
 		return t.beginStream(ctx, d, attempt, cancel, answer)
 	}
