--- /dev/null
+++ b/internal/core/intake/permits.go
@@ -0,0 +1,127 @@
+package intake
+
+import (
+	"time"
+
+	"gentiancroft/internal/core"
+)
+
+const (
+	// permitTime is how long a permit may be used, from when its host asked for it.
+	permitTime = time.Second
+	// answerTime is how long an ask may stay unanswered.
+	answerTime = 200 * time.Millisecond
+	// retryTime is how long after that a host waits before it asks again.
+	retryTime = 300 * time.Millisecond
+	// maxWanted bounds the permits that a host asks for beyond what waits for them.
+	maxWanted = 64
+)
+
+// permits are one host's permits for an incarnation.
+type permits struct {
+	count     int
+	until     core.Instant // when they end
+	asked     uint64       // number of the open ask; 0: none is open
+	askedAt   core.Instant // when the last one was sent
+	noneUntil core.Instant // the granter has had none, and may have one again then
+	wanted    int          // permits to ask for: more where all were used, fewer where some were not
+}
+
+// Permits holds the permits of one host. It is not safe for concurrent use.
+type Permits struct {
+	byKey  map[Key]*permits
+	number uint64 // of the last ask
+}
+
+// NewPermits returns no permits.
+func NewPermits() *Permits { return &Permits{byKey: map[Key]*permits{}} }
+
+// Count returns how many requests may be sent to a limited incarnation now.
+func (p *Permits) Count(now core.Instant, k Key) int {
+	x := p.byKey[k]
+	if x == nil || now >= x.until {
+		return 0
+	}
+	return x.count
+}
+
+// Use uses one permit, if there is one.
+func (p *Permits) Use(now core.Instant, k Key) {
+	if p.Count(now, k) > 0 {
+		p.byKey[k].count--
+	}
+}
+
+// Wait returns the time until it is of use to ask for a permit again; 0: it is now. It gives up an ask
+// that was not answered in time.
+func (p *Permits) Wait(now core.Instant, k Key) time.Duration {
+	x := p.byKey[k]
+	if x == nil {
+		return 0
+	}
+	if x.asked != 0 && now.Sub(x.askedAt) >= answerTime {
+		x.asked, x.noneUntil = 0, x.askedAt.Add(answerTime+retryTime)
+	}
+	return max(x.noneUntil.Sub(now), 0)
+}
+
+// Asking reports whether an ask is open that may still be answered.
+func (p *Permits) Asking(now core.Instant, k Key) bool {
+	x := p.byKey[k]
+	return x != nil && x.asked != 0 && now.Sub(x.askedAt) < answerTime
+}
+
+// LastAsk returns when permits for an incarnation were last asked for, and false if never.
+func (p *Permits) LastAsk(k Key) (core.Instant, bool) {
+	x := p.byKey[k]
+	if x == nil {
+		return 0, false
+	}
+	return x.askedAt, true
+}
+
+// Ask begins an ask of permits for the requests that wait for them, and returns its number and how
+// many to ask for.
+func (p *Permits) Ask(now core.Instant, k Key, waiting int) (number uint64, count int) {
+	x := p.byKey[k]
+	if x == nil {
+		x = &permits{wanted: 1}
+		p.byKey[k] = x
+	}
+	switch {
+	case x.count > 0: // they have ended
+		x.wanted = max(x.wanted/2, 1)
+	case now < x.until:
+		x.wanted = min(2*x.wanted, maxWanted)
+	}
+	x.count, x.until = 0, 0
+	p.number++
+	x.asked, x.askedAt = p.number, now
+	return p.number, max(x.wanted, waiting)
+}
+
+// Apply applies the answer to the open ask, and reports whether it was that. Permits end permitTime
+// after they were asked for, however late they come.
+func (p *Permits) Apply(now core.Instant, g Grant) bool {
+	x := p.byKey[g.Key]
+	if x == nil || x.asked == 0 || x.asked != g.Number {
+		return false
+	}
+	x.asked = 0
+	if g.Count <= 0 {
+		x.noneUntil = now.Add(min(max(g.Wait, 0), maxWait))
+		return true
+	}
+	x.count = g.Count
+	x.until, x.noneUntil = x.askedAt.Add(permitTime), 0
+	return true
+}
+
+// Keep forgets the incarnations for which keep returns false.
+func (p *Permits) Keep(keep func(Key) bool) {
+	for k := range p.byKey {
+		if !keep(k) {
+			delete(p.byKey, k)
+		}
+	}
+}
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -45,6 +45,7 @@
 		{Name: "admission", Subject: "whether a request is admitted under the configuration in force", Detail: "the route; if refused: the cause, the path and the configuration's version",
 			Reasons: append([]Reason{{Name: "admitted", Meaning: "it is placed on a replica", MetricsOnly: true}}, refusalReasons...)},
 		{Name: "wait", Subject: "a request that no replica can run now", Detail: "the adapter", Reasons: []Reason{
+			{Name: "permit", Meaning: "only replicas that name a limit can run it; a permit is asked for"},
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
 		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
@@ -79,7 +80,9 @@
 			{Name: "reported_leaving", Meaning: "it has said so to another host; it is sent no more requests"},
 			{Name: "alive", Meaning: "it has closed connections of requests and still runs"},
 			{Name: "ended", Meaning: "it has closed connections of requests and runs no more"},
-			{Name: "limited", Meaning: "an answer of the replica names how many requests a second it takes from all hosts"},
+			{Name: "limit_begun", Meaning: "its answers name how many requests a second it takes from all hosts"},
+			{Name: "limit_altered", Meaning: "they name another limit"},
+			{Name: "limit_ended", Meaning: "an answer to a request that was sent after the last that named a limit names none"},
 			{Name: "limit_malformed", Meaning: "a limit that an answer of the replica names can't be read"},
 			{Name: "paused", Meaning: "it has asked this host to send it nothing for the time in the detail"},
 			{Name: "outdated", Meaning: "an entry that is older than the replica's removal is ignored"},
--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -87,6 +87,7 @@
 const (
 	rankLoadable = iota
 	rankBusy     // its prompts take longer than the objective
+	rankLimited  // it takes few requests
 	rankFull     // no slot can be freed
 )
 
@@ -95,6 +96,8 @@
 	switch {
 	case x.Full(m.now):
 		return rankFull
+	case m.limited(x):
+		return rankLimited
 	case m.utilization(r, x) >= 1:
 		return rankBusy
 	}
@@ -156,7 +159,7 @@
 	}
 	m.lastExtraDemand[a] = m.now
 	for _, x := range m.preferredReplicas(r) {
-		if _, ok := x.AdapterVersion(a); ok || m.utilization(r, x) > busy/2 {
+		if _, ok := x.AdapterVersion(a); ok || m.limited(x) || m.utilization(r, x) > busy/2 {
 			continue
 		}
 		m.sendDemand(r, x)
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -16,6 +16,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/intake"
 	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/promptpart"
 	"gentiancroft/internal/core/replicas"
@@ -243,6 +244,10 @@
 
 	Origins []origin.Record    `cbor:"14,keyasint,omitempty"` // streams that began lately
 	Parts   *promptpart.Report `cbor:"15,keyasint,omitempty"` // prompt parts that crash replicas
+
+	Limits       []intake.Evidence `cbor:"16,keyasint,omitempty"` // limits of replicas that have begun, changed or ended
+	PermitAsks   []intake.Ask      `cbor:"17,keyasint,omitempty"`
+	PermitGrants []intake.Grant    `cbor:"18,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a host sends to other hosts at regular intervals.
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -274,6 +274,8 @@
 			m.refuse(r, &core.Refusal{Code: core.CodeDeadlineExceeded, Message: "no whole answer before the request's deadline", Ran: r.ranState()})
 		case r.stage == stageWaiting && m.now.Sub(r.stageSince) >= r.maxAdapterWait():
 			m.refuseNoReplica(r)
+		case r.stage == stageWaiting && r.awaitsPermit:
+			m.place(r)
 		case r.stage == stageWaiting:
 			if pause, all := m.servicePause(r.service.ID); all {
 				m.refusePaused(r, pause)
@@ -306,8 +308,7 @@
 	if m.now.Sub(r.stageSince) < wait || r.deadline.Sub(m.now) < wait {
 		return false
 	}
-	usable, _ := m.candidates(r)
-	return len(usable) > 1 && m.retryBudget(r.service.ID).Withdraw(m.now)
+	return len(m.candidates(r).usable) > 1 && m.retryBudget(r.service.ID).Withdraw(m.now)
 }
 
 // moveAttempt cancels an attempt; the request is retried when the attempt has ended.
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -34,6 +34,8 @@
 	retries         map[table.ServiceID]*retry.Budget
 	crashes         map[uint64]*crashRecord
 	parts           promptParts
+	limits          limits
+	limitsChecked   bool // no request waits for a permit that its granter hasn't had
 	failures        map[core.UpstreamID]*core.Decaying
 	lastExtraDemand map[core.AdapterID]core.Instant // when another copy or a newer version was last demanded
 
@@ -86,6 +88,8 @@
 		retries:         map[table.ServiceID]*retry.Budget{},
 		crashes:         map[uint64]*crashRecord{},
 		parts:           newPromptParts(),
+		limits:          newLimits(),
+		limitsChecked:   true,
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
 		requests:        newRequests(),
@@ -181,6 +185,7 @@
 	}
 	m.enforceBlocked()
 	m.placeWaiting()
+	m.placePermitWaiters()
 	return m.effects
 }
 
@@ -205,6 +210,8 @@
 	m.checkEnds()
 	m.expireParts()
 	m.sendPartReports()
+	m.expireLimits()
+	m.sendLimitNews()
 	m.finishLeaving()
 }
 
--- a/internal/core/relaynode/notices.go
+++ b/internal/core/relaynode/notices.go
@@ -1,7 +1,6 @@
 package relaynode
 
 import (
-	"strconv"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -11,12 +10,17 @@
 
 // What a replica says about itself in the header of an answer overrides its entry in the
 // platform's list: it has left the moment it says so, and it is sent nothing while it asks
-// for a pause. That it leaves is sent to the other hosts; a pause is for this host alone.
+// for a pause. That it leaves, and the limit that it names, is sent to the other hosts; a pause is for this host alone.
 
 // handleAttemptNotice applies what the answer to an attempt says about its replica.
 func (m *Machine) handleAttemptNotice(e ReplicaNoticed) {
-	if r := m.requests.byID[e.ID]; r != nil && r.attempt == e.Attempt {
-		m.applyNotice(r.upstream, r.upstreamStarted, e.Notice)
+	r := m.requests.byID[e.ID]
+	if r == nil || r.attempt != e.Attempt {
+		return
+	}
+	m.applyNotice(r.upstream, r.upstreamStarted, e.Notice)
+	if e.Notice.Limit == (replicas.NamedLimit{}) && !e.Confirmation {
+		m.applyNoLimit(r)
 	}
 }
 
@@ -25,9 +29,7 @@
 	if n.Leaving && m.replicas.MarkLeaving(id, started) {
 		m.recordLeaving(replicas.Removal{ID: id, Started: started}, "says_leaving")
 	}
-	if n.Limit != (replicas.NamedLimit{}) && m.replicas.MarkLimit(id, started, n.Limit) {
-		m.emit(LogDecision{Name: "replica", Reason: limitReason(n.Limit), Upstream: id, Detail: strconv.FormatFloat(n.Limit.PerSecond, 'g', -1, 64) + " a second"})
-	}
+	m.applyLimitNotice(id, started, n.Limit, 0)
 	if n.Pause > 0 {
 		m.replicas.MarkPaused(m.now, id, started, n.Pause)
 		m.pausesUntil = max(m.pausesUntil, m.now.Add(n.Pause))
@@ -35,13 +37,6 @@
 	}
 }
 
-func limitReason(l replicas.NamedLimit) string {
-	if l.Malformed {
-		return "limit_malformed"
-	}
-	return "limited"
-}
-
 // applyCurrentNotice is applyNotice for the present incarnation of a replica.
 func (m *Machine) applyCurrentNotice(id core.UpstreamID, n replicas.Notice) {
 	if x := m.replicas.Get(id); x != nil {
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -196,18 +196,11 @@
 	}
 	m.parts.report, m.parts.relayed = promptpart.Report{}, promptpart.Report{}
 	m.parts.reportDue = m.now.Add(partReportInterval)
-	if !m.fleet.Active() {
-		m.sendPartReport(m.fleet.StandbyContacts(), report)
-		return
-	}
-	m.sendPartReport(m.fleet.ActivePeers(), report)
-	relayed.Merge(report)
-	m.sendPartReport(m.fleet.Standbys(m.now), relayed)
-}
-
-func (m *Machine) sendPartReport(to []fleet.Registration, report promptpart.Report) {
 	if !report.Empty() {
-		m.send(to, Message{Parts: &report})
+		m.tellAll(Message{Parts: &report})
+	}
+	if !relayed.Empty() && m.fleet.Active() {
+		m.send(m.fleet.Standbys(m.now), Message{Parts: &relayed})
 	}
 }
 
@@ -259,7 +252,7 @@
 	}
 	if p, ok := m.fleet.ByHostID(to); ok {
 		m.parts.toldAt[to] = m.now
-		m.sendPartReport([]fleet.Registration{p}, promptpart.Report{Verdicts: verdicts})
+		m.send([]fleet.Registration{p}, Message{Parts: &promptpart.Report{Verdicts: verdicts}})
 	}
 }
 
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -16,6 +16,28 @@
 	m.send(m.fleet.Peers(m.now), message)
 }
 
+// tellAll sends a message to the hosts that don't hear of it from others: an active host to the
+// other active ones and to the standby hosts that report to it, a standby host to its contacts.
+func (m *Machine) tellAll(message Message) {
+	if !m.fleet.Active() {
+		m.send(m.fleet.StandbyContacts(), message)
+		return
+	}
+	m.send(m.fleet.ActivePeers(), message)
+	m.send(m.fleet.Standbys(m.now), message)
+}
+
+// passOn sends another host's message to the hosts that it doesn't reach.
+func (m *Machine) passOn(from core.HostID, message Message) {
+	switch {
+	case !m.fleet.Active():
+	case m.fleet.IsActive(from):
+		m.send(m.fleet.Standbys(m.now), message)
+	default:
+		m.tellAll(message)
+	}
+}
+
 // sendToOwner sends a message to the owner of a replica's shard. It returns false if
 // there is none, if it is this host, or if it is not reachable.
 func (m *Machine) sendToOwner(replica core.UpstreamID, message Message) bool {
@@ -108,6 +130,11 @@
 	}
 	m.receiveRecords(e.From, e.Message.Origins)
 	m.receivePartReport(e.From, e.Message.Parts)
+	m.receiveLimits(e.From, e.Message.Limits)
+	m.answerAsks(e.From, e.Message.PermitAsks)
+	for _, g := range e.Message.PermitGrants {
+		m.applyGrant(g)
+	}
 	m.applyListChanges(e.Message)
 	m.applyDocuments(e)
 	for _, d := range e.Message.Demands {
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -38,23 +38,31 @@
 	if m.refuseBlocked(r) {
 		return
 	}
-	usable, saturated := m.candidates(r)
-	if len(usable) > 0 {
-		best := m.choose(r, usable)
+	c := m.candidates(r)
+	if len(c.usable) > 0 {
+		best := m.choose(r, c.usable)
 		m.demandNewerVersion(r, best)
 		m.demandCopy(r, best)
 		m.beginTrial(r)
 		m.dispatch(r, best)
+		m.askForLater(c.limited)
+		return
+	}
+	if len(c.limited) > 0 && m.awaitPermit(r, c.limited) {
 		return
 	}
 	if pause, all := m.servicePause(r.service.ID); all {
 		m.refusePaused(r, pause)
 		return
 	}
-	if saturated {
+	if c.saturated {
 		m.refuse(r, core.Refuse(core.CodeOverloaded, retryAfterSaturated, "every replica that could run it is full"))
 		return
 	}
+	if len(c.limited) > 0 && !m.canLoadElsewhere(r) {
+		m.refuseLimited(r, c.limited)
+		return
+	}
 	if r.arrival.Adapter == "" || r.service.Engine == nil {
 		m.refuseNoReplica(r)
 		return
@@ -75,26 +83,44 @@
 	m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterSaturated, "no replica can run it now"))
 }
 
-// candidates returns the replicas that can run a request now: those that the platform's
-// list confirms or, if there are none, the others. None of them is down. Saturated is true if replicas were
-// left out because they are saturated.
-func (m *Machine) candidates(r *request) (usable []*replicas.Replica, saturated bool) {
+// candidates are the replicas that could run a request.
+type candidates struct {
+	usable    []*replicas.Replica // it can be sent to them now
+	limited   []*replicas.Replica // it could, with a permit
+	saturated bool                // others were left out because they are saturated
+}
+
+// candidates returns the replicas that could run a request: those that the platform's list
+// confirms or, if there are none, the others. None of them is down.
+func (m *Machine) candidates(r *request) candidates {
+	var c candidates
 	var unconfirmed []*replicas.Replica
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
 		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x):
 		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
-			saturated = true
+			c.saturated = true
+		case m.needsPermit(x):
+			c.limited = append(c.limited, x)
 		case x.Unconfirmed():
 			unconfirmed = append(unconfirmed, x)
 		default:
-			usable = append(usable, x)
+			c.usable = append(c.usable, x)
 		}
 	}
-	if len(usable) == 0 {
-		usable = unconfirmed
+	if len(c.usable) == 0 {
+		c.usable = unconfirmed
+	}
+	return c
+}
+
+// canLoadElsewhere reports whether a request's adapter can be loaded on a replica that isn't
+// limited.
+func (m *Machine) canLoadElsewhere(r *request) bool {
+	if r.arrival.Adapter == "" || r.service.Engine == nil {
+		return false
 	}
-	return usable, saturated
+	return slices.ContainsFunc(m.preferredReplicas(r), func(x *replicas.Replica) bool { return !m.limited(x) })
 }
 
 // canRun reports whether a replica has loaded what a request needs, at a version
@@ -167,7 +193,7 @@
 	for m.placementDue {
 		m.placementDue = false
 		for _, r := range m.requests.waiting() {
-			if usable, _ := m.candidates(r); len(usable) > 0 {
+			if len(m.candidates(r).usable) > 0 {
 				m.place(r)
 			}
 		}
@@ -182,7 +208,9 @@
 	r.sentTo = softwareOf(x)
 	r.stage, r.stageSince = stageRunning, m.now
 	r.answerStarted, r.moving = false, false
+	r.awaitsPermit = false
 	x.OwnRequests++
+	m.usePermit(x)
 	m.countPrompt(r, x)
 	m.countUse(r, x)
 	if r.attempt == 1 {
@@ -201,6 +229,7 @@
 		NonRepeatable:   !r.route.Repeatable(),
 		Confirmable:     r.service.Engine != nil,
 		Incarnation:     m.requiredIncarnation(r, x),
+		Limited:         m.limited(x),
 		Priority:        r.priorityAtReplica(),
 	})
 }
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -46,6 +46,7 @@
 	partDelivered   bool         // a part of the answer has been sent to the caller
 	moving          bool         // the attempt is being cancelled, to be retried on another replica
 	withdrawn       bool         // it is being cancelled because a part of its prompt was blocked
+	awaitsPermit    bool         // it waits for a permit for a limited replica
 	trial           bool         // it has blocked parts and is tried all the same
 	closed          bool         // the caller has its final answer or has hung up
 	outcome         string
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -74,7 +74,6 @@
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
 	pausedUntil    core.Instant           // it has asked this host to send it nothing until then
-	limit          NamedLimit             // as last named in an answer to this host
 	downUntil      core.Instant           // its process has ended, as far as this host has seen, and is tried again then
 	adapters       map[core.AdapterID]int // versions of the loaded adapters
 	baseModels     map[core.BaseModel]bool
@@ -330,17 +329,6 @@
 	}
 }
 
-// MarkLimit records the limit that an incarnation of a replica names, and reports whether another
-// one was known.
-func (s *Set) MarkLimit(id core.UpstreamID, started int64, limit NamedLimit) (changed bool) {
-	r := s.byID[id]
-	if r == nil || r.Started != started || r.limit == limit {
-		return false
-	}
-	r.limit = limit
-	return true
-}
-
 // Remove removes a replica that is no longer listed. Around a store outage it is only
 // marked as missing, unless it was leaving.
 func (s *Set) Remove(now core.Instant, id core.UpstreamID) {
