Parts that come together are blocked together, and told apart by trials

Change: a part without a known answer is blocked together with those that were at its latest crash and at two in a row; a request that has only one of them is tried after 1 s, and one that has several only a minute after that. Before, the delay for several was added to a wait that began anew each time, so that parts which always come together were never tried. Times before a host's start no longer count as "never", in promptpart and in intake. Tests: TestRarerPartIsBlockedWithTheSharedOne, TestPartsBlockedTogetherAreTriedSoon, TestHostThatHasJustStartedAppliesWhatHappenedBefore, TestHostThatHasJustStartedHearsOfAnEarlierLimit.

--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -50,6 +50,15 @@
 	is.Equal(l.Apply(at(4*time.Second), named(2)), Begun)
 }
 
+func TestHostThatHasJustStartedHearsOfAnEarlierLimit(t *testing.T) {
+	is := is.New(t)
+	l := NewLimits()
+	before := named(2)
+	before.Age = time.Minute
+	is.Equal(l.Apply(core.Instant(time.Second), before), Begun)
+	is.Equal(l.Apply(core.Instant(2*time.Second), Evidence{Key: key}), Ended)
+}
+
 func TestReplicaThatTakesNothingIsStillAsked(t *testing.T) {
 	is := is.New(t)
 	l := NewLimits()
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -9,6 +9,7 @@
 package intake
 
 import (
+	"math"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -95,7 +96,7 @@
 
 func (l *Limits) begin(x *limit, received core.Instant, e Evidence) Change {
 	if x == nil {
-		x = &limit{}
+		x = &limit{receivedAt: math.MinInt64, endedAt: math.MinInt64}
 		l.byKey[e.Key] = x
 	}
 	if received < x.receivedAt || received < x.endedAt {
--- a/internal/core/promptpart/tracker.go
+++ b/internal/core/promptpart/tracker.go
@@ -9,21 +9,12 @@
 )
 
 const (
-	// maxRounds is after how many crashes in a row a part is blocked on which no answer is known.
-	maxRounds = 3
-	// maxTrustedRounds is the same for a part on which there has been an answer: another part of
-	// the same prompts is more likely.
-	maxTrustedRounds = 6
 	// retention is how long a part that isn't blocked is remembered after its last event.
 	retention = 90 * time.Second
 	// blockedRetention is the same for one that is blocked, which is tried now and then.
 	blockedRetention = 2 * time.Hour
 	// maxRecords bounds the parts that are remembered.
 	maxRecords = 2048
-	// maxSightings bounds what is remembered of one part.
-	maxSightings = 16
-	// maxReported bounds the entries of one kind in one report.
-	maxReported = 256
 )
 
 // Times from the verdict on a part to its first trial, and between trials.
@@ -32,68 +23,13 @@
 	trialBackoffFactor = 4
 	maxTrialDelay      = time.Hour
 
-	// ambiguousTrialDelay is the time to the first trial of parts that were blocked together,
-	// within ambiguousTime: a request that has only one of them shows which it is.
+	// ambiguousTrialDelay is the time to the first trial of parts that were blocked together: a
+	// request that has only one of them shows which it is.
 	ambiguousTrialDelay = time.Second
-	ambiguousTime       = 200 * time.Millisecond
 	// jointTrialDelay is added for a request that has several blocked parts.
 	jointTrialDelay = time.Minute
 )
 
-// Incarnation identifies an incarnation of a replica.
-type Incarnation uint64
-
-// IncarnationOf returns the identifier of a replica's incarnation, by its start.
-func IncarnationOf(replica core.UpstreamID, started int64) Incarnation {
-	return Incarnation(core.Fingerprint(uint64(started), string(replica)))
-}
-
-// Sighting says that a replica's incarnation ended while it had a request with a part.
-type Sighting struct {
-	_           struct{} `cbor:",toarray"`
-	Part        ID
-	Incarnation Incarnation
-	Age         time.Duration // since the end
-	Held        time.Duration // how long before the end the latest request with the part was sent to it
-}
-
-// Acquittal says that an answer on a part came to a certain end.
-type Acquittal struct {
-	_    struct{} `cbor:",toarray"`
-	Part ID
-	Age  time.Duration // since that end
-}
-
-// Verdict says that a part is blocked.
-type Verdict struct {
-	_      struct{} `cbor:",toarray"`
-	Part   ID
-	Age    time.Duration // since it was blocked
-	Trials int           // requests with it that were tried since
-	Rounds int           // crashes in a row for which it was blocked
-	NextIn time.Duration // until the next one may be
-}
-
-// Report is what one host tells others.
-type Report struct {
-	Sightings  []Sighting  `cbor:"1,keyasint,omitempty"`
-	Acquittals []Acquittal `cbor:"2,keyasint,omitempty"`
-	Verdicts   []Verdict   `cbor:"3,keyasint,omitempty"`
-}
-
-// Empty reports whether there is nothing to tell.
-func (r *Report) Empty() bool { return len(r.Sightings)+len(r.Acquittals)+len(r.Verdicts) == 0 }
-
-// Merge adds another report, as far as the bounds allow.
-func (r *Report) Merge(other Report) {
-	r.Sightings = bounded(append(r.Sightings, other.Sightings...))
-	r.Acquittals = bounded(append(r.Acquittals, other.Acquittals...))
-	r.Verdicts = bounded(append(r.Verdicts, other.Verdicts...))
-}
-
-// bounded returns the latest maxReported entries.
-func bounded[T any](entries []T) []T { return entries[max(0, len(entries)-maxReported):] }
-
 // Change is what an input has changed about a part.
 type Change uint8
 
@@ -107,31 +43,11 @@
 	Disputed         // another host has blocked it, and doesn't know of an answer on it
 )
 
-// sighting is a Sighting on this host's clock.
-type sighting struct {
-	incarnation Incarnation
-	sent, ended core.Instant
-}
-
-// record is what is known of one part.
-type record struct {
-	sightings    []sighting   // since the last acquittal, by their ends
-	inherited    int          // crashes in a row before, that earlier processes have seen
-	acquittedAt  core.Instant // when the last known answer on it ended; 0: none is known
-	blockedAt    core.Instant // 0: it isn't blocked
-	blockedFor   int          // crashes in a row for which it was blocked
-	trials       int
-	nextTrial    core.Instant
-	lastReported core.Instant // when the record last changed
-}
-
 // Tracker holds what one host knows of parts. It is not safe for concurrent use.
 type Tracker struct {
-	records     map[ID]*record
-	sound       soundParts
-	digest      uint64       // of the blocked parts
-	lastBlocked ID           // by this host's own count
-	lastBlockAt core.Instant // when
+	records map[ID]*record
+	sound   soundParts
+	digest  uint64 // of the blocked parts
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -160,76 +76,80 @@
 	return r.rounds()
 }
 
-func (r *record) rounds() int {
-	n, last := r.inherited, core.Instant(-1)
-	for _, s := range r.sightings {
-		if s.sent > last {
-			n++
-			last = s.ended
+// PartChange is what an input has changed about a part.
+type PartChange struct {
+	Part   ID
+	Change Change
+}
+
+// ApplySightings applies sightings by any host, of one end of a replica or of several, and returns
+// what they have changed.
+func (t *Tracker) ApplySightings(now core.Instant, sightings []Sighting) []PartChange {
+	var changes []PartChange
+	for _, s := range sightings {
+		if t.addSighting(now, s) {
+			changes = append(changes, PartChange{s.Part, Suspected})
 		}
 	}
-	return n
+	for _, c := range changes { // once all parts of a prompt are known to have been there
+		if r := t.records[c.Part]; r != nil && r.blockedAt == 0 && r.rounds() >= r.maxRounds() {
+			changes = append(changes, t.block(now, c.Part, r)...)
+		}
+	}
+	return changes
 }
 
-// ApplySighting applies a sighting by any host.
-func (t *Tracker) ApplySighting(now core.Instant, s Sighting) Change {
+// addSighting adds a sighting. It returns false where it was known, or is from before the last answer
+// on the part.
+func (t *Tracker) addSighting(now core.Instant, s Sighting) bool {
 	r := t.recordOf(now, s.Part)
 	ended := now.Add(-max(s.Age, 0))
-	if ended <= r.acquittedAt && r.acquittedAt != 0 {
-		return Unchanged
+	if r.acquittedAt != 0 && ended <= r.acquittedAt {
+		return false
 	}
 	if !r.add(sighting{incarnation: s.Incarnation, sent: ended.Add(-max(s.Held, 0)), ended: ended}) {
-		return Unchanged
+		return false
 	}
 	r.lastReported = now
-	switch {
-	case r.blockedAt != 0:
-		return Unchanged
-	case r.rounds() >= r.maxRounds():
-		t.block(now, s.Part, r)
-		return Blocked
-	}
-	return Suspected
+	return r.blockedAt == 0
 }
 
-// maxRounds returns after how many crashes in a row the part is blocked.
-func (r *record) maxRounds() int {
-	if r.acquittedAt != 0 {
-		return maxTrustedRounds
+// block blocks a part by this host's own count. Where no answer is known on the part, it may be
+// there only because another one of the same prompts is, so these are blocked with it.
+func (t *Tracker) block(now core.Instant, p ID, r *record) []PartChange {
+	blocked := []ID{p}
+	if r.acquittedAt == 0 {
+		blocked = append(blocked, t.companions(p, r)...)
 	}
-	return maxRounds
-}
-
-// block blocks a part by this host's own count.
-func (t *Tracker) block(now core.Instant, p ID, r *record) {
 	delay := firstTrialDelay
-	if other := t.records[t.lastBlocked]; other != nil && other.blockedAt != 0 && now.Sub(t.lastBlockAt) <= ambiguousTime {
+	if len(blocked) > 1 {
 		delay = ambiguousTrialDelay
-		other.nextTrial = min(other.nextTrial, now.Add(delay))
 	}
-	t.lastBlocked, t.lastBlockAt = p, now
-	t.digest += p.hash()
-	r.block(now, Verdict{Part: p, NextIn: delay, Rounds: r.rounds()})
-}
-
-// add adds a sighting, or merges it with that of the same incarnation. It reports whether it was
-// unknown.
-func (r *record) add(s sighting) bool {
-	i := slices.IndexFunc(r.sightings, func(known sighting) bool { return known.incarnation == s.incarnation })
-	if i >= 0 {
-		known := &r.sightings[i]
-		known.sent, known.ended = max(known.sent, s.sent), min(known.ended, s.ended)
-	} else {
-		r.sightings = append(r.sightings, s)
+	var changes []PartChange
+	for _, id := range blocked {
+		x := t.records[id]
+		x.block(now, Verdict{Part: id, NextIn: delay, Rounds: x.rounds()})
+		t.digest += id.hash()
+		changes = append(changes, PartChange{id, Blocked})
 	}
-	slices.SortStableFunc(r.sightings, func(a, b sighting) int { return cmp.Compare(a.ended, b.ended) })
-	r.sightings = r.sightings[max(0, len(r.sightings)-maxSightings):]
-	return i < 0
+	return changes
 }
 
-func (r *record) block(now core.Instant, v Verdict) {
-	r.blockedAt, r.nextTrial = max(now.Add(-max(v.Age, 0)), 1), now.Add(max(v.NextIn, 0))
-	r.trials, r.blockedFor, r.lastReported = max(v.Trials, 0), v.Rounds, now
+// companions returns the parts that were at the latest crash of a part, and at one crash less than it
+// takes to block them or more. No answer on them is known.
+func (t *Tracker) companions(p ID, r *record) []ID {
+	if len(r.sightings) == 0 {
+		return nil
+	}
+	latest := r.sightings[len(r.sightings)-1].incarnation
+	var found []ID
+	for id, x := range t.records {
+		if id != p && x.blockedAt == 0 && x.acquittedAt == 0 && x.rounds() >= maxRounds-1 && x.wasAt(latest) {
+			found = append(found, id)
+		}
+	}
+	slices.Sort(found)
+	return found
 }
 
 // ApplyAcquittal applies an answer that came to a certain end, on any host. It clears what is
@@ -238,10 +158,10 @@
 func (t *Tracker) ApplyAcquittal(now core.Instant, a Acquittal) Change {
 	r := t.records[a.Part]
 	at := now.Add(-max(a.Age, 0))
-	if r == nil || at <= r.acquittedAt {
+	if r == nil || max(at, 1) <= r.acquittedAt {
 		return Unchanged
 	}
-	r.acquittedAt, r.lastReported = at, now
+	r.acquittedAt, r.lastReported = max(at, 1), now // this host may have started after it
 	before := r.rounds()
 	r.inherited = 0
 	r.sightings = slices.DeleteFunc(r.sightings, func(s sighting) bool { return s.ended <= at })
@@ -282,22 +202,24 @@
 // NextTrial returns the first blocked one of a prompt's parts, and the time until a request with
 // these parts may be tried; 0: it may now. It returns false where none is blocked.
 func (t *Tracker) NextTrial(now core.Instant, parts []ID) (first ID, wait time.Duration, blocked bool) {
-	n := 0
+	n, due := 0, now
 	for _, p := range parts {
 		r := t.records[p]
 		if r == nil || r.blockedAt == 0 {
 			continue
 		}
-		if n == 0 {
-			first = p
-		}
 		n++
-		wait = max(wait, r.nextTrial.Sub(now))
+		switch n {
+		case 1:
+			first, due = p, r.nextTrial
+		default:
+			due = max(due, r.nextTrial)
+		}
 	}
 	if n > 1 {
-		wait += jointTrialDelay
+		due = due.Add(jointTrialDelay)
 	}
-	return first, wait, n > 0
+	return first, max(due.Sub(now), 0), n > 0
 }
 
 // BeginTrial records that a request with a blocked part is tried, and returns the verdict for the
@@ -313,10 +235,6 @@
 	return r.verdict(now, p)
 }
 
-func (r *record) verdict(now core.Instant, p ID) Verdict {
-	return Verdict{Part: p, Age: now.Sub(r.blockedAt), Trials: r.trials, Rounds: r.blockedFor, NextIn: max(r.nextTrial.Sub(now), 0)}
-}
-
 // Verdicts returns all blocked parts, sorted, up to the bound of a report.
 func (t *Tracker) Verdicts(now core.Instant) []Verdict {
 	var all []Verdict
@@ -329,13 +247,6 @@
 	return bounded(all)
 }
 
-// Suspicion says what is known of a part that isn't blocked.
-type Suspicion struct {
-	Part     ID
-	Rounds   int           // crashes in a row
-	Answered time.Duration // since the last known answer on it; 0: none is known
-}
-
 // Suspicions returns the suspected parts that aren't blocked, those with the most crashes first, up
 // to a number.
 func (t *Tracker) Suspicions(now core.Instant, most int) []Suspicion {
@@ -406,14 +317,6 @@
 	}
 }
 
-// before reports whether a record is given up sooner than another one.
-func (r *record) before(o *record) bool {
-	if blocked := r.blockedAt != 0; blocked != (o.blockedAt != 0) {
-		return !blocked
-	}
-	return r.lastReported < o.lastReported
-}
-
 func (t *Tracker) forget(p ID) {
 	if t.Blocked(p) {
 		t.digest -= p.hash()
--- a/internal/core/promptpart/tracker_test.go
+++ b/internal/core/promptpart/tracker_test.go
@@ -17,12 +17,21 @@
 
 func at(d time.Duration) core.Instant { return core.Instant(time.Hour + d) }
 
-// crash applies the end of a replica under parts whose requests were sent held before it.
-func crash(t *Tracker, now time.Duration, i int, held time.Duration, parts ...ID) (last Change) {
+// crash applies the end of a replica under parts whose requests were sent held before it, and
+// returns the last change.
+func crash(t *Tracker, now time.Duration, i int, held time.Duration, parts ...ID) Change {
+	var sightings []Sighting
 	for _, p := range parts {
-		last = t.ApplySighting(at(now), Sighting{Part: p, Incarnation: Incarnation(i), Held: held})
+		sightings = append(sightings, Sighting{Part: p, Incarnation: Incarnation(i), Held: held})
 	}
-	return last
+	return lastChange(t.ApplySightings(at(now), sightings))
+}
+
+func lastChange(changes []PartChange) Change {
+	if len(changes) == 0 {
+		return Unchanged
+	}
+	return changes[len(changes)-1].Change
 }
 
 func TestPartIsBlockedAfterCrashesInARow(t *testing.T) {
@@ -54,9 +63,9 @@
 func TestCrashIsCountedOnceWhoeverReportsIt(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker()
-	is.Equal(tracker.ApplySighting(at(0), Sighting{Part: bad, Incarnation: 1}), Suspected)
+	is.Equal(lastChange(tracker.ApplySightings(at(0), []Sighting{{Part: bad, Incarnation: 1}})), Suspected)
 	late := Sighting{Part: bad, Incarnation: 1, Age: 80 * time.Millisecond, Held: 40 * time.Millisecond}
-	is.Equal(tracker.ApplySighting(at(100*time.Millisecond), late), Unchanged)
+	is.Equal(len(tracker.ApplySightings(at(100*time.Millisecond), []Sighting{late})), 0)
 	is.Equal(tracker.Rounds(bad), 1)
 }
 
@@ -67,7 +76,7 @@
 	crash(tracker, 2*time.Second, 2, 0, shared)
 	is.Equal(tracker.ApplyAcquittal(at(3*time.Second), Acquittal{Part: shared, Age: 2 * time.Second}), Acquitted) // before the second
 	is.Equal(tracker.Rounds(shared), 1)
-	is.Equal(tracker.ApplySighting(at(3*time.Second), Sighting{Part: shared, Incarnation: 3, Age: 2500 * time.Millisecond}), Unchanged) // reported late
+	is.Equal(len(tracker.ApplySightings(at(3*time.Second), []Sighting{{Part: shared, Incarnation: 3, Age: 2500 * time.Millisecond}})), 0) // reported late
 	is.Equal(tracker.ApplyAcquittal(at(4*time.Second), Acquittal{Part: shared}), Acquitted)
 	is.True(!tracker.Suspected(shared))
 }
@@ -122,6 +131,8 @@
 	is.Equal(wait, ambiguousTrialDelay)
 	_, wait, _ = tracker.NextTrial(at(blockedAt), []ID{1, shared, bad})
 	is.True(wait >= jointTrialDelay)
+	_, wait, _ = tracker.NextTrial(at(blockedAt+2*jointTrialDelay), []ID{1, shared, bad})
+	is.Equal(wait, time.Duration(0)) // parts that always come together
 	now := blockedAt + ambiguousTrialDelay
 	_, wait, _ = tracker.NextTrial(at(now), []ID{shared})
 	is.Equal(wait, time.Duration(0))
@@ -130,6 +141,37 @@
 	is.True(tracker.Blocked(bad))
 }
 
+// After a loss of all hosts no answer on the shared part is known, and it is at all crashes: the
+// part that comes with it is blocked too, and the shared one tried soon without it.
+func TestRarerPartIsBlockedWithTheSharedOne(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	crash(tracker, 0, 1, 0, shared)
+	crash(tracker, time.Second, 2, 0, shared, bad)
+	crash(tracker, 2*time.Second, 3, 0, shared, bad, ID(0x77))
+	is.True(tracker.Blocked(shared) && tracker.Blocked(bad))
+	is.True(!tracker.Blocked(ID(0x77))) // it was at one only
+	_, wait, _ := tracker.NextTrial(at(2*time.Second), []ID{shared})
+	is.Equal(wait, ambiguousTrialDelay)
+}
+
+// Ages go back to before this host's start.
+func TestHostThatHasJustStartedAppliesWhatHappenedBefore(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	const now = core.Instant(time.Second)
+	for i := range maxRounds - 1 {
+		age := time.Duration(10-i) * time.Second
+		tracker.ApplySightings(now, []Sighting{{Part: bad, Incarnation: Incarnation(i), Age: age}, {Part: shared, Incarnation: Incarnation(i), Age: age}})
+	}
+	is.Equal(tracker.Rounds(bad), maxRounds-1)
+	tracker.ApplyAcquittal(now, Acquittal{Part: shared, Age: time.Minute})
+	is.Equal(tracker.Rounds(shared), maxRounds-1)
+	tracker.ApplySightings(now, []Sighting{{Part: bad, Incarnation: 9}, {Part: shared, Incarnation: 9}})
+	is.True(tracker.Blocked(bad))
+	is.True(!tracker.Blocked(shared))
+}
+
 func TestTrialsBecomeRarer(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker()
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -49,14 +49,18 @@
 	return promptParts{tracker: promptpart.NewTracker(), ends: map[incarnation]*replicaEnd{}, toldAt: map[core.HostID]core.Instant{}}
 }
 
-// applySighting applies the end of a replica under a part, and reports whether it was unknown.
-func (m *Machine) applySighting(s promptpart.Sighting, source string) bool {
-	change := m.parts.tracker.ApplySighting(m.now, s)
-	m.notePartChange(s.Part, change, source, s.Age)
-	if change == promptpart.Blocked {
-		m.parts.reportVerdicts = true
+// applySightings applies ends of replicas under parts, and returns those that were unknown.
+func (m *Machine) applySightings(sightings []promptpart.Sighting, source string) []promptpart.Sighting {
+	known := map[promptpart.ID]bool{}
+	for _, s := range sightings {
+		known[s.Part] = true
 	}
-	return change != promptpart.Unchanged
+	for _, c := range m.parts.tracker.ApplySightings(m.now, sightings) {
+		m.notePartChange(c.Part, c.Change, source, 0)
+		delete(known, c.Part)
+		m.parts.reportVerdicts = m.parts.reportVerdicts || c.Change == promptpart.Blocked
+	}
+	return slices.DeleteFunc(slices.Clone(sightings), func(s promptpart.Sighting) bool { return known[s.Part] })
 }
 
 // applyAcquittal applies an answer on a part that came to a certain end, and reports whether it
@@ -213,10 +217,8 @@
 	var unknown promptpart.Report
 	for _, s := range report.Sightings {
 		m.confirmReportedEnd(s.Incarnation)
-		if m.applySighting(s, learnedFromPeer) {
-			unknown.Sightings = append(unknown.Sightings, s)
-		}
 	}
+	unknown.Sightings = m.applySightings(report.Sightings, learnedFromPeer)
 	for _, a := range report.Acquittals {
 		if m.applyAcquittal(a, learnedFromPeer) {
 			unknown.Acquittals = append(unknown.Acquittals, a)
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -274,11 +274,8 @@
 	}
 	clear(end.sent)
 	slices.SortFunc(sightings, func(a, b promptpart.Sighting) int { return cmp.Compare(a.Part, b.Part) })
-	for _, s := range sightings {
-		if m.applySighting(s, learnedHere+" at "+string(i.replica)) {
-			m.parts.report.Merge(promptpart.Report{Sightings: []promptpart.Sighting{s}})
-		}
-	}
+	unknown := m.applySightings(sightings, learnedHere+" at "+string(i.replica))
+	m.parts.report.Merge(promptpart.Report{Sightings: unknown})
 }
 
 // confirmReportedEnd applies that another host has seen an incarnation end.
