A replica that wants nothing is not checked, and one that answers no check rarely

While streams mark no ends and a part is suspected, a host checks a replica after each; one that turns everything away with Retry-After got such a check about every 130 ms, 42 lines "replica not checked" in 1.8 s. Change: no check during a pause, what the answer to a check says of the replica is applied, and after a check that shows nothing the next one waits 500 ms, for 3 s in all. Tests: TestReplicaThatWantsNothingIsNotChecked, TestReplicaThatAnswersNoCheckIsCheckedRarely.

--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -177,6 +177,7 @@
 	Replica core.UpstreamID
 	Started int64 // of the incarnation
 	Result  CheckResult
+	Notice  replicas.Notice // that the answer gave
 }
 
 // MessageReceived is a message from another host.
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -39,6 +39,7 @@
 	granter *intake.Granter
 	news    map[intake.Key]intake.Evidence // for the other hosts
 	newsDue core.Instant
+	refused bool // a granter has had no permit: the requests that wait are to be placed again
 }
 
 func newLimits() limits {
@@ -184,7 +185,7 @@
 		m.placementDue = true
 		return
 	}
-	m.limitsChecked = false
+	m.limits.refused = true
 }
 
 // awaitPermit lets a request wait for a permit for one of the limited replicas that could run it. It
@@ -226,8 +227,8 @@
 // placePermitWaiters places the requests again that wait for a permit after the granter had none, the
 // most urgent first.
 func (m *Machine) placePermitWaiters() {
-	for !m.limitsChecked {
-		m.limitsChecked = true
+	for m.limits.refused {
+		m.limits.refused = false
 		for _, r := range m.requests.waiting() {
 			if r.awaitsPermit {
 				m.place(r)
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -35,7 +35,6 @@
 	crashes         map[uint64]*crashRecord
 	parts           promptParts
 	limits          limits
-	limitsChecked   bool // no request waits for a permit that its granter hasn't had
 	failures        map[core.UpstreamID]*core.Decaying
 	lastExtraDemand map[core.AdapterID]core.Instant // when another copy or a newer version was last demanded
 
@@ -89,7 +88,6 @@
 		crashes:         map[uint64]*crashRecord{},
 		parts:           newPromptParts(),
 		limits:          newLimits(),
-		limitsChecked:   true,
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
 		requests:        newRequests(),
--- a/internal/core/relaynode/parts_test.go
+++ b/internal/core/relaynode/parts_test.go
@@ -9,6 +9,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/promptpart"
+	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/shard"
 )
 
@@ -127,6 +128,40 @@
 	h.is.True(!h.m.parts.tracker.Suspected(badPart))
 }
 
+// Guards against a check that a replica gets while it wants nothing (soak, seed 625).
+func TestReplicaThatWantsNothingIsNotChecked(t *testing.T) {
+	h := newHost(t)
+	h.streamWith(badPart)
+	d := h.dispatch()
+	c, _ := h.closeConnection(d)
+	h.step(ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: CheckUnknown, Notice: replicas.Notice{Pause: time.Minute}})
+	for range 10 {
+		h.advance(checkInterval)
+		_, checked := get[CheckReplica](h)
+		h.is.True(!checked)
+	}
+}
+
+func TestReplicaThatAnswersNoCheckIsCheckedRarely(t *testing.T) {
+	h := newHost(t)
+	h.crash(badPart)
+	h.now += 50 * time.Millisecond
+	h.streamWith(badPart)
+	d := h.dispatch()
+	h.step(AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: EndOK, Answer: AnswerEvidence{EndUnmarked: true}})
+	c, checked := get[CheckReplica](h)
+	checks := 0
+	for range 500 {
+		if checked {
+			checks++
+			h.step(ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: CheckUnknown})
+		}
+		h.advance(20 * time.Millisecond)
+		c, checked = get[CheckReplica](h)
+	}
+	h.is.True(checks <= 1+int(checkTime/checkInterval))
+}
+
 // A check may show nothing, as behind a cut: then the platform's list decides.
 func TestReplicaThatIsReplacedHasEnded(t *testing.T) {
 	h := newHost(t)
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -65,6 +65,7 @@
 	ended     bool         // it has ended for certain
 	checkedAt core.Instant // when the last check was sent; 0: none was
 	checking  bool         // a check is open
+	unknown   bool         // the last check has shown nothing
 	changedAt core.Instant
 }
 
@@ -133,7 +134,11 @@
 // suspected part.
 func (m *Machine) checkUnmarked(i incarnation, end *replicaEnd) {
 	suspected := func(u unmarkedEnd) bool { return slices.ContainsFunc(u.parts, m.parts.tracker.Suspected) }
-	if !end.ended && m.now.Sub(end.checkedAt) >= aliveCheckInterval && slices.ContainsFunc(end.unmarked, suspected) {
+	interval := aliveCheckInterval
+	if end.unknown {
+		interval = checkInterval
+	}
+	if !end.ended && m.now.Sub(end.checkedAt) >= interval && slices.ContainsFunc(end.unmarked, suspected) {
 		m.checkReplica(i, end)
 	}
 }
@@ -165,10 +170,11 @@
 	}
 }
 
-// checkReplica requests a check of an incarnation, unless one is open.
+// checkReplica requests a check of an incarnation, unless one is open or the replica wants nothing
+// now.
 func (m *Machine) checkReplica(i incarnation, end *replicaEnd) {
 	x := m.replicas.Get(i.replica)
-	if x == nil || end.checking {
+	if x == nil || end.checking || x.Pause(m.now) > 0 {
 		return
 	}
 	end.checking, end.checkedAt = true, m.now
@@ -178,6 +184,7 @@
 // handleReplicaChecked applies the result of a check.
 func (m *Machine) handleReplicaChecked(e ReplicaChecked) {
 	i := incarnation{e.Replica, e.Started}
+	m.applyNotice(i.replica, i.started, e.Notice)
 	if e.Result == CheckEnded {
 		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
 	}
@@ -185,7 +192,7 @@
 	if end == nil {
 		return
 	}
-	end.checking = false
+	end.checking, end.unknown = false, e.Result == CheckUnknown
 	switch e.Result {
 	case CheckEnded:
 		m.confirmEnd(i)
@@ -315,6 +322,7 @@
 		if undecided && m.now.Sub(end.checkedAt) >= checkInterval {
 			m.checkReplica(i, end)
 		}
+		end.unmarked = slices.DeleteFunc(end.unmarked, func(u unmarkedEnd) bool { return m.now.Sub(u.at) >= checkTime })
 		m.checkUnmarked(i, end)
 	}
 }
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -79,7 +79,7 @@
 // checkReplica checks for the machine whether an incarnation of a replica still runs.
 func (g *Gateway) checkReplica(ctx context.Context, c relaynode.CheckReplica) {
 	report := g.executors.Replicas.Report(ctx, c.Probe)
-	checked := relaynode.ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: relaynode.CheckUnknown}
+	checked := relaynode.ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: relaynode.CheckUnknown, Notice: report.Notice}
 	switch {
 	case report.Ended, report.OK && report.Started != 0 && report.Started != c.Started:
 		checked.Result = relaynode.CheckEnded
