explain leads from a refused request to the replicas that were lost; fewer log lines of parts

A request that is refused for a blocked part has that part in its refusal; explain now shows the lines of the part with it and names the cause, and tells apart replicas that have named a limit. What is old is looked for once a second. No decision changes. Test: TestRequestWithABlockedPartLeadsToTheLostReplicas.

--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -19,6 +19,8 @@
 const (
 	// partReportInterval is the minimum time between two reports to the other hosts.
 	partReportInterval = 40 * time.Millisecond
+	// partExpiryInterval is the time between two searches for what is to be forgotten.
+	partExpiryInterval = time.Second
 	// verdictInterval is the minimum time between two lists of verdicts to the same host.
 	verdictInterval = time.Second
 	// minRetryAfterBlocked is the least Retry-After time of a request with a blocked part.
@@ -38,6 +40,7 @@
 	report    promptpart.Report // for the other hosts
 	relayed   promptpart.Report // of other hosts, for the standby hosts that report to this host
 	reportDue core.Instant
+	expiryDue core.Instant
 	toldAt    map[core.HostID]core.Instant // when the verdicts were last sent to a host
 	inherited bool                         // what earlier processes have blocked has been read
 	enforce   bool                         // a part was blocked since the open requests were last checked
@@ -94,21 +97,30 @@
 	promptpart.Disputed:  "disputed",
 }
 
-// notePartChange logs a change. A part that has just been blocked is reported and enforced.
+// notePartChange logs a change. A part that has just been blocked is enforced, and other hosts are
+// told of the last answer on one that is suspected or disputed.
 func (m *Machine) notePartChange(p promptpart.ID, change promptpart.Change, source string, age time.Duration) {
 	if change == promptpart.Unchanged {
 		return
 	}
 	rounds := m.parts.tracker.Rounds(p)
-	detail := p.String() + ", " + source + ", replicas lost in a row " + utoa(uint64(rounds))
-	m.emit(LogDecision{Name: "prompt_part", Reason: partReasons[change], Detail: detail, Age: age})
+	firstHand := source != learnedFromPeer
+	if firstHand || rounds > 1 || !isRoutine(change) {
+		detail := p.String() + ", " + source + ", replicas lost in a row " + utoa(uint64(rounds))
+		m.emit(LogDecision{Name: "prompt_part", Reason: partReasons[change], Detail: detail, Age: age})
+	}
 	m.parts.enforce = m.parts.enforce || change == promptpart.Blocked
-	tells := source != learnedFromPeer || m.isWatcher()
-	if change == promptpart.Disputed || change == promptpart.Suspected && tells {
+	if change == promptpart.Disputed || change == promptpart.Suspected && (firstHand || m.isWatcher()) {
 		m.reportLastAnswer(p)
 	}
 }
 
+// isRoutine reports whether a change follows from any crash of a replica: the host that has seen it
+// logs it, the others don't.
+func isRoutine(c promptpart.Change) bool {
+	return c == promptpart.Suspected || c == promptpart.Acquitted
+}
+
 // reportLastAnswer tells the other hosts of the last answer on a part, if one is known.
 func (m *Machine) reportLastAnswer(p promptpart.ID) {
 	if age, ok := m.parts.tracker.LastAnswer(m.now, p); ok {
@@ -301,6 +313,10 @@
 
 // expireParts forgets what is known of parts and ends of replicas that has become old.
 func (m *Machine) expireParts() {
+	if m.now < m.parts.expiryDue {
+		return
+	}
+	m.parts.expiryDue = m.now.Add(partExpiryInterval)
 	for _, p := range m.parts.tracker.Expire(m.now) {
 		m.emit(LogDecision{Name: "prompt_part", Reason: "forgotten", Detail: p.String()})
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -48,6 +48,8 @@
 	NoLoader           Cause = "no host could order a replica to load its adapter"
 	AdapterLoadTimeout Cause = "its adapter was not loaded in time"
 	ReplicasSaturated  Cause = "the replicas were saturated, rejected it or could not be reached"
+	PartBlocked        Cause = "replicas were lost one after the other under a part of its prompt"
+	ReplicasLimited    Cause = "the replicas that could run it had named a limit, and took no more requests"
 	AnswerIncomplete   Cause = "a replica accepted it and gave no complete answer"
 	VersionExpired     Cause = "it waited at a replica until the adapter's version there could no longer be used"
 	ReplicaFailed      Cause = "the replica answered with an error"
@@ -56,22 +58,43 @@
 	ServedAfterLoad    Cause = "it was served after waiting for its adapter to be loaded"
 )
 
-// Read returns the lines of one request, sorted by time. Lines that are not JSON are
-// skipped.
+// Read returns the lines of one request, and those of the prompt part for which it was refused, sorted by
+// time. Lines that are not JSON are skipped.
 func Read(r io.Reader, request string) ([]Line, error) {
-	var found []Line
+	var found, parts []Line
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
 		var l Line
-		if json.Unmarshal(scanner.Bytes(), &l) == nil && l.Request == request {
+		switch {
+		case json.Unmarshal(scanner.Bytes(), &l) != nil:
+		case l.Request == request:
 			found = append(found, l)
+		case l.Decision == "prompt_part":
+			parts = append(parts, l)
 		}
 	}
+	if part, ok := blockedPart(found); ok {
+		found = append(found, slices.DeleteFunc(parts, func(l Line) bool { return !strings.HasPrefix(l.Detail, part+",") })...)
+	}
 	slices.SortStableFunc(found, byTime)
 	return found, Error.Wrap(scanner.Err())
 }
 
+// partBlocked begins the detail of a refusal for a blocked part, which follows it.
+const partBlocked = "replicas were lost one after the other under part "
+
+// blockedPart returns the prompt part for which a request was refused, and false if it was not.
+func blockedPart(lines []Line) (string, bool) {
+	for _, l := range lines {
+		if rest, ok := strings.CutPrefix(l.Detail, partBlocked); ok {
+			part, _, _ := strings.Cut(rest, " ")
+			return part, true
+		}
+	}
+	return "", false
+}
+
 // byTime compares the times of two lines, by their text where one of them can't be parsed.
 func byTime(a, b Line) int {
 	x, errX := time.Parse(time.RFC3339Nano, a.Time)
@@ -121,6 +144,9 @@
 	case "refusal deadline_exceeded":
 		return DeadlineExceeded, true
 	case "refusal upstream_failed":
+		if strings.HasPrefix(l.Detail, partBlocked) {
+			return PartBlocked, true
+		}
 		if hasDecision(all, "retry", "version_expired") {
 			return VersionExpired, true
 		}
@@ -134,11 +160,22 @@
 		}
 		return ReplicasSaturated, true
 	case "refusal overloaded", "admission overloaded":
-		return ReplicasSaturated, true
+		return causeOfOverload(l), true
 	}
 	return "", false
 }
 
+// causeOfOverload returns the cause of a refusal for want of a replica, by its detail.
+func causeOfOverload(l Line) Cause {
+	switch {
+	case strings.HasPrefix(l.Detail, partBlocked):
+		return PartBlocked
+	case strings.HasSuffix(l.Detail, "take no more requests a second"):
+		return ReplicasLimited
+	}
+	return ReplicasSaturated
+}
+
 func hasDecision(lines []Line, decision, reason string) bool {
 	return slices.ContainsFunc(lines, func(l Line) bool { return l.Decision == decision && l.Reason == reason })
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,3 +55,21 @@
 		{Decision: "refusal", Reason: "upstream_failed"},
 	}), VersionExpired)
 }
+
+func TestRequestWithABlockedPartLeadsToTheLostReplicas(t *testing.T) {
+	is := is.New(t)
+	const text = `{"time":"2026-01-01T00:00:03Z","message":"decided","decision":"refusal","reason":"overloaded","request":"q1","detail":"replicas were lost one after the other under part bad of its prompt"}
+{"time":"2026-01-01T00:00:01Z","message":"decided","decision":"prompt_part","reason":"suspected","detail":"bad, seen by this host at i1, replicas lost in a row 1"}
+{"time":"2026-01-01T00:00:01Z","message":"decided","decision":"prompt_part","reason":"suspected","detail":"bad1, seen by this host at i1, replicas lost in a row 1"}
+{"time":"2026-01-01T00:00:02Z","message":"decided","decision":"prompt_part","reason":"blocked","detail":"bad, seen by this host at i3, replicas lost in a row 3"}
+`
+	lines, err := Read(strings.NewReader(text), "q1")
+	is.NoErr(err)
+	is.Equal(len(lines), 3)
+	is.Equal(lines[0].Reason, "suspected")
+	is.Equal(Why(lines), PartBlocked)
+	lines, err = Read(strings.NewReader(text), "q2")
+	is.NoErr(err)
+	is.Equal(Why(lines), NotLogged)
+	is.Equal(Why([]Line{{Decision: "refusal", Reason: "overloaded", Detail: "the replicas that could run it take no more requests a second"}}), ReplicasLimited)
+}
