A host asks for a permit again as soon as there may be one

A host that got no permit waited as long as callers are told to, which grows with the hosts that asked before it, up to 5 s; the granter saves up one permit at that rate, and the rest was lost. Change: the granter says both when there is a permit again, after which a host asks again, and how long a caller had better stay away.

--- a/internal/core/intake/granter.go
+++ b/internal/core/intake/granter.go
@@ -36,7 +36,8 @@
 	Number uint64   // of the ask
 	Key    Key
 	Count  int           // permits
-	Wait   time.Duration // until there may be one, if there was none
+	Next   time.Duration // until there is one again, if there was none
+	Wait   time.Duration // until one may be had, with those that asked before
 }
 
 // bucket is a granter's state of one incarnation.
@@ -55,7 +56,7 @@
 
 // Grant hands out permits for an incarnation that takes perSecond requests a second, not more at
 // once than one host's fair part of what may be saved up.
-func (g *Granter) Grant(now core.Instant, k Key, perSecond float64, count, hosts int) (granted int, wait time.Duration) {
+func (g *Granter) Grant(now core.Instant, k Key, perSecond float64, count, hosts int) Grant {
 	b := g.buckets[k]
 	if b == nil {
 		b = &bucket{at: now}
@@ -66,16 +67,19 @@
 	b.level = min(b.level+rate*max(now.Sub(b.at), 0).Seconds(), burst)
 	b.at = now
 	fair := max(int(burst/float64(max(hosts, 1))), 1)
-	granted = max(min(count, fair, int(b.level+roundingError)), 0)
+	granted := max(min(count, fair, int(b.level+roundingError)), 0)
 	b.level -= float64(granted)
 	if granted > 0 {
-		return granted, 0
+		return Grant{Key: k, Count: granted}
 	}
-	wait = time.Duration((1 - b.level + b.refused.Now(now, demandTime)) / rate * float64(time.Second))
+	next := (1 - b.level) / rate
+	wait := next + b.refused.Now(now, demandTime)/rate
 	b.refused.Add(now, 1, demandTime)
-	return 0, min(wait, maxWait)
+	return Grant{Key: k, Next: seconds(min(next, maxWait.Seconds())), Wait: seconds(min(wait, maxWait.Seconds()))}
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // Keep forgets the incarnations for which keep returns false.
 func (g *Granter) Keep(keep func(Key) bool) {
 	for k := range g.buckets {
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -87,8 +87,9 @@
 	p := NewPermits()
 	number, _ := p.Ask(at(0), key, 0)
 	is.True(p.Asking(at(0), key))
-	p.Apply(at(time.Millisecond), Grant{Number: number, Key: key, Wait: 700 * time.Millisecond})
+	p.Apply(at(time.Millisecond), Grant{Number: number, Key: key, Next: 700 * time.Millisecond, Wait: 2 * time.Second})
 	is.Equal(p.Wait(at(time.Millisecond), key), 700*time.Millisecond)
+	is.Equal(p.CallerWait(at(time.Millisecond), key), 2*time.Second)
 	is.Equal(p.Wait(at(time.Second), key), time.Duration(0))
 	p.Ask(at(time.Second), key, 0)
 	is.True(!p.Asking(at(time.Second+answerTime), key))
@@ -118,14 +119,14 @@
 func TestGranterThatBeginsHasNothingToHandOut(t *testing.T) {
 	is := is.New(t)
 	g := NewGranter()
-	granted, wait := g.Grant(at(0), key, 2, 1, 3)
-	is.Equal(granted, 0)
-	is.True(wait > 0 && wait < time.Second)
-	granted, _ = g.Grant(at(wait), key, 2, 1, 3)
-	is.Equal(granted, 1)
-	_, first := g.Grant(at(wait), key, 2, 1, 3)
-	_, second := g.Grant(at(wait), key, 2, 1, 3)
-	is.True(second > first) // another one waits as well
+	none := g.Grant(at(0), key, 2, 1, 3)
+	is.Equal(none.Count, 0)
+	is.True(none.Next > 0 && none.Next < time.Second)
+	is.Equal(g.Grant(at(none.Next), key, 2, 1, 3).Count, 1)
+	first := g.Grant(at(none.Next), key, 2, 1, 3)
+	second := g.Grant(at(none.Next), key, 2, 1, 3)
+	is.Equal(second.Next, first.Next)
+	is.True(second.Wait > first.Wait) // another one waits as well
 	g.Keep(func(Key) bool { return false })
 	is.Equal(len(g.buckets), 0)
 }
@@ -191,8 +192,9 @@
 			case d.at > now:
 				open = append(open, d)
 			case d.ask != nil:
-				n, wait := g.Grant(at(now), key, rate, d.ask.Count, hosts)
-				send(now, delivery{host: d.host, give: Grant{Number: d.ask.Number, Key: key, Count: n, Wait: wait}})
+				give := g.Grant(at(now), key, rate, d.ask.Count, hosts)
+				give.Number = d.ask.Number
+				send(now, delivery{host: d.host, give: give})
 			default:
 				all[d.host].Apply(at(now), d.give)
 			}
--- a/internal/core/intake/permits.go
+++ b/internal/core/intake/permits.go
@@ -24,6 +24,7 @@
 	asked     uint64       // number of the open ask; 0: none is open
 	askedAt   core.Instant // when the last one was sent
 	noneUntil core.Instant // the granter has had none, and may have one again then
+	waitUntil core.Instant // with those that asked before, one may be had then
 	wanted    int          // permits to ask for: more where all were used, fewer where some were not
 }
 
@@ -65,6 +66,15 @@
 	return max(x.noneUntil.Sub(now), 0)
 }
 
+// CallerWait returns the time after which a caller may come back that got no permit.
+func (p *Permits) CallerWait(now core.Instant, k Key) time.Duration {
+	x := p.byKey[k]
+	if x == nil {
+		return 0
+	}
+	return max(x.waitUntil.Sub(now), x.noneUntil.Sub(now), 0)
+}
+
 // Asking reports whether an ask is open that may still be answered.
 func (p *Permits) Asking(now core.Instant, k Key) bool {
 	x := p.byKey[k]
@@ -109,7 +119,8 @@
 	}
 	x.asked = 0
 	if g.Count <= 0 {
-		x.noneUntil = now.Add(min(max(g.Wait, 0), maxWait))
+		x.noneUntil = now.Add(min(max(g.Next, 0), maxWait))
+		x.waitUntil = now.Add(min(max(g.Wait, g.Next), maxWait))
 		return true
 	}
 	x.count = g.Count
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -152,13 +152,12 @@
 func (m *Machine) grant(ask intake.Ask) intake.Grant {
 	k := ask.Limit.Key
 	m.applyLimit(ask.Limit, "known to a host that asks for permits")
-	g := intake.Grant{Number: ask.Number, Key: k}
 	rate, limited := m.limits.known.Rate(k)
 	if !limited {
-		g.Count = ask.Count // the asking host will see that the limit has ended
-		return g
+		return intake.Grant{Number: ask.Number, Key: k, Count: ask.Count} // the asking host will see that the limit has ended
 	}
-	g.Count, g.Wait = m.limits.granter.Grant(m.now, k, rate, ask.Count, len(m.fleet.Members(m.now)))
+	g := m.limits.granter.Grant(m.now, k, rate, ask.Count, len(m.fleet.Members(m.now)))
+	g.Number = ask.Number
 	return g
 }
 
@@ -217,9 +216,9 @@
 
 // refuseLimited refuses a request for which there is no permit.
 func (m *Machine) refuseLimited(r *request, limited []*replicas.Replica) {
-	wait := m.limits.permits.Wait(m.now, keyOf(limited[0]))
+	wait := m.limits.permits.CallerWait(m.now, keyOf(limited[0]))
 	for _, x := range limited[1:] {
-		wait = min(wait, m.limits.permits.Wait(m.now, keyOf(x)))
+		wait = min(wait, m.limits.permits.CallerWait(m.now, keyOf(x)))
 	}
 	m.refuse(r, core.Refuse(core.CodeOverloaded, max(wait, minRetryAfterLimited), "the replicas that could run it take no more requests a second"))
 }
--- a/internal/core/relaynode/limits_test.go
+++ b/internal/core/relaynode/limits_test.go
@@ -105,7 +105,7 @@
 func TestRequestWithoutAPermitIsRefusedAtOnce(t *testing.T) {
 	h, granter := newHostWithGranter(t)
 	_, ask := h.awaitPermit(granter)
-	h.step(MessageReceived{From: granter, Message: Message{PermitGrants: []intake.Grant{{Number: ask.Number, Key: ask.Limit.Key, Wait: 900 * time.Millisecond}}}})
+	h.step(MessageReceived{From: granter, Message: Message{PermitGrants: []intake.Grant{{Number: ask.Number, Key: ask.Limit.Key, Next: 900 * time.Millisecond}}}})
 	r := h.refusal()
 	h.is.Equal(r.Ran, core.RanNo)
 	h.is.Equal(r.RetryAfter, 900*time.Millisecond)
