--- a/internal/core/lease/poller.go
+++ b/internal/core/lease/poller.go
@@ -151,16 +151,16 @@
 }
 
 // rankDelay returns how long this host waits before it takes an action that all
-// pollers could take: its rank among the pollers with a known heartbeat, times
+// pollers could take: its rank among the pollers that are not suspected, times
 // the stagger.
-func (m *Machine) rankDelay(key string) time.Duration {
+func (m *Machine) rankDelay(now core.Instant, key string) time.Duration {
 	var live []core.HostID
 	for _, id := range m.poller.pollers {
 		i, ok := m.head.find(id)
 		if !ok {
 			continue
 		}
-		if s := m.poller.heartbeats[m.head.Members[i].Number]; id == m.Self() || (s != nil && m.poller.unchangedFor(s.seqAt, s) < m.settings.SuspectAfter) {
+		if s := m.poller.heartbeats[m.head.Members[i].Number]; id == m.Self() || (s != nil && m.poller.unchangedFor(now, s) < m.settings.SuspectAfter) {
 			live = append(live, id)
 		}
 	}
@@ -184,7 +184,7 @@
 			continue
 		}
 		s := p.heartbeats[e.Number]
-		if s.fenced || p.unchangedFor(now, s) < m.settings.fenceAfter()+m.rankDelay(k) {
+		if s.fenced || p.unchangedFor(now, s) < m.settings.fenceAfter()+m.rankDelay(now, k) {
 			continue
 		}
 		key, numbers = k, append(numbers, e.Number)
@@ -238,7 +238,7 @@
 		if s == nil || !s.fenced || e.Host == m.Self() {
 			continue
 		}
-		if now.Sub(s.fencedAt) >= m.rankDelay(HeadKey) {
+		if now.Sub(s.fencedAt) >= m.rankDelay(now, HeadKey) {
 			hosts = append(hosts, e.Host)
 		}
 	}
