A host that has missed why a part was let in is told

Cause, by reading the diff: a host that blocked a part and missed the acquittal sends its verdict whenever a heartbeat shows another digest; a host that knows of the answer took that for nothing new, so that the part stayed out on the first host until its next trial. Change: a verdict from before the last known answer is disputed, and the answer told again. Test: TestHostThatHasMissedAnAcquittalIsTold fails before.

--- a/internal/core/promptpart/tracker.go
+++ b/internal/core/promptpart/tracker.go
@@ -176,15 +176,15 @@
 	return Unchanged
 }
 
-// ApplyVerdict applies another host's verdict. One from before the last answer on the part
-// doesn't count, nor one that was made without the knowledge of an answer: the change is
-// Disputed then, and the other hosts are to be told of the answer.
+// ApplyVerdict applies another host's verdict. One from before the last answer on the part doesn't
+// count, nor one that was made without the knowledge of an answer: the change is Disputed then, and
+// the other hosts, which may have missed it, are to be told of the answer.
 func (t *Tracker) ApplyVerdict(now core.Instant, v Verdict) Change {
 	r := t.recordOf(now, v.Part)
 	at := now.Add(-max(v.Age, 0))
 	switch {
 	case r.acquittedAt != 0 && at <= r.acquittedAt:
-		return Unchanged
+		return Disputed
 	case r.blockedAt != 0:
 		if v.Trials > r.trials {
 			r.trials, r.nextTrial, r.lastReported = v.Trials, now.Add(max(v.NextIn, 0)), now
--- a/internal/core/promptpart/tracker_test.go
+++ b/internal/core/promptpart/tracker_test.go
@@ -116,6 +116,21 @@
 	is.True(!other.Blocked(shared)) // the sightings are kept, and it takes more of them
 }
 
+// A host that has missed the answer which let a part in must not keep it out.
+func TestHostThatHasMissedAnAcquittalIsTold(t *testing.T) {
+	is := is.New(t)
+	told, missed := NewTracker(), NewTracker()
+	for i := range maxRounds {
+		crash(told, time.Duration(i)*time.Second, i, 0, bad)
+		crash(missed, time.Duration(i)*time.Second, i, 0, bad)
+	}
+	is.Equal(told.ApplyAcquittal(at(5*time.Second), Acquittal{Part: bad}), LetIn)
+	now := at(6 * time.Second)
+	is.Equal(told.ApplyVerdict(now, missed.Verdicts(now)[0]), Disputed)
+	age, _ := told.LastAnswer(now, bad)
+	is.Equal(missed.ApplyAcquittal(now, Acquittal{Part: bad, Age: age}), LetIn)
+}
+
 // Parts that were never answered and are blocked together: a request that has only one of them
 // shows soon which it is.
 func TestPartsBlockedTogetherAreTriedSoon(t *testing.T) {
