A request that was not sent is sent elsewhere, also under a suspected part

Cause, by reading the diff: after two crashes in a row under one of its parts a request isn't tried again, which is meant for one that may have ended a replica. One whose replica could not be reached, or did not run it, was refused as well; in a series of crashes that is most of what meets a replica that has just ended, under the part that all share. Change: only what may have run is not tried again; a blocked part's request is refused when it is placed, as before. Test: TestRequestThatWasNotSentIsSentElsewhere fails before.

--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -239,7 +239,7 @@
 		return false
 	case m.isSuspect(r.arrival.Fingerprint):
 		return false
-	case m.mayCrash(r) && !(r.trial && notRun):
+	case !notRun && m.mayCrash(r):
 		return false
 	case e.Kind == EndNotReached:
 		return true // nothing was sent: takes no retry from the budget
--- a/internal/core/relaynode/parts_test.go
+++ b/internal/core/relaynode/parts_test.go
@@ -245,6 +245,19 @@
 	h.is.Equal(r.Ran, core.RanUnknown)
 }
 
+// A request that nothing was sent of is no second crash.
+func TestRequestThatWasNotSentIsSentElsewhere(t *testing.T) {
+	h := newHost(t)
+	h.crash(sharedPart)
+	h.crash(sharedPart)
+	h.is.Equal(h.m.parts.tracker.Rounds(sharedPart), 2)
+	h.now += 50 * time.Millisecond
+	h.streamWith(sharedPart)
+	first := h.dispatch()
+	h.step(AttemptEnded{ID: first.ID, Attempt: first.Attempt, Kind: EndNotReached, Refused: true})
+	h.is.Equal(h.dispatch().Upstream, other(first.Upstream))
+}
+
 // startOf returns the start of the incarnation that a request was sent to.
 func startOf(h *host, d Dispatch) int64 { return h.m.replicas.Get(d.Upstream).Started }
 
