--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -76,6 +76,9 @@
 	return settings.Decode[Settings](file, b)
 }
 
+// PlatformName is the name of the platform's emulator.
+const PlatformName = "platform"
+
 // endpoint is one emulator with its address.
 type endpoint struct {
 	name    string
@@ -86,21 +89,51 @@
 // Run serves all emulators until ctx is done, then returns nil. It returns an
 // error if an address cannot be listened on or a server fails.
 func Run(ctx context.Context, s *Settings) error {
-	endpoints := s.endpoints()
-	listeners := make([]net.Listener, 0, len(endpoints))
-	for _, e := range endpoints {
+	f, err := Listen(s)
+	if err != nil {
+		return err
+	}
+	return f.Serve(ctx)
+}
+
+// Fleet is the emulators of a process, each listening at its address.
+type Fleet struct {
+	endpoints []endpoint
+	listeners []net.Listener // by endpoint
+}
+
+// Listen creates all emulators and listens at their addresses. What connects before Serve
+// is called waits for it.
+func Listen(s *Settings) (*Fleet, error) {
+	f := &Fleet{endpoints: s.endpoints()}
+	for _, e := range f.endpoints {
 		l, err := net.Listen("tcp", e.address)
 		if err != nil {
-			closeAll(listeners)
-			return Error.New("%s: %w", e.name, err)
+			closeAll(f.listeners)
+			return nil, Error.New("%s: %w", e.name, err)
 		}
-		listeners = append(listeners, l)
+		f.listeners = append(f.listeners, l)
 	}
-	ended := make(chan error, len(endpoints))
-	servers := make([]*http.Server, len(endpoints))
-	for i, e := range endpoints {
+	return f, nil
+}
+
+// Address returns the ip:port at which the emulator of a name listens, "" if there is none.
+func (f *Fleet) Address(name string) string {
+	for i, e := range f.endpoints {
+		if e.name == name {
+			return f.listeners[i].Addr().String()
+		}
+	}
+	return ""
+}
+
+// Serve serves until ctx is done, then returns nil. It returns an error if a server fails.
+func (f *Fleet) Serve(ctx context.Context) error {
+	ended := make(chan error, len(f.endpoints))
+	servers := make([]*http.Server, len(f.endpoints))
+	for i, e := range f.endpoints {
 		servers[i] = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
-		go func() { ended <- servers[i].Serve(listeners[i]) }()
+		go func() { ended <- servers[i].Serve(f.listeners[i]) }()
 	}
 	var first error
 	select {
@@ -144,7 +177,7 @@
 		names = append(names, v.Name)
 	}
 	if s.Platform != nil {
-		all = append(all, endpoint{"platform", s.Platform.Listen, s.Platform.handler(store, names)})
+		all = append(all, endpoint{PlatformName, s.Platform.Listen, s.Platform.handler(store, names)})
 	}
 	return all
 }
