--- a/internal/core/fleet/active.go
+++ b/internal/core/fleet/active.go
@@ -48,6 +48,7 @@
 	f.selfActive = chosen[f.self.Name]
 	for name, p := range f.peers {
 		p.promoted = isPromoted(p.promoted, p.active, lost)
+		p.sendsRarely = p.sendsRarely || !chosen[name] && f.reachable(now, p)
 		p.active = chosen[name]
 		p.wasActive = p.wasActive || p.active && p.lastHeartbeat != 0
 	}
@@ -227,19 +228,19 @@
 // Standbys returns the standby hosts whose last direct heartbeat is at most
 // standbyReportTimeout old, sorted by name.
 func (f *Fleet) Standbys(now core.Instant) []Registration {
-	return f.registrations(func(p *peer) bool { return p.isDirectStandby(now) })
+	return f.registrations(func(p *peer) bool { return f.isDirectStandby(now, p) })
 }
 
 // isDirectStandby reports whether a peer is a standby host whose last direct heartbeat
 // came within standbyReportTimeout.
-func (p *peer) isDirectStandby(now core.Instant) bool {
-	return !p.active && p.lastDirect != 0 && now.Sub(p.lastDirect) < standbyReportTimeout
+func (f *Fleet) isDirectStandby(now core.Instant, p *peer) bool {
+	return !p.active && f.reachable(now, p) && p.lastDirect != 0 && now.Sub(p.lastDirect) < standbyReportTimeout
 }
 
 // DirectStandbys returns the core.ShortHash numbers of the ready standby hosts whose
 // last direct heartbeat came within standbyReportTimeout, sorted.
 func (f *Fleet) DirectStandbys(now core.Instant) []uint32 {
-	return f.readyStandbys(func(p *peer) bool { return p.isDirectStandby(now) })
+	return f.readyStandbys(func(p *peer) bool { return f.isDirectStandby(now, p) })
 }
 
 // ReadyStandbys returns the core.ShortHash numbers of all reachable standby hosts that
@@ -266,7 +267,7 @@
 func (f *Fleet) ReceiveStandbyReport(now core.Instant, hosts []uint32) {
 	for _, short := range hosts {
 		if p := f.shorts[short]; p != nil {
-			p.lastHeartbeat, p.ready = now, true
+			p.lastHeartbeat, p.ready, p.sendsRarely = now, true, true
 		}
 	}
 }
--- a/internal/core/fleet/active_test.go
+++ b/internal/core/fleet/active_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,3 +196,73 @@
 		is.True(sum < 1.15) // rates may be exceeded by a tenth plus a slack
 	}
 }
+
+// Guards against a directory that names a host which has been off for seconds: an active host that
+// had become unreachable counted as a standby host, for which longer timeouts hold, and was chosen
+// again and reported to others as ready.
+func TestActiveHostThatEndsIsNotChosenOrReportedAgain(t *testing.T) {
+	observers := []struct {
+		large    int
+		required float64 // cores
+		active   bool    // the observer is
+		lost     string
+	}{
+		{large: 6, required: MinActiveCapacity, active: false, lost: "s0"},
+		{large: 0, required: 0.192 * 39, active: true, lost: "w1"},
+	}
+	for _, o := range observers {
+		is := is.New(t)
+		observer := newMixedFleet(start, o.large, 40)
+		heartbeatAll(observer, start)
+		observer.SelectActive(start, o.required)
+		is.Equal(observer.Active(), o.active)
+		timeout := observer.heartbeatTimeout(observer.peers[o.lost])
+		for after := time.Duration(0); after < 10*time.Second; after += 100 * time.Millisecond {
+			now := start.Add(after)
+			for h, p := range observer.hosts {
+				if p.Name != o.lost {
+					observer.ReceiveHeartbeat(now, h, true, true, false)
+				}
+			}
+			observer.SelectActive(now, o.required)
+			if after < timeout {
+				continue
+			}
+			is.True(!observer.IsActive(observer.peers[o.lost].Host))
+			is.True(!slices.Contains(observer.Addresses(now, true), o.lost+":80"))
+			is.True(!slices.Contains(observer.ReadyStandbys(now), core.ShortHash(o.lost)))
+			is.True(!slices.Contains(observer.DirectStandbys(now), core.ShortHash(o.lost)))
+		}
+	}
+}
+
+// A host that the load no longer needs sends heartbeats more rarely from then on.
+func TestHostThatBecomesAStandbyStaysReachable(t *testing.T) {
+	is := is.New(t)
+	f := newMixedFleet(start, 0, 40)
+	heartbeatAll(f, start)
+	f.SelectActive(start, 0.192*40)
+	f.SelectActive(start, 0.192*20)
+	later := start.Add(standbyTimeout - time.Millisecond)
+	for h, p := range f.hosts {
+		if !p.active {
+			is.True(f.Reachable(later, h))
+		}
+	}
+}
+
+func TestTimeoutFollowsFromTheRoleAtTheLastHeartbeat(t *testing.T) {
+	is := is.New(t)
+	f := newMixedFleet(start, 0, 40)
+	heartbeatAll(f, start)
+	f.SelectActive(start, 0.192*20)
+	standby := f.readyStandbys(func(*peer) bool { return true })[0]
+	p := f.shorts[standby]
+	f.ReceiveHeartbeat(start, p.Host, true, true, false)
+	is.Equal(f.heartbeatTimeout(p), standbyTimeout)
+	f.SelectActive(start, 0.192*40) // it hasn't sent a heartbeat as an active host yet
+	is.True(p.active)
+	is.Equal(f.heartbeatTimeout(p), standbyTimeout)
+	f.ReceiveHeartbeat(start, p.Host, true, true, false)
+	is.Equal(f.heartbeatTimeout(p), HeartbeatTimeout)
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -52,6 +52,7 @@
 	leaving       bool
 	active        bool
 	wasActive     bool // it has been active and reachable since it was registered
+	sendsRarely   bool // its heartbeats come as rarely as those of a standby host
 
 	promoted bool // active in place of an unreachable host
 }
@@ -136,7 +137,7 @@
 	if p == nil {
 		return false
 	}
-	p.lastHeartbeat, p.ready = now, ready
+	p.lastHeartbeat, p.ready, p.sendsRarely = now, ready, !p.active
 	if direct {
 		p.lastDirect = now
 	}
@@ -149,10 +150,12 @@
 	return p.lastHeartbeat != 0 && now.Sub(p.lastHeartbeat) < f.heartbeatTimeout(p)
 }
 
-// heartbeatTimeout is how long after its last heartbeat a peer counts as reachable.
+// heartbeatTimeout is how long after its last heartbeat a peer counts as reachable. It follows
+// from the role in which the peer sent that heartbeat: an active host that has become unreachable
+// doesn't become reachable again as a standby host.
 func (f *Fleet) heartbeatTimeout(p *peer) time.Duration {
 	switch {
-	case !p.active:
+	case p.sendsRarely:
 		return standbyTimeout
 	case !f.selfActive:
 		return relayedTimeout
