--- a/internal/core/shard/restore_test.go
+++ b/internal/core/shard/restore_test.go
@@ -246,6 +246,9 @@
 					hosts[name] = &m
 				}
 				m := hosts[name]
+				if rapid.IntRange(0, 60).Draw(rt, "leaving") == 0 {
+					m.Leave()
+				}
 				if !m.listed || rapid.IntRange(0, 9).Draw(rt, "read") == 0 {
 					m.read(now)
 				}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -8,7 +8,7 @@
 // replica at the same time by timeouts alone: an owner orders only for the lease term
 // after it sent the last acknowledged renewal, and a successor writes its name only
 // after it has itself observed the lease unchanged for the term plus a gap, or released
-// for the gap.
+// for the gap. A host takes back at once what an earlier process of it has released.
 //
 // A store that is restored from an older copy may have lost the latest owner's lease.
 // Each record therefore carries the era of the store in which it was written. One of an
@@ -298,6 +298,9 @@
 func (m *Machine) mayTakeOver(now core.Instant, i int, l *lease, members func() []core.HostID) bool {
 	wait := m.settings.Term + m.settings.OwnerGap
 	if l.record.Released && !l.outdated {
+		if l.record.Owner == m.settings.Self {
+			return true // an earlier process of this host was the last to order
+		}
 		wait = m.settings.OwnerGap
 	}
 	since := l.seenAt
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -76,6 +76,35 @@
 	}
 }
 
+// Guards against a restart of all hosts after which nobody orders a replica for seconds: a host
+// waited for the orders of another owner to end, although it had released the lease itself.
+func TestRestartedHostTakesBackAtOnceWhatItReleased(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	before := New(Settings{Self: "a", Count: 1})
+	before.ApplyList(0, 0, s.list())
+	calls := before.Tick(0, alone)
+	before.ApplyWriteResult(0, calls[0], s.do(calls[0].Object))
+	before.Leave()
+	calls = before.Tick(at(time.Second), alone)
+	before.ApplyWriteResult(at(time.Second), calls[0], s.do(calls[0].Object))
+	_, ok := before.OrderFence(at(time.Second), 0)
+	is.True(!ok)
+
+	other := New(Settings{Self: "b", Count: 1})
+	other.ApplyList(at(2*time.Second), 0, s.list())
+	is.Equal(len(other.Tick(at(2*time.Second), alone)), 0)
+
+	restarted := New(Settings{Self: "a", Count: 1})
+	restarted.ApplyList(at(2*time.Second), 0, s.list())
+	calls = restarted.Tick(at(2*time.Second), alone)
+	is.Equal(len(calls), 1)
+	restarted.ApplyWriteResult(at(2*time.Second), calls[0], s.do(calls[0].Object))
+	fence, ok := restarted.OrderFence(at(2*time.Second), 0)
+	is.True(ok)
+	is.Equal(fence, core.Fence(2))
+}
+
 func TestUnansweredRenewalDoesNotExtendLease(t *testing.T) {
 	is := is.New(t)
 	s := newStore()
@@ -96,7 +125,7 @@
 	is.True(ok)
 }
 
-// Hosts pause, restart, lose answers and read stale lists. Invariant: two hosts never
+// Hosts pause, leave, restart, lose answers and read stale lists. Invariant: two hosts never
 // order within 3 s of each other (OwnerGap is 3.3 s), and fencing numbers never fall.
 func TestTwoOwnersNeverOrderWithinGap(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -130,6 +159,9 @@
 					m = New(Settings{Self: n, Count: 1})
 					machines[n] = m
 				}
+				if rapid.IntRange(0, 60).Draw(rt, "leaving") == 0 {
+					m.Leave()
+				}
 				if i%10 == 0 || !m.listed {
 					m.ApplyList(now, 0, stale)
 				}
