--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -153,10 +153,11 @@
 	case HostUnlisted:
 		m.fleet.RemoveRegistration(e.Name)
 	case LeasesListed:
-		m.shards.ApplyList(m.now, e.Era, e.Objects)
-		m.restoreQuota()
-		m.inheritSoftware()
-		m.inheritParts()
+		if m.shards.ApplyList(m.now, e.Era, e.Objects) {
+			m.restoreQuota()
+			m.inheritSoftware()
+			m.inheritParts()
+		}
 	case StoreCallFailed:
 		m.watch.storeLost = true
 		m.replicas.StoreLost(m.now)
--- a/internal/core/relaynode/restore_test.go
+++ b/internal/core/relaynode/restore_test.go
@@ -10,6 +10,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/shard"
 	"gentiancroft/internal/core/table"
 )
 
@@ -240,3 +241,27 @@
 	h.advance(5 * time.Second)
 	is.Equal(writes(), 0)
 }
+
+// Guards against streams that go on at another software version, and requests that crash replicas,
+// after a loss of all hosts beside a restoration of the store: a starting host took a list of leases
+// that it had dropped for all that there was to read.
+func TestStartingHostReadsTheLeasesOfTheLatestEra(t *testing.T) {
+	is := is.New(t)
+	value, err := json.Marshal(shard.Record{
+		Owner: "gone", Fence: 1, Era: 1,
+		Parts:    shard.PartStates{badPart.String(): {Blocked: true, Rounds: 3, NextMS: 5000}},
+		Software: shard.SoftwareAges{"engines": {"v1": 100}},
+	})
+	is.NoErr(err)
+	leases := []core.Object{{Key: shard.Prefix + "0", Value: value, Version: 1, Era: 2}}
+	h := newHost(t)
+	h.step(StoreAnswered{Era: 1})
+	h.step(StoreAnswered{Era: 2})
+	h.step(LeasesListed{Era: 1})
+	is.True(!h.m.parts.tracker.Blocked(badPart))
+	h.step(LeasesListed{Era: 2, Objects: leases})
+	is.True(h.m.parts.tracker.Blocked(badPart))
+	h.m.origins.versions.Observe(core.Instant(h.now), "engines", "v2")
+	_, only := h.m.origins.versions.Only(core.Instant(h.now), "engines")
+	is.True(!only)
+}
--- a/internal/core/shard/observe.go
+++ b/internal/core/shard/observe.go
@@ -16,10 +16,10 @@
 }
 
 // ApplyList applies a list of the leases, read in an era of the store. A stale list of
-// this era only delays a takeover.
-func (m *Machine) ApplyList(now core.Instant, era uint64, objects []core.Object) {
+// this era only delays a takeover. It returns false for one of another era, which isn't applied.
+func (m *Machine) ApplyList(now core.Instant, era uint64, objects []core.Object) bool {
 	if era != m.era {
-		return
+		return false
 	}
 	missing := !m.listed
 	m.listed = true
@@ -37,6 +37,7 @@
 			m.observeMissing(now, &m.leases[i])
 		}
 	}
+	return true
 }
 
 // observe applies a lease as stored, unless it is older than the known revision.
