One type remembers entries for a while in bounded memory; waiting requests are counted once

Behaviour is as before: the tests of both packages, of relaynode and the intake are unchanged but for constructors and the name of a field, and green.

--- a/internal/core/origin/origin.go
+++ b/internal/core/origin/origin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/recent"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/table"
 )
@@ -40,59 +41,28 @@
 	Software Software
 }
 
-// maxRecords is how many records are kept for sure while they are younger than Memory. Where
-// there are more, the oldest are forgotten sooner.
+// maxRecords bounds the records. Where there are more, the oldest are forgotten sooner.
 const maxRecords = 1 << 16
 
-// Records are the streams that began lately. They are kept in two halves, the older of which
-// is forgotten at once, so that a record lasts for Memory at least and twice that at most.
-type Records struct {
-	newer, older map[Stream]Software
-	turnedAt     core.Instant // when newer was begun
+// Records are the streams that began lately. A record lasts for Memory at least.
+type Records struct{ recent *recent.Map[Stream, Software] }
+
+// NewRecords returns no records.
+func NewRecords() Records {
+	return Records{recent.NewMap[Stream, Software](Memory, maxRecords)}
 }
 
 // Put adds a record, or renews it.
-func (r *Records) Put(now core.Instant, x Record) {
-	r.turn(now)
-	if r.newer == nil {
-		r.newer = map[Stream]Software{}
-	}
-	r.newer[x.Stream] = x.Software
-}
+func (r Records) Put(now core.Instant, x Record) { r.recent.Put(now, x.Stream, x.Software) }
 
 // Get returns where a stream began, and false where that isn't known.
-func (r *Records) Get(now core.Instant, s Stream) (Software, bool) {
-	r.turn(now)
-	if v, ok := r.newer[s]; ok {
-		return v, true
-	}
-	v, ok := r.older[s]
-	return v, ok
-}
+func (r Records) Get(now core.Instant, s Stream) (Software, bool) { return r.recent.Get(now, s) }
 
 // All returns all records, in no order.
-func (r *Records) All(now core.Instant) []Record {
-	r.turn(now)
-	all := make([]Record, 0, len(r.newer)+len(r.older))
-	for s, v := range r.newer {
+func (r Records) All(now core.Instant) []Record {
+	all := make([]Record, 0, r.recent.Len())
+	for s, v := range r.recent.All(now) {
 		all = append(all, Record{Stream: s, Software: v})
 	}
-	for s, v := range r.older {
-		if _, renewed := r.newer[s]; !renewed {
-			all = append(all, Record{Stream: s, Software: v})
-		}
-	}
 	return all
 }
-
-// turn forgets the older half where the newer one is full or has lasted for Memory.
-func (r *Records) turn(now core.Instant) {
-	age := now.Sub(r.turnedAt)
-	if age < Memory && len(r.newer) < maxRecords/2 {
-		return
-	}
-	r.older, r.newer, r.turnedAt = r.newer, nil, now
-	if age >= 2*Memory {
-		r.older = nil
-	}
-}
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -18,7 +18,7 @@
 func TestRecordLastsForTheMemoryAndIsThenForgotten(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(t)
-		var r Records
+		r := NewRecords()
 		now := core.Instant(0)
 		put := map[Stream]core.Instant{}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
@@ -39,7 +39,7 @@
 
 func TestRecordsAreBounded(t *testing.T) {
 	is := is.New(t)
-	var r Records
+	r := NewRecords()
 	const streams = 3 * maxRecords
 	for i := range streams {
 		r.Put(1, Record{Stream: Stream(i), Software: v2})
--- a/internal/core/promptpart/tracker.go
+++ b/internal/core/promptpart/tracker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/recent"
 )
 
 const (
@@ -15,6 +16,11 @@
 	blockedRetention = 2 * time.Hour
 	// maxRecords bounds the parts that are remembered.
 	maxRecords = 2048
+
+	// soundMemory is how long an answer on a part is remembered at least, unless there are too many.
+	soundMemory = time.Minute
+	// maxSoundParts bounds the parts with a remembered answer.
+	maxSoundParts = 8192
 )
 
 // Times from the verdict on a part to its first trial, and between trials.
@@ -46,14 +52,18 @@
 // Tracker holds what one host knows of parts. It is not safe for concurrent use.
 type Tracker struct {
 	records   map[ID]*record
-	sound     soundParts
-	digest    uint64                       // of the blocked parts
-	explained map[Incarnation]core.Instant // ends at which a blocked part was, and when that was seen
+	sound     *recent.Map[ID, core.Instant] // when the last answer on a part came to a certain end
+	digest    uint64                        // of the blocked parts
+	explained map[Incarnation]core.Instant  // ends at which a blocked part was, and when that was seen
 }
 
 // NewTracker returns a tracker that knows nothing.
 func NewTracker() *Tracker {
-	return &Tracker{records: map[ID]*record{}, explained: map[Incarnation]core.Instant{}}
+	return &Tracker{
+		records:   map[ID]*record{},
+		sound:     recent.NewMap[ID, core.Instant](soundMemory, maxSoundParts),
+		explained: map[Incarnation]core.Instant{},
+	}
 }
 
 // Suspected reports whether a replica has ended under a part since the last answer on it.
@@ -311,7 +321,7 @@
 func (t *Tracker) Digest() uint64 { return t.digest }
 
 // MarkSound records that an answer on a part has come to a certain end.
-func (t *Tracker) MarkSound(now core.Instant, p ID) { t.sound.put(now, p) }
+func (t *Tracker) MarkSound(now core.Instant, p ID) { t.sound.Put(now, p, max(now, 1)) }
 
 // LastAnswer returns the time since the last known answer on a part that is remembered, and false
 // where none is known.
@@ -328,7 +338,8 @@
 	r := t.records[p]
 	if r == nil {
 		t.evict(now)
-		r = &record{lastReported: now, acquittedAt: t.sound.lastAnswer(now, p)}
+		answeredAt, _ := t.sound.Get(now, p) // 0: none is remembered
+		r = &record{lastReported: now, acquittedAt: answeredAt}
 		t.records[p] = r
 	}
 	return r
--- a/internal/core/promptpart/tracker_test.go
+++ b/internal/core/promptpart/tracker_test.go
@@ -263,7 +263,7 @@
 	for i := range 3 * maxSoundParts {
 		tracker.MarkSound(at(0), ID(i+1))
 	}
-	is.True(len(tracker.sound.newer)+len(tracker.sound.older) <= maxSoundParts)
+	is.True(tracker.sound.Len() <= maxSoundParts)
 }
 
 func TestReportsAreBounded(t *testing.T) {
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -190,9 +190,10 @@
 // awaitPermit lets a request wait for a permit for one of the limited replicas that could run it. It
 // returns false where none is to be had now.
 func (m *Machine) awaitPermit(r *request, limited []*replicas.Replica) bool {
+	waiting := m.permitWaiters() + 1
 	asking := false
 	for _, x := range limited {
-		m.askPermits(x, m.permitWaiters()+1)
+		m.askPermits(x, waiting)
 		asking = asking || m.limits.permits.Asking(m.now, keyOf(x)) || !m.needsPermit(x)
 	}
 	if asking && r.stage != stageWaiting {
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -88,6 +88,7 @@
 		crashes:         map[uint64]*crashRecord{},
 		parts:           newPromptParts(),
 		limits:          newLimits(),
+		origins:         newOrigins(),
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
 		requests:        newRequests(),
--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -36,6 +36,8 @@
 	unrelayed []origin.Record // for the standby hosts that report to this host
 }
 
+func newOrigins() origins { return origins{known: origin.NewRecords(), own: origin.NewRecords()} }
+
 // observeSoftware records the software versions of all replicas.
 func (m *Machine) observeSoftware() {
 	for _, x := range m.replicas.All() {
