--- a/internal/core/promptpart/record.go
+++ b/internal/core/promptpart/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"gentiancroft/internal/core"
 )
@@ -31,7 +32,9 @@
 	acquittedAt  core.Instant // when the last known answer on it ended; 0: none is known
 	blockedAt    core.Instant // 0: it isn't blocked
 	blockedFor   int          // crashes in a row for which it was blocked
-	trials       int
+	trials       int          // requests with it that were tried since
+	failed       int          // of these, those under which a replica was lost
+	triedAt      core.Instant // when the first of them was sent after the last that failed, or not long before; 0: there was none
 	nextTrial    core.Instant
 	lastReported core.Instant // when the record last changed
 }
@@ -88,12 +91,60 @@
 // block applies a verdict.
 func (r *record) block(now core.Instant, v Verdict) {
 	r.blockedAt, r.nextTrial = max(now.Add(-max(v.Age, 0)), 1), now.Add(max(v.NextIn, 0))
-	r.trials, r.blockedFor, r.lastReported = max(v.Trials, 0), v.Rounds, now
+	r.trials, r.failed, r.triedAt = max(v.Trials, 0), max(v.Failed, 0), 0
+	r.blockedFor, r.lastReported = v.Rounds, now
 }
 
 // verdict returns the verdict on the part, which is blocked.
 func (r *record) verdict(now core.Instant, p ID) Verdict {
-	return Verdict{Part: p, Age: now.Sub(r.blockedAt), Trials: r.trials, Rounds: r.blockedFor, NextIn: max(r.nextTrial.Sub(now), 0)}
+	return Verdict{
+		Part: p, Age: now.Sub(r.blockedAt), Rounds: r.blockedFor,
+		Trials: r.trials, Failed: r.failed, NextIn: max(r.nextTrial.Sub(now), 0),
+	}
+}
+
+// beginTrial applies that a request is tried.
+func (r *record) beginTrial(now core.Instant) {
+	shownNothing := max(r.trials-r.failed, 0)
+	r.trials++
+	r.lastReported = now
+	if r.triedAt == 0 {
+		r.triedAt = max(now, 1)
+	}
+	r.nextTrial = now.Add(backoff(trialTime, 2, shownNothing))
+}
+
+// failTrial applies that a replica was lost under the trial.
+func (r *record) failTrial(now core.Instant) {
+	r.failed++
+	r.triedAt, r.lastReported = 0, now
+	r.nextTrial = now.Add(backoff(firstTrialDelay, trialBackoffFactor, r.failed))
+}
+
+// applyTrials applies another host's verdict on the part, which is blocked, if that host knows of
+// more trials.
+func (r *record) applyTrials(now core.Instant, v Verdict) {
+	switch {
+	case v.Failed > r.failed:
+		r.triedAt = 0
+	case v.Failed == r.failed && v.Trials > r.trials:
+		if r.triedAt == 0 {
+			r.triedAt = max(now.Add(-reportDelay), 1)
+		}
+	default:
+		return
+	}
+	r.trials, r.failed = max(r.trials, v.Trials), v.Failed
+	r.nextTrial, r.lastReported = now.Add(max(v.NextIn, 0)), now
+}
+
+// backoff returns a time that grows by a factor with each of n repetitions, up to maxTrialDelay.
+func backoff(first time.Duration, factor, n int) time.Duration {
+	delay := first
+	for range n {
+		delay = min(delay*time.Duration(factor), maxTrialDelay)
+	}
+	return delay
 }
 
 // before reports whether a record is given up sooner than another one.
--- a/internal/core/promptpart/report.go
+++ b/internal/core/promptpart/report.go
@@ -39,6 +39,7 @@
 	Part   ID
 	Age    time.Duration // since it was blocked
 	Trials int           // requests with it that were tried since
+	Failed int           // of these, those under which a replica was lost
 	Rounds int           // crashes in a row for which it was blocked
 	NextIn time.Duration // until the next one may be
 }
--- a/internal/core/promptpart/tracker.go
+++ b/internal/core/promptpart/tracker.go
@@ -23,7 +23,8 @@
 	maxSoundParts = 8192
 )
 
-// Times from the verdict on a part to its first trial, and between trials.
+// Times from the verdict on a part to its first trial, and between trials under which replicas
+// were lost.
 const (
 	firstTrialDelay    = 8 * time.Second
 	trialBackoffFactor = 4
@@ -36,17 +37,26 @@
 	jointTrialDelay = time.Minute
 )
 
+const (
+	// trialTime is how long a trial may show nothing until the next one: its caller may have left,
+	// or its replica not have run it. Each further one of this kind has twice the time.
+	trialTime = 2 * time.Second
+	// reportDelay is what the report of a trial may have taken to reach this host.
+	reportDelay = 300 * time.Millisecond
+)
+
 // Change is what an input has changed about a part.
 type Change uint8
 
 // Changes.
 const (
-	Unchanged Change = iota
-	Suspected        // a replica ended under it
-	Acquitted        // an answer on it came to a certain end
-	Blocked          // it is kept from replicas
-	LetIn            // it is no longer blocked
-	Disputed         // another host has blocked it, and doesn't know of an answer on it
+	Unchanged   Change = iota
+	Suspected          // a replica ended under it
+	Acquitted          // an answer on it came to a certain end
+	Blocked            // it is kept from replicas
+	LetIn              // it is no longer blocked
+	Disputed           // another host has blocked it, and doesn't know of an answer on it
+	TrialFailed        // it is blocked, and a replica ended under a trial
 )
 
 // Tracker holds what one host knows of parts. It is not safe for concurrent use.
@@ -100,8 +110,8 @@
 func (t *Tracker) ApplySightings(now core.Instant, sightings []Sighting) []PartChange {
 	var changes []PartChange
 	for _, s := range sightings {
-		if t.addSighting(now, s) {
-			changes = append(changes, PartChange{s.Part, Suspected})
+		if change := t.addSighting(now, s); change != Unchanged {
+			changes = append(changes, PartChange{s.Part, change})
 		}
 	}
 	suspected := changes // all parts of a prompt are known to have been there
@@ -135,26 +145,31 @@
 	}
 }
 
-// addSighting adds a sighting. It returns false where it was known, or is from before the last answer
-// on the part.
-func (t *Tracker) addSighting(now core.Instant, s Sighting) bool {
+// addSighting adds a sighting. It changes nothing where it was known, or is from before the last
+// answer on the part.
+func (t *Tracker) addSighting(now core.Instant, s Sighting) Change {
 	r := t.recordOf(now, s.Part)
 	ended := now.Add(-max(s.Age, 0))
 	if r.acquittedAt != 0 && ended <= r.acquittedAt {
-		return false
+		return Unchanged
 	}
 	if _, explained := t.explained[s.Incarnation]; explained && r.acquittedAt != 0 {
-		return false
+		return Unchanged
 	}
-	if !r.add(sighting{incarnation: s.Incarnation, sent: ended.Add(-max(s.Held, 0)), ended: ended}) {
-		return false
+	sent := ended.Add(-max(s.Held, 0))
+	if !r.add(sighting{incarnation: s.Incarnation, sent: sent, ended: ended}) {
+		return Unchanged
 	}
 	r.lastReported = now
-	if r.blockedAt != 0 {
-		t.explain(now, s.Incarnation)
-		return false
+	if r.blockedAt == 0 {
+		return Suspected
+	}
+	t.explain(now, s.Incarnation)
+	if r.triedAt == 0 || sent < r.triedAt {
+		return Unchanged // it was sent before the part was blocked
 	}
-	return true
+	r.failTrial(now)
+	return TrialFailed
 }
 
 // block blocks a part by this host's own count. Where no answer is known on the part, it may be
@@ -210,8 +225,8 @@
 	r.inherited = 0
 	r.sightings = slices.DeleteFunc(r.sightings, func(s sighting) bool { return s.ended <= at })
 	switch {
-	case r.blockedAt != 0 && (r.blockedAt < at || r.blockedFor < maxTrustedRounds && r.trials == 0):
-		r.blockedAt, r.trials = 0, 0
+	case r.blockedAt != 0 && (r.blockedAt < at || r.blockedFor < maxTrustedRounds && r.failed == 0):
+		r.blockedAt, r.trials, r.failed, r.triedAt = 0, 0, 0, 0
 		t.digest -= a.Part.hash()
 		return LetIn
 	case r.rounds() < before:
@@ -230,12 +245,10 @@
 	case r.acquittedAt != 0 && at <= r.acquittedAt:
 		return Disputed
 	case r.blockedAt != 0:
-		if v.Trials > r.trials {
-			r.trials, r.nextTrial, r.lastReported = v.Trials, now.Add(max(v.NextIn, 0)), now
-		}
+		r.applyTrials(now, v)
 		return Unchanged
 	}
-	if r.acquittedAt != 0 && v.Rounds < maxTrustedRounds && v.Trials == 0 {
+	if r.acquittedAt != 0 && v.Rounds < maxTrustedRounds && v.Failed == 0 {
 		return Disputed
 	}
 	r.block(now, v)
@@ -271,12 +284,7 @@
 // other hosts.
 func (t *Tracker) BeginTrial(now core.Instant, p ID) Verdict {
 	r := t.recordOf(now, p)
-	r.trials++
-	delay := firstTrialDelay
-	for range r.trials {
-		delay = min(delay*trialBackoffFactor, maxTrialDelay)
-	}
-	r.nextTrial, r.lastReported = now.Add(delay), now
+	r.beginTrial(now)
 	return r.verdict(now, p)
 }
 
--- a/internal/core/promptpart/tracker_test.go
+++ b/internal/core/promptpart/tracker_test.go
@@ -305,3 +305,90 @@
 		}
 	})
 }
+
+// Guards against a part that all requests share and that stays shut out for half a minute, because
+// the caller of the one request that was tried had left.
+func TestTrialThatShowsNothingIsSoonRepeated(t *testing.T) {
+	is := is.New(t)
+	tracker, other := NewTracker(), NewTracker()
+	for i := range maxRounds {
+		crash(tracker, time.Duration(i)*time.Second, i, 0, bad)
+	}
+	for _, v := range tracker.Verdicts(at(2 * time.Second)) {
+		other.ApplyVerdict(at(2*time.Second), v)
+	}
+	nextTrial := func(x *Tracker, now time.Duration) time.Duration {
+		_, wait, blocked := x.NextTrial(at(now), []ID{bad})
+		is.True(blocked)
+		return wait
+	}
+	now := 2*time.Second + firstTrialDelay
+	for _, wait := range []time.Duration{trialTime, 2 * trialTime, 4 * trialTime} {
+		is.Equal(nextTrial(tracker, now), time.Duration(0))
+		other.ApplyVerdict(at(now), tracker.BeginTrial(at(now), bad))
+		is.Equal(nextTrial(tracker, now), wait)
+		is.Equal(nextTrial(other, now), wait)
+		now += wait
+	}
+	other.ApplyVerdict(at(now), tracker.BeginTrial(at(now), bad))
+	const held = 3 * time.Second // it was the trial before this one that waited at its replica
+	crash(tracker, now+100*time.Millisecond, 50, held, bad)
+	crash(other, now+100*time.Millisecond, 50, held, bad) // reported, the tracker's verdict is lost
+	const afterFailure = firstTrialDelay * trialBackoffFactor
+	is.Equal(nextTrial(tracker, now+100*time.Millisecond), afterFailure)
+	is.Equal(nextTrial(other, now+100*time.Millisecond), afterFailure)
+}
+
+// A request that was sent before its part was blocked is no trial.
+func TestRequestSentBeforeTheVerdictIsNoTrial(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range maxRounds {
+		crash(tracker, time.Duration(i)*time.Second, i, 0, bad)
+	}
+	trialAt := 2*time.Second + firstTrialDelay
+	tracker.BeginTrial(at(trialAt), bad)
+	crash(tracker, trialAt+time.Millisecond, 50, time.Second, bad)
+	_, wait, _ := tracker.NextTrial(at(trialAt+time.Millisecond), []ID{bad})
+	is.True(wait <= trialTime)
+}
+
+// A trial that has shown nothing doesn't outweigh an answer which the host that blocked the part
+// hadn't heard of; one under which a replica was lost does.
+func TestOnlyAFailedTrialOutweighsAnEarlierAnswer(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		is := is.New(t)
+		blocking, answered := NewTracker(), NewTracker()
+		answered.MarkSound(at(0), shared)
+		for i := range maxRounds {
+			crash(blocking, time.Duration(1+i)*time.Second, i, 0, shared)
+		}
+		now := 3*time.Second + firstTrialDelay
+		verdict := blocking.BeginTrial(at(now), shared)
+		if failed {
+			now += time.Second
+			crash(blocking, now, 50, 0, shared)
+			verdict = blocking.Verdicts(at(now))[0]
+		}
+		change := answered.ApplyVerdict(at(now), verdict)
+		is.Equal(change == Blocked, failed)
+		is.Equal(change == Disputed, !failed)
+		change = blocking.ApplyAcquittal(at(now), Acquittal{Part: shared, Age: now}) // of that answer
+		is.Equal(change == LetIn, !failed)
+	}
+}
+
+func TestFailedTrialIsLearnedFromItsVerdict(t *testing.T) {
+	is := is.New(t)
+	tracker, other := NewTracker(), NewTracker()
+	for i := range maxRounds {
+		crash(tracker, time.Duration(i)*time.Second, i, 0, bad)
+	}
+	other.ApplyVerdict(at(2*time.Second), tracker.Verdicts(at(2 * time.Second))[0])
+	now := 2*time.Second + firstTrialDelay
+	other.ApplyVerdict(at(now), tracker.BeginTrial(at(now), bad))
+	crash(tracker, now, 50, 0, bad)
+	other.ApplyVerdict(at(now), tracker.Verdicts(at(now))[0]) // the report of the end is lost
+	_, wait, _ := other.NextTrial(at(now), []ID{bad})
+	is.Equal(wait, firstTrialDelay*trialBackoffFactor)
+}
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -93,6 +93,7 @@
 			{Name: "blocked", Meaning: "requests with it are refused"},
 			{Name: "tried", Meaning: "one request with it is sent to a replica all the same"},
 			{Name: "disputed", Meaning: "another host has blocked it, and this one knows of an answer on it"},
+			{Name: "trial_failed", Meaning: "a replica ended under the request that was tried"},
 			{Name: "let_in", Meaning: "an answer on it came to a certain end; requests with it are sent to replicas again"},
 			{Name: "forgotten", Meaning: "nothing has been heard of it for long; it is no longer blocked"},
 			{Name: "malformed", Meaning: "its identifier in a lease can't be read"}}},
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -61,7 +61,7 @@
 	for _, c := range m.parts.tracker.ApplySightings(m.now, sightings) {
 		m.notePartChange(c.Part, c.Change, source, 0)
 		delete(known, c.Part)
-		m.parts.reportVerdicts = m.parts.reportVerdicts || c.Change == promptpart.Blocked
+		m.parts.reportVerdicts = m.parts.reportVerdicts || c.Change == promptpart.Blocked || c.Change == promptpart.TrialFailed
 	}
 	return slices.DeleteFunc(slices.Clone(sightings), func(s promptpart.Sighting) bool { return known[s.Part] })
 }
@@ -95,6 +95,8 @@
 	promptpart.Blocked:   "blocked",
 	promptpart.LetIn:     "let_in",
 	promptpart.Disputed:  "disputed",
+
+	promptpart.TrialFailed: "trial_failed",
 }
 
 // notePartChange logs a change. A part that has just been blocked is enforced, and other hosts are
@@ -277,7 +279,10 @@
 		states[s.Part.String()] = shard.PartState{Rounds: s.Rounds, AnsweredMS: s.Answered.Milliseconds()}
 	}
 	for _, v := range m.parts.tracker.Verdicts(m.now) {
-		states[v.Part.String()] = shard.PartState{Blocked: true, Rounds: v.Rounds, AgeMS: v.Age.Milliseconds(), Trials: v.Trials, NextMS: v.NextIn.Milliseconds()}
+		states[v.Part.String()] = shard.PartState{
+			Blocked: true, Rounds: v.Rounds, AgeMS: v.Age.Milliseconds(),
+			Trials: v.Trials, Failed: v.Failed, NextMS: v.NextIn.Milliseconds(),
+		}
 	}
 	return states
 }
@@ -302,7 +307,10 @@
 	case !ok:
 		m.emit(LogDecision{Name: "prompt_part", Reason: "malformed", Detail: name})
 	case s.Blocked:
-		m.applyVerdict(promptpart.Verdict{Part: p, Rounds: s.Rounds, Age: milliseconds(s.AgeMS), Trials: s.Trials, NextIn: milliseconds(s.NextMS)}, learnedAtStart)
+		m.applyVerdict(promptpart.Verdict{
+			Part: p, Rounds: s.Rounds, Age: milliseconds(s.AgeMS),
+			Trials: s.Trials, Failed: s.Failed, NextIn: milliseconds(s.NextMS),
+		}, learnedAtStart)
 	default:
 		m.parts.tracker.Inherit(m.now, promptpart.Suspicion{Part: p, Rounds: s.Rounds, Answered: milliseconds(s.AnsweredMS)})
 		m.notePartChange(p, promptpart.Suspected, learnedAtStart, 0)
--- a/internal/core/relaynode/parts_test.go
+++ b/internal/core/relaynode/parts_test.go
@@ -408,3 +408,26 @@
 	h.is.Equal(h.m.parts.tracker.Digest(), uint64(0))
 	h.is.Equal(h.m.parts.tracker.Rounds(sharedPart), 0)
 }
+
+// Guards against sound requests that are refused for half a minute: their shared part was blocked
+// with the crashing one, and the caller of the request that was tried left.
+func TestTrialWhoseCallerLeavesIsSoonRepeated(t *testing.T) {
+	h := newHost(t)
+	for range 3 {
+		h.crash(sharedPart, badPart)
+	}
+	h.streamWith(sharedPart)
+	h.is.Equal(h.refusal().Ran, core.RanNo)
+	h.advance(time.Second)
+	h.streamWith(sharedPart)
+	trial := h.dispatch()
+	h.step(CallerGone{ID: trial.ID})
+	h.endAttempt(trial, EndCancelled)
+	h.advance(2 * time.Second)
+	h.complete(sharedPart)
+	h.crash(sharedPart, badPart) // the other one's trial
+	h.complete(sharedPart)
+	h.advance(7 * time.Second)
+	h.streamWith(sharedPart, badPart)
+	h.is.Equal(h.refusal().Ran, core.RanNo)
+}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -88,6 +88,7 @@
 	Blocked    bool  `json:"blocked,omitempty"`  // it is kept from replicas
 	AgeMS      int64 `json:"age,omitempty"`      // since it was blocked
 	Trials     int   `json:"trials,omitempty"`   // requests with it that were tried since
+	Failed     int   `json:"failed,omitempty"`   // of these, those under which a replica was lost
 	NextMS     int64 `json:"next,omitempty"`     // until the next trial
 }
 
