--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -28,6 +28,9 @@
 	askIntervalPerHost = 5 * time.Millisecond
 	// limitNewsInterval is the minimum time between two messages on limits to all hosts.
 	limitNewsInterval = 40 * time.Millisecond
+	// minGrantedFraction is the fraction of a limit that a granter hands out at least which reaches
+	// few of the hosts. Those that it doesn't reach may have a granter of their own.
+	minGrantedFraction = 0.6
 	// minRetryAfterLimited is the least Retry-After time of a request for which there is no permit.
 	minRetryAfterLimited = 100 * time.Millisecond
 )
@@ -156,7 +159,8 @@
 	if !limited {
 		return intake.Grant{Number: ask.Number, Key: k, Count: ask.Count} // the asking host will see that the limit has ended
 	}
-	g := m.limits.granter.Grant(m.now, k, rate, ask.Count, len(m.fleet.Members(m.now)))
+	fraction := max(m.fleet.ReachableFraction(m.now), minGrantedFraction)
+	g := m.limits.granter.Grant(m.now, k, rate*fraction, ask.Count, len(m.fleet.Members(m.now)))
 	g.Number = ask.Number
 	return g
 }
--- a/internal/core/relaynode/limits_test.go
+++ b/internal/core/relaynode/limits_test.go
@@ -155,7 +155,7 @@
 	h.lease("b")
 	h.addPeer("b")
 	h.step(ReplicaListed{Entry: withSequence(replica("e2", engines), 1)}) // only e1 has adapter x
-	h.m.observeLimit(intake.Evidence{Key: intake.KeyOf("e1", 1), Named: true, PerSecond: 1})
+	h.m.observeLimit(named("e1", 1))
 	sawDemand := false
 	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
 	for range 30 {
@@ -211,9 +211,38 @@
 	}
 }
 
+// Hosts that don't reach each other have a granter on each side. Together they keep the limit about,
+// and each uses half of it at least.
+func TestGranterThatReachesFewHostsHandsOutLess(t *testing.T) {
+	h := newHost(t)
+	peers := []core.HostID{h.addPeer("b"), h.addPeer("c")}
+	const perSecond = 10
+	ask := intake.Ask{Limit: named("s1", perSecond), Count: 1}
+	granted := func(reachable []core.HostID) int {
+		n := 0
+		for range 1000 {
+			h.advance(10 * time.Millisecond)
+			for _, p := range reachable {
+				h.heartbeat(p, uint64(h.now), 0)
+			}
+			n += h.m.grant(ask).Count
+		}
+		return n
+	}
+	all := granted(peers)
+	h.is.True(all > 0.8*10*perSecond && all <= 10*perSecond)
+	alone := granted(nil)
+	h.is.True(alone >= 0.5*10*perSecond && alone <= 0.65*10*perSecond)
+}
+
+// named returns evidence that the first incarnation of a replica names a limit.
+func named(id core.UpstreamID, perSecond float64) intake.Evidence {
+	return intake.Evidence{Key: intake.KeyOf(id, 1), Named: true, PerSecond: perSecond}
+}
+
 func TestNextIncarnationIsNotLimited(t *testing.T) {
 	h := newHost(t)
-	h.m.observeLimit(intake.Evidence{Key: intake.KeyOf("e1", 1), Named: true, PerSecond: 1})
+	h.m.observeLimit(named("e1", 1))
 	h.is.True(h.m.limited(h.m.replicas.Get("e1")))
 	h.restart("e1")
 	h.is.True(!h.m.limited(h.m.replicas.Get("e1")))
