Files with one job each: reports and stored states of prompt parts, trials, memory, leases as stored

relaynode/parts.go (340 lines) enforced, exchanged and stored; promptpart/tracker.go (390) also held trials, what is handed over and what is forgotten; shard.go the record's types. Declarations moved to partreports.go, partstates.go, trial.go, handover.go, memory.go and record.go as they were.

--- a/internal/core/promptpart/tracker.go
+++ b/internal/core/promptpart/tracker.go
@@ -1,7 +1,6 @@
 package promptpart
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,42 +8,6 @@
 	"gentiancroft/internal/core/recent"
 )
 
-const (
-	// retention is how long a part that isn't blocked is remembered after its last event.
-	retention = 90 * time.Second
-	// blockedRetention is the same for one that is blocked, which is tried now and then.
-	blockedRetention = 2 * time.Hour
-	// maxRecords bounds the parts that are remembered.
-	maxRecords = 2048
-
-	// soundMemory is how long an answer on a part is remembered at least, unless there are too many.
-	soundMemory = time.Minute
-	// maxSoundParts bounds the parts with a remembered answer.
-	maxSoundParts = 8192
-)
-
-// Times from the verdict on a part to its first trial, and between trials under which replicas
-// were lost.
-const (
-	firstTrialDelay    = 8 * time.Second
-	trialBackoffFactor = 4
-	maxTrialDelay      = time.Hour
-
-	// ambiguousTrialDelay is the time to the first trial of parts that were blocked together: a
-	// request that has only one of them shows which it is.
-	ambiguousTrialDelay = time.Second
-	// jointTrialDelay is added for a request that has several blocked parts.
-	jointTrialDelay = time.Minute
-)
-
-const (
-	// trialTime is how long a trial may show nothing until the next one: its caller may have left,
-	// or its replica not have run it. Each further one of this kind has twice the time.
-	trialTime = 2 * time.Second
-	// reportDelay is what the report of a trial may have taken to reach this host.
-	reportDelay = 300 * time.Millisecond
-)
-
 // Change is what an input has changed about a part.
 type Change uint8
 
@@ -257,74 +220,6 @@
 	return Blocked
 }
 
-// NextTrial returns the first blocked one of a prompt's parts, and the time until a request with
-// these parts may be tried; 0: it may now. It returns false where none is blocked.
-func (t *Tracker) NextTrial(now core.Instant, parts []ID) (first ID, wait time.Duration, blocked bool) {
-	n, due := 0, now
-	for _, p := range parts {
-		r := t.records[p]
-		if r == nil || r.blockedAt == 0 {
-			continue
-		}
-		n++
-		switch n {
-		case 1:
-			first, due = p, r.nextTrial
-		default:
-			due = max(due, r.nextTrial)
-		}
-	}
-	if n > 1 {
-		due = due.Add(jointTrialDelay)
-	}
-	return first, max(due.Sub(now), 0), n > 0
-}
-
-// BeginTrial records that a request with a blocked part is tried, and returns the verdict for the
-// other hosts.
-func (t *Tracker) BeginTrial(now core.Instant, p ID) Verdict {
-	r := t.recordOf(now, p)
-	r.beginTrial(now)
-	return r.verdict(now, p)
-}
-
-// Verdicts returns all blocked parts, sorted, up to the bound of a report.
-func (t *Tracker) Verdicts(now core.Instant) []Verdict {
-	var all []Verdict
-	for p, r := range t.records {
-		if r.blockedAt != 0 {
-			all = append(all, r.verdict(now, p))
-		}
-	}
-	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Part, b.Part) })
-	return bounded(all)
-}
-
-// Suspicions returns the suspected parts that aren't blocked, those with the most crashes first, up
-// to a number.
-func (t *Tracker) Suspicions(now core.Instant, most int) []Suspicion {
-	var all []Suspicion
-	for p, r := range t.records {
-		if n := r.rounds(); n > 0 && r.blockedAt == 0 {
-			answered, _ := t.LastAnswer(now, p)
-			all = append(all, Suspicion{Part: p, Rounds: n, Answered: answered})
-		}
-	}
-	slices.SortFunc(all, func(a, b Suspicion) int {
-		return cmp.Or(cmp.Compare(b.Rounds, a.Rounds), cmp.Compare(a.Part, b.Part))
-	})
-	return all[:min(len(all), most)]
-}
-
-// Inherit applies what an earlier process has known of a part. It doesn't block the part.
-func (t *Tracker) Inherit(now core.Instant, s Suspicion) {
-	r := t.recordOf(now, s.Part)
-	if s.Answered > 0 {
-		r.acquittedAt = max(r.acquittedAt, now.Add(-s.Answered), 1)
-	}
-	r.inherited = max(r.inherited, min(s.Rounds, r.maxRounds()-1))
-}
-
 // Digest returns a sum over the blocked parts; 0: none is blocked.
 func (t *Tracker) Digest() uint64 { return t.digest }
 
@@ -340,61 +235,3 @@
 	}
 	return now.Sub(r.acquittedAt), true
 }
-
-// recordOf returns the record of a part, a new one if there is none.
-func (t *Tracker) recordOf(now core.Instant, p ID) *record {
-	r := t.records[p]
-	if r == nil {
-		t.evict(now)
-		answeredAt, _ := t.sound.Get(now, p) // 0: none is remembered
-		r = &record{lastReported: now, acquittedAt: answeredAt}
-		t.records[p] = r
-	}
-	return r
-}
-
-// evict makes room for a record: of the expired ones or, where there is none, of the one that
-// changed the longest ago, blocked parts last.
-func (t *Tracker) evict(now core.Instant) {
-	if len(t.records) < maxRecords {
-		return
-	}
-	t.Expire(now)
-	var oldest ID
-	for p, r := range t.records {
-		if o := t.records[oldest]; o == nil || r.before(o) || !o.before(r) && p < oldest {
-			oldest = p
-		}
-	}
-	if len(t.records) >= maxRecords {
-		t.forget(oldest)
-	}
-}
-
-func (t *Tracker) forget(p ID) {
-	if t.Blocked(p) {
-		t.digest -= p.hash()
-	}
-	delete(t.records, p)
-}
-
-// Expire forgets the parts of which nothing has been heard for long. It returns those of them
-// that were blocked, sorted.
-func (t *Tracker) Expire(now core.Instant) (unblocked []ID) {
-	for p, r := range t.records {
-		switch age := now.Sub(r.lastReported); {
-		case r.blockedAt != 0 && age >= blockedRetention:
-			unblocked = append(unblocked, p)
-			t.forget(p)
-		case r.blockedAt == 0 && age >= retention:
-			t.forget(p)
-		}
-	}
-	for i, at := range t.explained {
-		if now.Sub(at) >= retention {
-			delete(t.explained, i)
-		}
-	}
-	slices.Sort(unblocked)
-	return unblocked
-}
--- /dev/null
+++ b/internal/core/shard/record.go
@@ -0,0 +1,60 @@
+package shard
+
+import "gentiancroft/internal/core"
+
+// Record is a lease as stored.
+type Record struct {
+	Owner    core.HostID `json:"holder"`
+	Fence    core.Fence  `json:"fence"`    // increases with each owner and after each expiry
+	Renewals uint64      `json:"renewals"` // since this owner took over
+	Released bool        `json:"released"`
+	Era      uint64      `json:"era,omitempty"` // of the store when it was written, as the owner knew it
+
+	// Levels are the workspaces' bucket levels at the renewal, as fractions of the
+	// bursts, for hosts that start.
+	Levels map[core.WorkspaceID]float64 `json:"levels,omitempty"`
+
+	// Software is which software versions the replicas had at the renewal or before, for
+	// hosts that start.
+	Software SoftwareAges `json:"software,omitempty"`
+
+	// Parts are the prompt parts under which replicas had ended at the renewal, for hosts that
+	// start.
+	Parts PartStates `json:"parts,omitempty"`
+}
+
+// PartStates is what is known of prompt parts under which replicas ended, by their identifiers.
+type PartStates map[string]PartState
+
+// PartState is what is known of one prompt part. Times are in ms.
+type PartState struct {
+	Rounds     int   `json:"rounds"`             // replicas lost in a row
+	AnsweredMS int64 `json:"answered,omitempty"` // since the last known answer on it; 0: none is known
+	Blocked    bool  `json:"blocked,omitempty"`  // it is kept from replicas
+	AgeMS      int64 `json:"age,omitempty"`      // since it was blocked
+	Trials     int   `json:"trials,omitempty"`   // requests with it that were tried since
+	Failed     int   `json:"failed,omitempty"`   // of these, those under which a replica was lost
+	NextMS     int64 `json:"next,omitempty"`     // until the next trial
+}
+
+// SoftwareAges is how long ago, in ms, a version of replicas' software was last observed, by
+// service and version.
+type SoftwareAges = map[string]map[string]int64
+
+// PartStates returns the states of prompt parts stored with the known leases, one element a lease.
+func (m *Machine) PartStates() []PartStates {
+	var all []PartStates
+	for i := range m.leases {
+		all = append(all, m.leases[i].record.Parts)
+	}
+	return all
+}
+
+// SoftwareAges returns the software versions stored with the known leases, one element a lease.
+func (m *Machine) SoftwareAges() []SoftwareAges {
+	var all []SoftwareAges
+	for i := range m.leases {
+		all = append(all, m.leases[i].record.Software)
+	}
+	return all
+}
