--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -146,7 +146,7 @@
 	if !r.route.Resumable {
 		return
 	}
-	r.software = r.sentTo
+	r.software = r.sentSoftware
 	began := r.arrival.CallerID
 	if r.arrival.LastEvent != "" && r.arrival.Resumes != "" {
 		began = r.arrival.Resumes
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -205,7 +205,7 @@
 	r.attempt++
 	r.upstream, r.upstreamStarted = x.ID, x.Started
 	r.version, _ = x.AdapterVersion(r.arrival.Adapter)
-	r.sentTo = softwareOf(x)
+	r.sentSoftware = softwareOf(x)
 	r.stage, r.stageSince = stageRunning, m.now
 	r.answerStarted, r.moving = false, false
 	r.awaitsPermit = false
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -38,7 +38,7 @@
 	upstream        core.UpstreamID // of the latest attempt
 	upstreamStarted int64           // start of its incarnation at that time
 	version         int             // of its adapter there at that time; 0: unknown, or no adapter
-	sentTo          origin.Software // of its replica at that time
+	sentSoftware    origin.Software // of its replica at that time
 	software        origin.Software // at which alone the request may run, since it goes on with a stream; 0: any
 	tried           []core.UpstreamID
 	answerStarted   bool         // the replica has started to answer the latest attempt
