--- a/internal/core/promptpart/record.go
+++ b/internal/core/promptpart/record.go
@@ -111,7 +111,7 @@
 	if r.triedAt == 0 {
 		r.triedAt = max(now, 1)
 	}
-	r.nextTrial = now.Add(backoff(trialTime, 2, shownNothing))
+	r.nextTrial = now.Add(backoff(trialTime, 2, max(shownNothing+1-quickTrials, 0)))
 }
 
 // failTrial applies that a replica was lost under the trial.
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -56,7 +57,7 @@
 		return 0, 0, false
 	}
 	p, wait, blocked = m.parts.tracker.NextTrial(m.now, r.arrival.Parts)
-	return p, wait, blocked && (wait > 0 || !m.tries(p))
+	return p, wait, blocked && (wait > 0 || !m.tries(p) || m.trialRuns(p))
 }
 
 // tries reports whether this host is the one that tries a blocked part.
@@ -65,6 +66,16 @@
 	return ok && host == core.HostID(m.settings.Self.Name)
 }
 
+// trialRuns reports whether a request that is tried with a blocked part is at a replica.
+func (m *Machine) trialRuns(p promptpart.ID) bool {
+	for _, r := range m.requests.byID {
+		if r.trial && r.stage == stageRunning && slices.Contains(r.arrival.Parts, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // refuseBlocked refuses a request that has a blocked part, and reports whether it did.
 func (m *Machine) refuseBlocked(r *request) bool {
 	p, wait, blocked := m.blockedPart(r)
--- a/internal/core/relaynode/parts_test.go
+++ b/internal/core/relaynode/parts_test.go
@@ -431,3 +431,22 @@
 	h.streamWith(sharedPart, badPart)
 	h.is.Equal(h.refusal().Ran, core.RanNo)
 }
+
+// A trial whose answer is long in coming must not be followed by another one, which could end the next
+// replica.
+func TestOneTrialAtATime(t *testing.T) {
+	h := newHost(t)
+	for range 3 {
+		h.crash(badPart)
+	}
+	h.advance(10 * time.Second)
+	h.streamWith(badPart)
+	trial := h.dispatch()
+	h.advance(4 * time.Second)
+	h.streamWith(badPart)
+	h.is.Equal(h.refusal().Ran, core.RanNo)
+	h.step(CallerGone{ID: trial.ID})
+	h.endAttempt(trial, EndCancelled)
+	h.streamWith(badPart)
+	h.dispatch()
+}
