--- a/internal/core/relaynode/host_test.go
+++ b/internal/core/relaynode/host_test.go
@@ -139,6 +139,14 @@
 	return r.Refusal
 }
 
+// other returns the one of two replicas that isn't id.
+func other(id, first, second core.UpstreamID) core.UpstreamID {
+	if id == first {
+		return second
+	}
+	return first
+}
+
 func (h *host) endAttempt(d Dispatch, kind EndKind) {
 	h.step(AttemptEnded{ID: d.ID, Attempt: d.Attempt, Kind: kind})
 }
--- a/internal/core/relaynode/parts_test.go
+++ b/internal/core/relaynode/parts_test.go
@@ -96,7 +96,7 @@
 	long := h.dispatch()
 	h.step(AnswerStarted{ID: long.ID, Attempt: 1, PartDelivered: true})
 	h.now += maxCrashDelay
-	h.step(ReplicaUnlisted{ID: other(long.Upstream)})
+	h.step(ReplicaUnlisted{ID: other(long.Upstream, "e1", "e2")})
 	h.streamWith(badPart)
 	short := h.dispatch()
 	h.now += 20 * time.Millisecond
@@ -107,14 +107,6 @@
 	h.is.Equal(h.m.parts.tracker.Rounds(badPart), 1)
 }
 
-// other returns the other one of the two engines.
-func other(id core.UpstreamID) core.UpstreamID {
-	if id == "e1" {
-		return "e2"
-	}
-	return "e1"
-}
-
 func TestReplicaThatWasToEndIsNoCrash(t *testing.T) {
 	h := newHost(t)
 	h.streamWith(badPart)
@@ -255,7 +247,7 @@
 	h.streamWith(sharedPart)
 	first := h.dispatch()
 	h.step(AttemptEnded{ID: first.ID, Attempt: first.Attempt, Kind: EndNotReached, Refused: true})
-	h.is.Equal(h.dispatch().Upstream, other(first.Upstream))
+	h.is.Equal(h.dispatch().Upstream, other(first.Upstream, "e1", "e2"))
 }
 
 // startOf returns the start of the incarnation that a request was sent to.
@@ -364,15 +356,21 @@
 	another.complete(badPart)
 }
 
-// A part that was blocked for another's crashes must not stay shut out.
-func TestOneRequestWithABlockedPartIsTried(t *testing.T) {
-	h := newHost(t)
+// tryBlocked blocks the bad part, and returns the dispatch of the request that is tried later.
+func (h *host) tryBlocked() Dispatch {
+	h.is.Helper()
 	for range 3 {
 		h.crash(badPart)
 	}
 	h.advance(10 * time.Second)
 	h.streamWith(badPart)
-	trial := h.dispatch()
+	return h.dispatch()
+}
+
+// A part that was blocked for another's crashes must not stay shut out.
+func TestOneRequestWithABlockedPartIsTried(t *testing.T) {
+	h := newHost(t)
+	trial := h.tryBlocked()
 	h.streamWith(badPart)
 	h.is.Equal(h.refusal().Ran, core.RanNo) // one at a time
 	h.endAttempt(trial, EndOK)
@@ -436,12 +434,7 @@
 // replica.
 func TestOneTrialAtATime(t *testing.T) {
 	h := newHost(t)
-	for range 3 {
-		h.crash(badPart)
-	}
-	h.advance(10 * time.Second)
-	h.streamWith(badPart)
-	trial := h.dispatch()
+	trial := h.tryBlocked()
 	h.advance(4 * time.Second)
 	h.streamWith(badPart)
 	h.is.Equal(h.refusal().Ran, core.RanNo)
--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -138,24 +138,16 @@
 	h.arrive(RequestArrived{Path: "/act/x"})
 	first := h.dispatch()
 	h.step(AttemptEnded{ID: first.ID, Attempt: first.Attempt, Kind: EndNotReached, Refused: true})
-	h.is.Equal(h.dispatch().Upstream, otherService(first.Upstream))
+	h.is.Equal(h.dispatch().Upstream, other(first.Upstream, "s1", "s2"))
 	for range 12 {
 		h.arrive(RequestArrived{Path: "/act/x"})
-		h.is.Equal(h.dispatch().Upstream, otherService(first.Upstream))
+		h.is.Equal(h.dispatch().Upstream, other(first.Upstream, "s1", "s2"))
 	}
 	h.advance(downTime)
 	h.arrive(RequestArrived{Path: "/act/x"})
 	h.is.Equal(h.dispatch().Upstream, first.Upstream) // its entry still says that it is ready
 }
 
-// otherService returns the other one of the two replicas of the plain service.
-func otherService(id core.UpstreamID) core.UpstreamID {
-	if id == "s1" {
-		return "s2"
-	}
-	return "s1"
-}
-
 // A request whose adapter only that replica had loaded was sent to it five times within
 // milliseconds, and then refused. It waits for another replica to load the adapter.
 func TestRequestWaitsWhereItsOnlyReplicaIsDown(t *testing.T) {
