--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -113,8 +113,13 @@
 
 	// DialTimeout is the maximum time for opening a connection.
 	DialTimeout time.Duration
+	// Dial opens a connection to an ip:port. NewClient sets it to a plain TCP dial.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection to an ip:port. It has the signature of net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client. Its metrics go to registry, or to a new one if that is
 // nil. now is the host's clock; with nil, Call.SendBefore is not checked and load
 // reports have no time.
@@ -122,7 +127,7 @@
 	if registry == nil {
 		registry = metrics.NewRegistry()
 	}
-	return &Client{pool: newPool(), bodies: newBodyBudget(), registry: registry, now: now, DialTimeout: dialTimeout}
+	return &Client{pool: newPool(), bodies: newBodyBudget(), registry: registry, now: now, DialTimeout: dialTimeout, Dial: (&net.Dialer{}).DialContext}
 }
 
 var sharedClient = NewClient(nil, nil)
@@ -278,8 +283,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: c.DialTimeout}
-	opened, err := dialer.DialContext(ctx, "tcp", address)
+	dialContext, cancel := context.WithTimeout(ctx, c.DialTimeout)
+	defer cancel()
+	opened, err := c.Dial(dialContext, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -32,6 +32,7 @@
 	PathReady       string
 	PathResolve     string
 	EncodeAddresses func(addresses []string, keep time.Duration) ([]byte, error)
+	DialReplica     upstream.DialFunc // nil: a plain TCP dial
 }
 
 // RelayHost is an assembled relaying host.
@@ -109,9 +110,12 @@
 	return r, nil
 }
 
-func newReplicaClient(r metrics.Registry) *upstream.Client {
+func newReplicaClient(a PlatformAdapter, r metrics.Registry) *upstream.Client {
 	client := upstream.NewClient(r, nil)
 	client.DialTimeout = replicaDialTimeout
+	if a.DialReplica != nil {
+		client.Dial = a.DialReplica
+	}
 	return client
 }
 
