--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -47,8 +47,15 @@
 		{Name: "wait", Subject: "a request that no replica can run now", Detail: "the adapter", Reasons: []Reason{
 			{Name: "permit", Meaning: "only replicas that name a limit can run it; a permit is asked for"},
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
-		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software", Age: "the request", Reasons: []Reason{
+		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
+		{Name: "path", Subject: "this host's own path to `upstream`", Detail: "the evidence", Age: "the evidence", Reasons: []Reason{
+			{Name: "blocked", Meaning: "no connection can be opened; other hosts carry requests to it"},
+			{Name: "open", Meaning: "a connection was opened again"},
+			{Name: "cut_off", Meaning: "several paths are blocked and nothing is heard from any replica: all count as blocked; `upstream` failed last"},
+			{Name: "reached", Meaning: "`upstream` is reached: this host is no longer cut off from all"}}},
+		{Name: "carry", Subject: "a connection to `upstream` that this host carries for another one", Detail: "the other host", Reasons: []Reason{
+			{Name: "begun", Meaning: "it is open; `request` is the request that it is for"}}},
 		{Name: "attempt", Subject: "an attempt at `upstream` has ended", Detail: "the attempt's number and the answer that ended it; where the connection was closed, the parts of the prompt that other requests may share", Age: "the attempt", Reasons: []Reason{
 			{Name: "ok", Meaning: "a complete success", MetricsOnly: true},
 			{Name: "unmarked_end", Meaning: "a success whose end only the end of the connection marks"},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -19,6 +19,7 @@
 	"gentiancroft/internal/core/intake"
 	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/promptpart"
+	"gentiancroft/internal/core/reach"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/residency"
 	"gentiancroft/internal/core/table"
@@ -78,6 +79,7 @@
 	Kind             EndKind
 	ConnectionClosed bool          // the replica closed the connection before its answer was complete
 	Refused          bool          // nothing listens at the replica's address
+	CarrierLost      bool          // the host that was to carry it can't be reached, or carries no more
 	LastEvent        string        // last event that was sent to the caller
 	RetryAfter       time.Duration // as given by the replica; 0: none
 	Answer           AnswerEvidence
@@ -177,9 +179,32 @@
 	Replica core.UpstreamID
 	Started int64 // of the incarnation
 	Result  CheckResult
+	Refused bool            // with CheckEnded: shown by nothing but a refused connection
+	Carrier core.Carrier    // the host over which it was checked; the zero value: none
 	Notice  replicas.Notice // that the answer gave
 }
 
+// PathProbed is the result of a probe of this host's path to a replica.
+type PathProbed struct {
+	Replica core.UpstreamID
+	Begun   core.Instant
+	OK      bool // a connection was opened
+}
+
+// CarryDialled is sent when a connection to a replica that this host was to carry for another one
+// has been opened, or could not be.
+type CarryDialled struct {
+	For     core.HostID
+	Replica core.UpstreamID
+	Request string // the caller's id of the request, for the log
+	Begun   core.Instant
+	OK      bool
+	Refused bool // nothing listens at the replica's address
+}
+
+// CarryEnded is sent when a carried connection that was opened has ended.
+type CarryEnded struct{}
+
 // MessageReceived is a message from another host.
 type MessageReceived struct {
 	From    core.HostID
@@ -221,6 +246,9 @@
 func (OrderDone) isEvent()         {}
 func (ReportReceived) isEvent()    {}
 func (ReplicaChecked) isEvent()    {}
+func (PathProbed) isEvent()        {}
+func (CarryDialled) isEvent()      {}
+func (CarryEnded) isEvent()        {}
 func (MessageReceived) isEvent()   {}
 func (Tick) isEvent()              {}
 func (Leave) isEvent()             {}
@@ -269,6 +297,7 @@
 	RequestRate       float32          `cbor:"14,keyasint,omitempty"` // requests per second that arrive at it
 	Prompts           []Load           `cbor:"16,keyasint,omitempty"` // prompt tokens that are queued at replicas
 	BlockedParts      uint64           `cbor:"17,keyasint,omitempty"` // digest of the prompt parts that are kept from replicas
+	Paths             *reach.Report    `cbor:"18,keyasint,omitempty"` // replicas that it doesn't reach; nil: no change
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
 }
 
@@ -288,6 +317,7 @@
 	Attempt         int
 	Upstream        core.UpstreamID
 	Address         string
+	Carrier         core.Carrier // the host that carries the connection; the zero value: none does
 	Workspace       core.WorkspaceID
 	TimeLeft        time.Duration // until the request's deadline
 	ExpectedVersion int           // adapter version that the replica must confirm; 0: any
@@ -333,6 +363,13 @@
 	Started int64
 }
 
+// ProbePath requests a probe of this host's path to a replica: whether a connection can be opened.
+type ProbePath struct {
+	Replica core.UpstreamID
+	Address string
+	Begun   core.Instant
+}
+
 // WriteObject is a write to the store.
 type WriteObject struct{ Call core.ObjectCall }
 
@@ -348,6 +385,7 @@
 	Name        string // of the decision, as in the catalog
 	Reason      string // as in the catalog
 	ID          core.RequestID
+	Request     string // the caller's id of a request of another host; "": see ID
 	Upstream    core.UpstreamID
 	Detail      string
 	Age         time.Duration // of the request, or of what the decision is based on
@@ -373,6 +411,7 @@
 func (SendOrder) isEffect()      {}
 func (RequestReport) isEffect()  {}
 func (CheckReplica) isEffect()   {}
+func (ProbePath) isEffect()      {}
 func (WriteObject) isEffect()    {}
 func (SendToPeers) isEffect()    {}
 func (LogDecision) isEffect()    {}
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -17,6 +17,8 @@
 	// maxExtraSends is how many sends a request may have beyond its attempts, for
 	// replicas that did not run it.
 	maxExtraSends = 3
+	// maxNotReached is how many attempts a request may have for which no connection could be opened.
+	maxNotReached = 6
 	// retryBudgetFraction is the fraction of the fleet's retries that the hosts use. The
 	// rest is a reserve for hosts that count a smaller fleet than there is.
 	retryBudgetFraction = 0.7
@@ -71,6 +73,9 @@
 		m.observeSpeed(r)
 	}
 	r.answerStarted, r.answeringSince = true, m.now
+	if r.carrier == (core.Carrier{}) {
+		m.pathHeard(r.upstream, false)
+	}
 	m.endPrompt(r)
 	m.observeAnswer(r)
 	if r.answerStartedAt == 0 {
@@ -165,6 +170,9 @@
 	if e.Kind != EndNotReached && e.Kind != EndNotRun && e.Kind != EndAdapterMissing {
 		r.possibleRuns++
 	}
+	if e.Kind == EndNotReached {
+		r.notReached++
+	}
 	r.stage, r.stageSince = stageWaiting, m.now
 	switch {
 	case r.closed:
@@ -197,6 +205,7 @@
 // replica's failure score by its result.
 func (m *Machine) releaseAttempt(r *request, e AttemptEnded) {
 	m.endPrompt(r)
+	m.observePath(r, &e)
 	m.observeEnd(r, &e)
 	x := m.replicas.Get(r.upstream)
 	if x == nil {
@@ -212,10 +221,12 @@
 		m.recordFailure(x.ID, weightNotRun)
 	case EndAdapterMissing:
 		m.replicas.MarkNotLoaded(x.ID, r.arrival.Adapter)
-	case EndBroken, EndNotReached:
-		m.recordFailure(x.ID, weightBroken)
+	case EndBroken:
+		if e.ConnectionClosed || r.carrier == (core.Carrier{}) && !m.paths.Blocked(x.ID) {
+			m.recordFailure(x.ID, weightBroken)
+		}
 	case EndCancelled:
-		if r.moving && !r.withdrawn {
+		if r.moving && !r.withdrawn && !m.paths.Blocked(x.ID) {
 			m.recordFailure(x.ID, weightUnresponsive)
 		}
 	}
@@ -231,7 +242,7 @@
 	switch {
 	case m.now.Add(minTimeToRetry) >= r.deadline:
 		return false
-	case r.attempt >= max(r.route.MaxAttempts, 1)+maxExtraSends:
+	case r.attempt-r.notReached >= max(r.route.MaxAttempts, 1)+maxExtraSends || r.notReached > maxNotReached:
 		return false
 	case !notRun && (!r.route.Repeatable() || r.possibleRuns >= max(r.route.MaxAttempts, 1)):
 		return false
@@ -281,6 +292,10 @@
 				m.refusePaused(r, pause)
 				continue
 			}
+			if m.serviceUnreached(r.service.ID) {
+				m.refuseUnreached(r)
+				continue
+			}
 			m.demandAdapter(r)
 			if r.lastDemand == 0 && m.now.Sub(r.stageSince) >= noOwnerTimeout {
 				m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterUnowned, "nobody can have its adapter loaded now"))
@@ -305,6 +320,9 @@
 		return false
 	}
 	wait := max(time.Duration(resendObjectiveFraction*float64(r.route.LatencyTarget)), minResendDelay)
+	if r.carrier == (core.Carrier{}) && m.paths.Blocked(r.upstream) {
+		wait = 0 // it was sent before its path was blocked
+	}
 	if m.now.Sub(r.stageSince) < wait || r.deadline.Sub(m.now) < wait {
 		return false
 	}
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -76,6 +76,7 @@
 	all := []Heartbeat{own}
 	for _, p := range peers {
 		if known, ok := m.gossip.latest[p.Host]; ok {
+			known.Paths = m.paths.ReportOf(m.now, p.Host)
 			all = append(all, known.summary())
 		}
 	}
@@ -123,6 +124,7 @@
 		RequestRate:       m.arrivalRate(),
 		ConfigRestored:    m.configuration.restored,
 		BlockedParts:      m.parts.tracker.Digest(),
+		Paths:             m.paths.Report(m.now),
 	}
 }
 
@@ -182,6 +184,10 @@
 		return // not registered, as far as this host has read
 	}
 	m.gossip.latest[b.Host] = *b
+	if b.Paths != nil {
+		m.paths.Receive(m.now, b.Host, *b.Paths)
+		m.placementDue = m.placementDue || m.paths.Troubled()
+	}
 	m.fleet.ReceiveStandbyReport(m.now, b.ReachableStandbys)
 	if m.fleet.Active() && !m.fleet.IsActive(b.Host) && hadWork(&known, b) {
 		m.gossip.busyStandbys = append(m.gossip.busyStandbys, b.Host)
--- a/internal/core/relaynode/leaving.go
+++ b/internal/core/relaynode/leaving.go
@@ -23,7 +23,7 @@
 		return
 	}
 	passed := m.now.Sub(m.leavingSince)
-	idle := len(m.requests.byID) == 0 && passed >= m.settings.RequestRefusalDelay
+	idle := len(m.requests.byID) == 0 && m.paths.carried == 0 && passed >= m.settings.RequestRefusalDelay
 	if idle || passed >= m.settings.LeaveTimeout {
 		m.leaveDone = true
 		m.emit(LogDecision{Name: "leave", Reason: "ended", Detail: utoa(uint64(len(m.requests.byID))) + " requests left"})
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -45,6 +45,7 @@
 		m.emit(LogDecision{Name: "replica", Reason: "started", Upstream: e.ID, Detail: string(e.Service) + " at " + string(e.Software)})
 	}
 	if before != nil && fresh {
+		m.paths.Forget(e.ID)
 		m.confirmReplacedEnds(e.ID, before.Unavailable())
 	}
 	leaves := e.Leaving && (fresh || !wasLeaving)
@@ -65,6 +66,7 @@
 		m.confirmReplacedEnds(id, x.Leaving)
 	}
 	m.residency.RemoveReplica(id)
+	m.paths.Forget(id)
 	delete(m.failures, id)
 	delete(m.waiters, id)
 	delete(m.unsent, id)
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -35,6 +35,7 @@
 	crashes         map[uint64]*crashRecord
 	parts           promptParts
 	limits          limits
+	paths           pathState
 	failures        map[core.UpstreamID]*core.Decaying
 	lastExtraDemand map[core.AdapterID]core.Instant // when another copy or a newer version was last demanded
 
@@ -88,6 +89,7 @@
 		crashes:         map[uint64]*crashRecord{},
 		parts:           newPromptParts(),
 		limits:          newLimits(),
+		paths:           newPathState(core.NewRand(s.Seed)),
 		origins:         newOrigins(),
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
@@ -172,6 +174,12 @@
 		m.handleReport(e)
 	case ReplicaChecked:
 		m.handleReplicaChecked(e)
+	case PathProbed:
+		m.handlePathProbed(e)
+	case CarryDialled:
+		m.handleCarryDialled(e)
+	case CarryEnded:
+		m.paths.carried--
 	case MessageReceived:
 		m.handlePeerMessage(e)
 	case Tick:
@@ -202,6 +210,7 @@
 	m.applyRewrite()
 	m.endPauses()
 	m.register()
+	m.probePaths()
 	m.renewLeases()
 	m.sendOrders()
 	m.placeWaiting()
@@ -263,6 +272,9 @@
 		}
 		m.emit(LogDecision{Name: "order", Reason: e.Outcome.String(), Upstream: o.Replica, Detail: what + o.Adapter.String() + " after " + utoa(o.ExpectedSequence)})
 		m.applyCurrentNotice(o.Replica, e.Notice) // an order to an earlier incarnation is no longer open
+		if e.Err == nil {
+			m.pathHeard(o.Replica, false)
+		}
 	}
 	m.residency.ApplyOrderResult(m.now, e.OrderDone)
 	m.sendOrders()
@@ -275,6 +287,9 @@
 	} else {
 		m.applyNotice(e.Replica, e.Started, e.Notice)
 	}
+	if e.OK {
+		m.pathHeard(e.Replica, false)
+	}
 	m.residency.ApplyReport(m.now, e.Report)
 	m.sendOrders()
 }
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -59,6 +59,10 @@
 		m.refuse(r, core.Refuse(core.CodeOverloaded, retryAfterSaturated, "every replica that could run it is full"))
 		return
 	}
+	if m.serviceUnreached(r.service.ID) {
+		m.refuseUnreached(r)
+		return
+	}
 	if len(c.limited) > 0 && !m.canLoadElsewhere(r) {
 		m.refuseLimited(r, c.limited)
 		return
@@ -95,9 +99,10 @@
 func (m *Machine) candidates(r *request) candidates {
 	var c candidates
 	var unconfirmed []*replicas.Replica
+	reachable := m.reachable()
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
-		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x):
+		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x) || !reachable(x.ID):
 		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
 			c.saturated = true
 		case m.needsPermit(x):
@@ -151,6 +156,9 @@
 		if x.Domain != m.settings.Self.Domain {
 			s += remoteDomainWeight
 		}
+		if m.paths.Blocked(x.ID) {
+			s += carriedWeight
+		}
 		if slices.Contains(r.tried, x.ID) {
 			s += triedWeight
 		}
@@ -203,6 +211,10 @@
 // dispatch sends an attempt of a request to a replica.
 func (m *Machine) dispatch(r *request, x *replicas.Replica) {
 	r.attempt++
+	r.carrier, _ = m.routeTo(x)
+	if r.carrier != (core.Carrier{}) {
+		m.paths.carriedBy[r.carrier.Host]++
+	}
 	r.upstream, r.upstreamStarted = x.ID, x.Started
 	r.version, _ = x.AdapterVersion(r.arrival.Adapter)
 	r.sentSoftware = softwareOf(x)
@@ -222,6 +234,7 @@
 		Attempt:         r.attempt,
 		Upstream:        x.ID,
 		Address:         x.Address,
+		Carrier:         r.carrier,
 		Workspace:       r.workspaceID(),
 		TimeLeft:        r.deadline.Sub(m.now),
 		ExpectedVersion: m.expectedVersion(r, x),
@@ -243,6 +256,9 @@
 	case r.lastEvent != "":
 		text += ", goes on from " + r.arrival.Resumes + " at " + string(x.Software)
 	}
+	if r.carrier != (core.Carrier{}) {
+		text += ", over " + string(r.carrier.Host)
+	}
 	newest := m.versions[r.arrival.Adapter].newest()
 	if newest == 0 {
 		return text
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -86,8 +86,7 @@
 	i := incarnation{r.upstream, r.upstreamStarted}
 	switch {
 	case e.Refused:
-		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
-		m.confirmEnd(i)
+		m.observeRefusal(i, r.carrier)
 	case len(r.arrival.Parts) == 0:
 	case e.Kind == EndOK && !e.Answer.EndUnmarked:
 		m.acquit(r.arrival.Parts, m.now)
@@ -98,6 +97,34 @@
 	}
 }
 
+// observeRefusal learns from a refused connection. It shows that the replica's process has ended, or
+// that the path is blocked: what another host sees decides, where there is one. carrier is the host
+// that saw it, the zero value for this one.
+func (m *Machine) observeRefusal(i incarnation, carrier core.Carrier) {
+	if carrier == (core.Carrier{}) {
+		if _, cut := m.paths.CutOff(m.now); cut {
+			return
+		}
+		if over, ok := m.carrierTo(i.replica, m.carriers()); ok {
+			m.confirmRefusal(i, over)
+			return
+		}
+	}
+	m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
+	m.confirmEnd(i)
+}
+
+// confirmRefusal has an incarnation checked over another host, if it matters whether it has ended.
+func (m *Machine) confirmRefusal(i incarnation, over core.Carrier) {
+	end := m.parts.ends[i]
+	x := m.replicas.Get(i.replica)
+	if end == nil || end.ended || x == nil || x.Started != i.started || x.Pause(m.now) > 0 {
+		return
+	}
+	end.checking, end.checkedAt = true, m.now
+	m.emit(CheckReplica{Probe: residency.Probe{Replica: i.replica, Address: x.Address, NewConnection: true, Carrier: over}, Started: i.started})
+}
+
 // acquit acquits parts by an answer that came to a certain end.
 func (m *Machine) acquit(parts []promptpart.ID, at core.Instant) {
 	for _, p := range parts {
@@ -185,18 +212,21 @@
 func (m *Machine) handleReplicaChecked(e ReplicaChecked) {
 	i := incarnation{e.Replica, e.Started}
 	m.applyNotice(i.replica, i.started, e.Notice)
-	if e.Result == CheckEnded {
-		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
+	answered := e.Result == CheckAlive || e.Result == CheckEnded && !e.Refused
+	if answered && e.Carrier == (core.Carrier{}) {
+		m.pathHeard(i.replica, true)
 	}
 	end := m.parts.ends[i]
-	if end == nil {
-		return
+	if end != nil {
+		end.checking, end.unknown = false, e.Result == CheckUnknown
 	}
-	end.checking, end.unknown = false, e.Result == CheckUnknown
-	switch e.Result {
-	case CheckEnded:
+	switch {
+	case e.Result == CheckEnded && e.Refused:
+		m.observeRefusal(i, e.Carrier)
+	case e.Result == CheckEnded:
+		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
 		m.confirmEnd(i)
-	case CheckAlive:
+	case e.Result == CheckAlive && end != nil:
 		m.observeAlive(i, end)
 	}
 }
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -35,7 +35,9 @@
 	queuedPrompts   core.Tokens     // prompt tokens at the replica when the latest attempt was sent, its own included
 	promptCounted   bool            // its prompt counts as queued at the replica
 	possibleRuns    int             // ended attempts that may have run
+	notReached      int             // ended attempts for which no connection could be opened
 	upstream        core.UpstreamID // of the latest attempt
+	carrier         core.Carrier    // that carries it; the zero value: none does
 	upstreamStarted int64           // start of its incarnation at that time
 	version         int             // of its adapter there at that time; 0: unknown, or no adapter
 	sentSoftware    origin.Software // of its replica at that time
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -127,6 +127,8 @@
 	Replica       core.UpstreamID
 	Address       string
 	NewConnection bool // the report is not to be read on a kept connection
+
+	Carrier core.Carrier // the host that carries the connection; the zero value: none does
 }
 
 // Tick returns the orders and probes that are due at the replicas that this host may
--- a/internal/core/residency/types.go
+++ b/internal/core/residency/types.go
@@ -65,6 +65,7 @@
 	OK       bool   // false: the replica did not answer
 	Err      error  // why it did not answer
 	Ended    bool   // nothing listens at its address, or another replica answers there
+	Refused  bool   // with Ended: shown by nothing but a refused connection
 	Started  int64  // start of the reporting incarnation; 0: not reported
 	Sequence uint64 // orders that the replica has accepted
 	Busy     bool   // a model is being loaded or unloaded
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -184,3 +184,9 @@
 func Refuse(code Code, retryAfter time.Duration, message string) *Refusal {
 	return &Refusal{Code: code, Message: message, Ran: RanNo, RetryAfter: retryAfter}
 }
+
+// Carrier is another host over which this one reaches an upstream; the zero value is none.
+type Carrier struct {
+	Host HostID
+	Link string // ip:port of its links
+}
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
@@ -27,6 +28,14 @@
 	Report(ctx context.Context, p residency.Probe) residency.Report
 }
 
+// Paths opens connections to replicas.
+type Paths interface {
+	// Probe opens a connection to a replica at an ip:port, to learn whether that is possible.
+	Probe(ctx context.Context, id core.UpstreamID, address string) error
+	// OpenFor opens a connection for another host.
+	OpenFor(ctx context.Context, id core.UpstreamID, address string) (net.Conn, error)
+}
+
 // Links sends messages to other hosts.
 type Links interface {
 	// Send queues a payload and reports whether it was queued. A queued payload
@@ -49,6 +58,7 @@
 type Executors struct {
 	Store     Store
 	Replicas  Replicas
+	Paths     Paths
 	Links     Links
 	Documents Documents
 }
@@ -79,7 +89,7 @@
 // checkReplica checks for the machine whether an incarnation of a replica still runs.
 func (g *Gateway) checkReplica(ctx context.Context, c relaynode.CheckReplica) {
 	report := g.executors.Replicas.Report(ctx, c.Probe)
-	checked := relaynode.ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: relaynode.CheckUnknown, Notice: report.Notice}
+	checked := relaynode.ReplicaChecked{Replica: c.Replica, Started: c.Started, Result: relaynode.CheckUnknown, Refused: report.Refused, Carrier: c.Carrier, Notice: report.Notice}
 	switch {
 	case report.Ended, report.OK && report.Started != 0 && report.Started != c.Started:
 		checked.Result = relaynode.CheckEnded
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -209,6 +209,8 @@
 		go g.readReport(ctx, x.Probe)
 	case relaynode.CheckReplica:
 		go g.checkReplica(ctx, x)
+	case relaynode.ProbePath:
+		go g.probePath(ctx, x)
 	case relaynode.WriteObject:
 		go g.callStore(ctx, x.Call)
 	case relaynode.SendToPeers:
@@ -239,6 +241,9 @@
 		_, id, _ := strings.Cut(string(d.ID), " ") // the caller's request id, which follows this host's number
 		fields["request"] = id
 	}
+	if d.Request != "" {
+		fields["request"] = d.Request
+	}
 	if d.Upstream != "" {
 		fields["upstream"] = string(d.Upstream)
 	}
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -17,6 +17,7 @@
 	dialsMerged                                     metrics.Counter // own connections released in favour of the peer's
 	inboundRefused, inboundBroken                   metrics.Counter // inbound connections closed for a bad hello or a bad frame
 	outboundOpen, inboundOpen                       metrics.Counter // links open at present
+	carried, carriedRefused, carriedBytes           metrics.Counter // connections to upstreams for other hosts
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -39,6 +40,9 @@
 		inboundBroken:    counter("inbound_broken"),
 		outboundOpen:     counter("outbound_open"),
 		inboundOpen:      counter("inbound_open"),
+		carried:          counter("carried"),
+		carriedRefused:   counter("carried_refused"),
+		carriedBytes:     counter("carried_bytes"),
 	}
 }
 
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -20,6 +20,7 @@
 // is complete, so the peer's certificate has been verified.
 func (l *Links) serveInbound(conn *quic.Conn) {
 	l.counters.inboundOpen.Inc(1)
+	l.startWorker(func() { l.acceptCarried(conn) })
 	l.receive(conn)
 	l.counters.inboundOpen.Dec(1)
 	l.mu.Lock()
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -57,6 +57,10 @@
 	// Admit reports whether a peer with a certificate of this common name may send as a
 	// host and receive what is sent to that host. Nil means MatchesCommonName.
 	Admit func(commonName string, host core.HostID) bool
+
+	// Carry opens connections to upstreams for hosts that don't reach them. Nil: this host carries
+	// none.
+	Carry Carry
 }
 
 // MatchesCommonName reports whether a host's identity is the certificate's common name,
@@ -81,12 +85,15 @@
 	mu            sync.Mutex
 	closed        bool
 	inbound       int
+	carriedOpen   int // connections that this host carries
 	outboundLinks map[core.HostID]*outbound
 	verified      map[core.HostID]*quic.Conn // connections on which a peer proved its identity, used in both directions
 	workers       sync.WaitGroup
 	ctx           context.Context
 	cancel        context.CancelFunc
 	rng           *core.Rand // guarded by mu
+
+	carriers carriers // connections to the hosts that carry for this one
 }
 
 // New returns links that are bound to a UDP socket. Connections are accepted once Serve
@@ -126,6 +133,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 		rng:           core.NewRand(s.JitterSeed),
+		carriers:      carriers{open: map[core.HostID]carrier{}},
 	}, nil
 }
 
@@ -229,6 +237,7 @@
 	l.closed = true
 	l.mu.Unlock()
 	l.cancel()
+	l.closeCarriers()
 	l.workers.Wait() // each worker closes its connection with a reason, which the transport wouldn't send
 	_ = l.transport.Close()
 	_ = l.socket.Close()
@@ -238,11 +247,11 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           dialTimeout,
 		MaxIdleTimeout:                 idle,
-		MaxIncomingStreams:             -1,
+		MaxIncomingStreams:             maxCarriedPerPeer,
 		MaxIncomingUniStreams:          maxStreams,
-		InitialStreamReceiveWindow:     64 << 10,
+		InitialStreamReceiveWindow:     carryWindowBytes,
 		MaxStreamReceiveWindow:         1 << 20,
 		InitialConnectionReceiveWindow: 128 << 10,
-		MaxConnectionReceiveWindow:     2 << 20,
+		MaxConnectionReceiveWindow:     maxCarriedPerPeer * carryWindowBytes,
 	}
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -122,6 +122,8 @@
 	call := upstream.Call{
 		Upstream: d.Upstream,
 		Address:  d.Address,
+		Carrier:  d.Carrier,
+		Request:  core.RequestID(t.requestID),
 		Prepared: request,
 		Matches: func(h *fasthttp.ResponseHeader) upstream.Match {
 			return t.server.dialect.MatchAnswer(h, t.requestID)
@@ -247,7 +249,7 @@
 	case attempt.Err() != nil:
 		return relaynode.AttemptEnded{Kind: relaynode.EndCancelled}
 	case upstream.NotReached.Has(err):
-		return relaynode.AttemptEnded{Kind: relaynode.EndNotReached, Refused: upstream.NothingListens(err)}
+		return relaynode.AttemptEnded{Kind: relaynode.EndNotReached, Refused: upstream.NothingListens(err), CarrierLost: upstream.CarrierLost.Has(err)}
 	case upstream.Refused.Has(err):
 		return relaynode.AttemptEnded{Kind: relaynode.EndNotRun} // nothing was sent
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -25,6 +25,9 @@
 	// Broken is the class of errors after a request was sent: the upstream may have run
 	// it.
 	Broken = errs.Class("upstream connection broken")
+	// CarrierLost is the class of errors where the host that is to carry a call can't be reached, or
+	// carries no more.
+	CarrierLost = errs.Class("carrier not reached")
 	// AnswerTooLong is the class of errors for an answer over its maximum size.
 	AnswerTooLong = errs.Class("upstream answer too long")
 )
@@ -48,6 +51,7 @@
 type Call struct {
 	Upstream      core.UpstreamID // for the metrics
 	Address       string          // ip:port
+	Carrier       core.Carrier    // the host that carries the call; the zero value: none does
 	Method        string
 	Path          string   // including the query
 	Headers       []Header // to forward from the caller, already filtered
@@ -102,6 +106,7 @@
 	process           string        // that was confirmed on it; "": none was
 	unnamed           bool          // the latest call was Unnamed
 	serverIdleTimeout time.Duration // of the upstream, from its Keep-Alive header; 0: not given
+	carried           bool          // over another host: it carries one call and is not kept
 }
 
 // Client calls upstreams over kept connections. It is safe for concurrent use.
@@ -115,8 +120,15 @@
 	DialTimeout time.Duration
 	// Dial opens a connection to an ip:port. NewClient sets it to a plain TCP dial.
 	Dial DialFunc
+	// DialCarrier opens a connection to an upstream over another host. Nil: none can be opened.
+	DialCarrier DialCarrierFunc
 }
 
+// DialCarrierFunc opens a connection for a call over its carrier. An error wraps ECONNREFUSED where
+// nothing listens at the upstream's address as seen from that host, and is of class CarrierLost where
+// that host can't be reached.
+type DialCarrierFunc func(ctx context.Context, call Call) (net.Conn, error)
+
 // DialFunc opens a connection to an ip:port. It has the signature of net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -165,14 +177,14 @@
 var Refused = errs.Class("upstream accepts no call now")
 
 func (c *Client) connect(ctx context.Context, call Call) (*conn, error) {
-	if !call.NewConnection {
+	if !call.NewConnection && call.Carrier == (core.Carrier{}) {
 		kept, err := c.keptConn(ctx, call)
 		if kept != nil || err != nil {
 			return kept, err
 		}
 	}
 	c.count(call, "dials")
-	dialled, err := c.dial(ctx, call.Address)
+	dialled, err := c.dial(ctx, call)
 	if err != nil || !confirmsProcess(dialled, call) {
 		return dialled, err
 	}
@@ -282,21 +294,64 @@
 	metrics.GetOrRegisterCounter("upstream."+string(call.Upstream)+"."+name, c.registry).Inc(1)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialContext, cancel := context.WithTimeout(ctx, c.DialTimeout)
+// carryTime is how much longer the dial of a connection over another host may take than one of this
+// host's own.
+const carryTime = 200 * time.Millisecond
+
+func (c *Client) dial(ctx context.Context, call Call) (*conn, error) {
+	carried := call.Carrier != (core.Carrier{})
+	timeout := c.DialTimeout
+	if carried {
+		timeout += carryTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	opened, err := c.Dial(dialContext, "tcp", address)
+	opened, err := c.open(ctx, call, carried)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{
 		Conn:    opened,
-		address: address,
+		address: call.Address,
 		reader:  bufio.NewReaderSize(opened, readBufferBytes),
 		writer:  bufio.NewWriter(opened),
+		carried: carried,
 	}, nil
 }
 
+// open opens a connection, over another host if one carries the call.
+func (c *Client) open(ctx context.Context, call Call, carried bool) (net.Conn, error) {
+	switch {
+	case !carried:
+		return c.Dial(ctx, "tcp", call.Address)
+	case c.DialCarrier == nil:
+		return nil, CarrierLost.New("this client has no links to other hosts")
+	}
+	return c.DialCarrier(ctx, call)
+}
+
+// Probe opens a connection to an upstream and keeps it for a call. Its error tells why it could not
+// be opened.
+func (c *Client) Probe(ctx context.Context, id core.UpstreamID, address string) error {
+	call := Call{Upstream: id, Address: address}
+	c.count(call, "probes")
+	opened, err := c.dial(ctx, call)
+	if err != nil {
+		return NotReached.Wrap(err)
+	}
+	c.pool.put(opened)
+	return nil
+}
+
+// OpenFor opens a connection to an upstream for another host's call.
+func (c *Client) OpenFor(ctx context.Context, id core.UpstreamID, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+	defer cancel()
+	c.count(Call{Upstream: id}, "carried")
+	opened, err := c.Dial(ctx, "tcp", address)
+	return opened, NotReached.Wrap(err)
+}
+
 func (c *Client) attempt(ctx context.Context, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	conn.unnamed = call.Unnamed
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -144,7 +144,7 @@
 		Framing:            framing(response),
 		response:           response,
 		conn:               conn,
-		connectionReusable: sent && !response.ConnectionClose(),
+		connectionReusable: sent && !conn.carried && !response.ConnectionClose(),
 	}
 }
 
--- a/internal/upstream/orders.go
+++ b/internal/upstream/orders.go
@@ -70,7 +70,7 @@
 // may conflict with one of the adapter's next owner.
 func (c *Client) sendOrder(ctx context.Context, call Call, expired func() bool) (*Answer, error) {
 	c.count(call, "orders")
-	conn, err := c.dial(ctx, call.Address)
+	conn, err := c.dial(ctx, call)
 	if err != nil {
 		c.count(call, "not_reached")
 		return nil, NotReached.Wrap(err)
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -177,12 +177,29 @@
 	return g
 }
 
-func newRelayLinks(s *settings.Relay, id identity, k *linkCertificate, g *gateway.Gateway, late *lateBoundSender, r metrics.Registry) (*peer.Links, error) {
-	l, err := peer.New(peer.Settings{Self: id.host, Listen: s.Listen.Links, Material: k.material, JitterSeed: id.seed, Registry: r, IdleTimeout: linkIdleTimeout}, g.ReceiveFromPeer)
+// carrierDialer returns the function with which the client of replicas opens connections that
+// another host carries.
+func carrierDialer(l *peer.Links) upstream.DialCarrierFunc {
+	return func(ctx context.Context, call upstream.Call) (net.Conn, error) {
+		target := peer.CarryTarget{Upstream: call.Upstream, Address: call.Address, Request: string(call.Request)}
+		opened, err := l.DialCarried(ctx, call.Carrier, target)
+		if peer.CarrierError.Has(err) {
+			return nil, upstream.CarrierLost.Wrap(err)
+		}
+		return opened, err
+	}
+}
+
+func newRelayLinks(s *settings.Relay, id identity, k *linkCertificate, g *gateway.Gateway, client *upstream.Client, late *lateBoundSender, r metrics.Registry) (*peer.Links, error) {
+	carry := func(ctx context.Context, t peer.CarryTarget) (net.Conn, error) {
+		return g.Carry(ctx, t.For, t.Upstream, t.Address, t.Request)
+	}
+	l, err := peer.New(peer.Settings{Self: id.host, Listen: s.Listen.Links, Material: k.material, JitterSeed: id.seed, Registry: r, IdleTimeout: linkIdleTimeout, Carry: carry}, g.ReceiveFromPeer)
 	if err != nil {
 		return nil, err
 	}
 	late.links = l
+	client.DialCarrier = carrierDialer(l)
 	return l, nil
 }
 
