--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -120,8 +120,9 @@
 		{Name: "fleet", Subject: "whether this host is active or a standby host", Detail: "reachable active hosts", Reasons: []Reason{
 			{Name: "active", Meaning: "this host is advertised to callers"},
 			{Name: "standby", Meaning: "hosts with more capacity serve; this one replaces one that fails"}}},
-		{Name: "shard", Subject: "which host orders the replicas of a shard", Detail: "shard and owner", Reasons: []Reason{
-			{Name: "holder", Meaning: "the owner has changed"}}},
+		{Name: "shard", Subject: "which host orders the replicas of a shard", Detail: "shard and owner", Age: "the cut", Reasons: []Reason{
+			{Name: "holder", Meaning: "the owner has changed"},
+			{Name: "yielded", Meaning: "this host is cut off from all replicas and releases its shards"}}},
 		{Name: "leave", Subject: "a graceful shutdown", Detail: "requests left", Reasons: []Reason{
 			{Name: "begun", Meaning: "the host is no longer advertised to callers"},
 			{Name: "ended", Meaning: "the process ends"}}},
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -211,6 +211,7 @@
 	m.endPauses()
 	m.register()
 	m.probePaths()
+	m.yieldShards()
 	m.renewLeases()
 	m.sendOrders()
 	m.placeWaiting()
--- a/internal/core/relaynode/paths.go
+++ b/internal/core/relaynode/paths.go
@@ -28,15 +28,21 @@
 	carriedWeight = 0.3
 	// retryAfterUnreached is the Retry-After time of a request whose service no host reaches.
 	retryAfterUnreached = time.Second
+	// shardReleaseDelay is how long a host must be cut off until it releases its shards.
+	shardReleaseDelay = 500 * time.Millisecond
+	// shardReturnDelay is how long after the end of a cut it may own shards again.
+	shardReturnDelay = 3 * time.Second
 )
 
 // pathState is what this host knows of its paths to replicas, and what it does about them.
 type pathState struct {
 	*reach.Paths
-	carriedBy map[core.HostID]int // requests that other hosts carry for this one
-	carried   int                 // connections that this host carries for others
-	cutOff    bool                // as last logged
-	probedAt  core.Instant        // when silence was last followed by probes
+	carriedBy  map[core.HostID]int // requests that other hosts carry for this one
+	carried    int                 // connections that this host carries for others
+	cutOff     bool                // as last logged
+	cutOffAt   core.Instant        // when this host was last cut off; 0: never
+	releasedAt core.Instant        // since when it wants no shards; 0: it may own some
+	probedAt   core.Instant        // when silence was last followed by probes
 }
 
 func newPathState(rng *core.Rand) pathState {
@@ -69,6 +75,9 @@
 // logCut logs that this host begins or ceases to be cut off from all replicas, as shown by a replica.
 func (m *Machine) logCut(shown core.UpstreamID) {
 	age, cut := m.paths.CutOff(m.now)
+	if cut {
+		m.paths.cutOffAt = m.now
+	}
 	if cut == m.paths.cutOff {
 		return
 	}
@@ -154,6 +163,17 @@
 	m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterUnreached, "no host reaches a replica of the service"))
 }
 
+// ownerReaches reports whether the owner of a replica's shard may reach it, so that adapters can be
+// loaded there.
+func (m *Machine) ownerReaches(id core.UpstreamID) bool {
+	owner := m.shards.Owner(m.shards.Of(id))
+	if owner == core.HostID(m.settings.Self.Name) {
+		return !m.paths.Blocked(id)
+	}
+	p, ok := m.fleet.ByName(string(owner))
+	return !ok || m.paths.MayReach(m.now, p.Host, id)
+}
+
 // observePath learns from the end of an attempt about the path that it took.
 func (m *Machine) observePath(r *request, e *AttemptEnded) {
 	if r.carrier != (core.Carrier{}) {
@@ -253,6 +273,29 @@
 	}
 }
 
+// yieldShards releases this host's shards while it is cut off from all replicas and another host
+// isn't, which can order them.
+func (m *Machine) yieldShards() {
+	if m.paths.cutOffAt != 0 {
+		m.logCut("")
+	}
+	age, cut := m.paths.CutOff(m.now)
+	switch {
+	case cut && age >= shardReleaseDelay && m.paths.releasedAt == 0 && m.successorReaches():
+		m.paths.releasedAt = m.now
+		m.shards.SetCutOff(true)
+		m.emit(LogDecision{Name: "shard", Reason: "yielded", Age: age})
+	case !cut && m.paths.releasedAt != 0 && m.now.Sub(m.paths.cutOffAt) >= shardReturnDelay:
+		m.paths.releasedAt = 0
+		m.shards.SetCutOff(false)
+	}
+}
+
+// successorReaches reports whether another host that may own shards doesn't say that it is cut off.
+func (m *Machine) successorReaches() bool {
+	return slices.ContainsFunc(m.carriers(), func(p fleet.Registration) bool { return !m.paths.IsCutOff(m.now, p.Host) })
+}
+
 // MayCarry reports whether this host opens a connection to a replica for another host.
 func (m *Machine) MayCarry(id core.UpstreamID, address string) bool {
 	x := m.replicas.Get(id)
--- a/internal/core/relaynode/paths_test.go
+++ b/internal/core/relaynode/paths_test.go
@@ -177,6 +177,52 @@
 	h.is.True(h.dispatch().Carrier != core.Carrier{})
 }
 
+// Guards against issue 36: the owner of three of four shards was cut off for 12 s, and adapters were
+// loaded nowhere.
+func TestOwnerThatReachesNoReplicaReleasesItsShards(t *testing.T) {
+	h := newPathHost(t)
+	h.lease("a")
+	h.advance(20 * time.Millisecond)
+	for _, e := range h.out {
+		if w, ok := e.(WriteObject); ok {
+			h.step(WriteDone{Result: core.ObjectResult{Tag: w.Call.Tag, Status: core.ObjectOK, Object: core.Object{Key: w.Call.Key, Version: 2}}})
+		}
+	}
+	h.is.True(h.m.shards.OwnsAny(core.Instant(h.now)))
+	h.cutOff()
+	h.reportPaths("b", nil)
+	h.reportPaths("c", nil)
+	h.advance(shardReleaseDelay)
+	h.is.True(!h.m.shards.OwnsAny(core.Instant(h.now)))
+	h.advance(20 * time.Millisecond)
+	h.step(PathProbed{Replica: "s1", OK: true})
+	h.advance(shardReturnDelay - 100*time.Millisecond)
+	h.is.True(h.m.paths.releasedAt != 0) // a cut that comes and goes moves no shards back and forth
+	h.advance(200 * time.Millisecond)
+	h.is.True(h.m.paths.releasedAt == 0)
+}
+
+func TestOwnerKeepsItsShardsWhereNoOtherHostReachesMore(t *testing.T) {
+	h := newPathHost(t)
+	h.reportPaths("b", &reach.Report{CutOff: true})
+	h.reportPaths("c", &reach.Report{CutOff: true})
+	h.cutOff()
+	h.reportPaths("b", &reach.Report{CutOff: true})
+	h.reportPaths("c", &reach.Report{CutOff: true})
+	h.advance(shardReleaseDelay)
+	h.is.Equal(h.m.paths.releasedAt, core.Instant(0))
+}
+
+func TestAdapterIsNotDemandedOfAnOwnerThatDoesNotReachTheReplica(t *testing.T) {
+	h := newPathHost(t)
+	h.lease("b")
+	h.reportPaths("b", &reach.Report{Unreached: []uint32{core.ShortHash("e1")}})
+	r := &request{arrival: RequestArrived{Model: model, Adapter: "y"}, service: testTable().Services[engines]}
+	preferred := h.m.preferredReplicas(r)
+	h.is.Equal(len(preferred), 1)
+	h.is.Equal(preferred[0].ID, core.UpstreamID("e2"))
+}
+
 func TestHostCarriesOnlyToReplicasThatItKnowsAndReaches(t *testing.T) {
 	h := newPathHost(t)
 	h.is.True(h.m.MayCarry("s1", "s1"))
--- a/internal/core/relaynode/writes.go
+++ b/internal/core/relaynode/writes.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -85,7 +86,10 @@
 // selected ones count as reachable; otherwise each host would try to create every lease.
 func (m *Machine) shardCandidates() []core.HostID {
 	if !m.forming() {
-		return m.fleet.Members(m.now)
+		return slices.DeleteFunc(m.fleet.Members(m.now), func(name core.HostID) bool {
+			p, ok := m.fleet.ByName(string(name))
+			return ok && m.paths.IsCutOff(m.now, p.Host)
+		})
 	}
 	var names []core.HostID
 	for _, p := range m.fleet.ActivePeers() {
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -85,6 +85,7 @@
 	restored bool                    // the store has been restored since this host started
 	listed   bool                    // the leases have been read in this era
 	leaving  bool
+	cutOff   bool                                // from all replicas
 	levels   func() map[core.WorkspaceID]float64 // nil: leases are written without levels
 	software func() SoftwareAges                 // nil: leases are written without it
 	parts    func() PartStates                   // nil: leases are written without it
@@ -184,6 +185,13 @@
 // Leave makes the host release its leases and take over no more.
 func (m *Machine) Leave() { m.leaving = true }
 
+// SetCutOff makes a host that reaches no replica release its leases and take over none until it is
+// called with false.
+func (m *Machine) SetCutOff(cutOff bool) { m.cutOff = cutOff }
+
+// yields reports whether this host gives up its leases.
+func (m *Machine) yields() bool { return m.leaving || m.cutOff }
+
 // Tick returns the writes that are due. Members returns the names of the hosts that
 // may take over. It returns none before the leases have been listed once.
 func (m *Machine) Tick(now core.Instant, members func() []core.HostID) []Call {
@@ -210,12 +218,12 @@
 	valid := now.Before(l.validUntil)
 	mine := l.record.Owner == m.settings.Self && !l.record.Released && (valid || l.revision.Version != 0 && !l.outdated)
 	switch {
-	case m.leaving && mine && l.validUntil != 0:
+	case m.yields() && mine && l.validUntil != 0:
 		l.validUntil = 0
 		r := l.record
 		r.Released = true
 		return m.write(now, i, l, r), true
-	case m.leaving:
+	case m.yields():
 		return Call{}, false
 	case mine && l.validUntil == 0: // written by an earlier process of this host, or by a write without an answer
 		return m.write(now, i, l, m.takeoverRecord(l)), true
@@ -309,7 +317,7 @@
 		}
 		l.record, l.revision, l.seenAt, l.outdated = c.record, result.Object.Revision(), now, false
 		l.validUntil = 0
-		if !c.record.Released && !m.leaving {
+		if !c.record.Released && !m.yields() {
 			l.validUntil = c.Sent.Add(m.settings.Term)
 			l.renewAt = c.Sent.Add(m.settings.RenewInterval)
 		}
