A moved request takes one retry from the budget

A request that is moved from a silent replica took a retry from the budget when the move was decided and another one when the attempt ended; where the second was missing it was refused as failed. TestMovedRequestTakesOneRetryFromTheBudget failed before.

--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -255,7 +255,8 @@
 	case e.Kind == EndNotReached:
 		return true // nothing was sent: takes no retry from the budget
 	}
-	if m.retryBudget(r.service.ID).Withdraw(m.now) {
+	if r.retryTaken || m.retryBudget(r.service.ID).Withdraw(m.now) {
+		r.retryTaken = false
 		return true
 	}
 	m.emit(LogDecision{Name: "retry", Reason: "budget_spent", ID: e.ID, Upstream: r.upstream, Age: m.now.Sub(r.stageSince)})
@@ -326,7 +327,8 @@
 	if m.now.Sub(r.stageSince) < wait || r.deadline.Sub(m.now) < wait {
 		return false
 	}
-	return len(m.candidates(r).usable) > 1 && m.retryBudget(r.service.ID).Withdraw(m.now)
+	r.retryTaken = len(m.candidates(r).usable) > 1 && m.retryBudget(r.service.ID).Withdraw(m.now)
+	return r.retryTaken
 }
 
 // moveAttempt cancels an attempt; the request is retried when the attempt has ended.
--- a/internal/core/relaynode/machine_test.go
+++ b/internal/core/relaynode/machine_test.go
@@ -58,6 +58,18 @@
 	h.is.True(h.dispatch().Upstream != first.Upstream)
 }
 
+// A moved request took two retries from the budget, and was refused where the second was missing.
+func TestMovedRequestTakesOneRetryFromTheBudget(t *testing.T) {
+	h := newHost(t)
+	h.arrive(RequestArrived{Path: "/read/x"})
+	first := h.dispatch()
+	h.advance(100 * time.Millisecond)
+	before := h.m.retries[services].Available(core.Instant(h.now))
+	h.endAttempt(first, EndCancelled)
+	h.dispatch()
+	h.is.Equal(h.m.retries[services].Available(core.Instant(h.now)), before)
+}
+
 // A request whose answer starts while its attempt is being cancelled is not moved. If
 // the answer breaks off later, that must not count as the end of a move.
 func TestStartedAnswerIsNotMoved(t *testing.T) {
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -47,6 +47,7 @@
 	answeringSince  core.Instant // when it did
 	partDelivered   bool         // a part of the answer has been sent to the caller
 	moving          bool         // the attempt is being cancelled, to be retried on another replica
+	retryTaken      bool         // its next retry has been taken from the budget
 	withdrawn       bool         // it is being cancelled because a part of its prompt was blocked
 	awaitsPermit    bool         // it waits for a permit for a limited replica
 	trial           bool         // it has blocked parts and is tried all the same
