--- a/internal/core/shard/restore_test.go
+++ b/internal/core/shard/restore_test.go
@@ -246,6 +246,9 @@
 					hosts[name] = &m
 				}
 				m := hosts[name]
+				if rapid.IntRange(0, 30).Draw(rt, "path") == 0 {
+					m.SetCutOff(rapid.Bool().Draw(rt, "cut off"))
+				}
 				if rapid.IntRange(0, 60).Draw(rt, "leaving") == 0 {
 					m.Leave()
 				}
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -159,6 +159,9 @@
 					m = New(Settings{Self: n, Count: 1})
 					machines[n] = m
 				}
+				if rapid.IntRange(0, 30).Draw(rt, "path") == 0 {
+					m.SetCutOff(rapid.Bool().Draw(rt, "cut off"))
+				}
 				if rapid.IntRange(0, 60).Draw(rt, "leaving") == 0 {
 					m.Leave()
 				}
--- a/internal/peer/carry.go
+++ b/internal/peer/carry.go
@@ -31,9 +31,6 @@
 	maxCarryRequestBytes = 1 << 10
 	carryIdleTimeout     = 1500 * time.Millisecond // a peer that is silent for so long is lost
 	carryKeepAlive       = 400 * time.Millisecond
-	// carryWriteTimeout is how long the upstream or the other host may take to read what is written
-	// to it.
-	carryWriteTimeout = 10 * time.Second
 )
 
 // Codes with which the carrying host ends a stream other than by its end.
@@ -317,21 +314,26 @@
 func openCarried(stream *quic.Stream) bool {
 	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := stream.Write([]byte{byte(carryOpen)})
+	_ = stream.SetWriteDeadline(time.Time{})
 	return err == nil
 }
 
-// splice passes bytes on in both directions until one of them ends.
+// splice passes bytes on in both directions until one of them ends. It has no timeouts: how long a
+// slow caller or upstream may take is decided by the host that the connection is carried for.
 func (l *Links) splice(stream *quic.Stream, upstream net.Conn) {
+	// The other host may end the connection while the upstream reads nothing.
+	stop := context.AfterFunc(stream.Context(), func() { _ = upstream.Close() })
+	defer stop()
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		to := &deadlineWriter{conn: upstream}
+		to := &failingWriter{Writer: upstream}
 		_ = l.pass(to, stream)
 		if !to.failed {
 			_ = upstream.Close() // the other host has ended it
 		}
 	}()
-	err := l.pass(&deadlineWriter{conn: stream}, upstream)
+	err := l.pass(stream, upstream)
 	switch {
 	case err == nil:
 		_ = stream.Close()
@@ -356,19 +358,15 @@
 // onlyReader hides other methods of a reader, so that io.CopyBuffer uses its buffer.
 type onlyReader struct{ io.Reader }
 
-// deadlineWriter gives each write carryWriteTimeout.
-type deadlineWriter struct {
-	conn interface {
-		io.Writer
-		SetWriteDeadline(time.Time) error
-	}
-	failed bool // a write has failed
+// failingWriter remembers whether a write has failed.
+type failingWriter struct {
+	io.Writer
+	failed bool
 }
 
 // Write implements io.Writer.
-func (w *deadlineWriter) Write(b []byte) (int, error) {
-	_ = w.conn.SetWriteDeadline(time.Now().Add(carryWriteTimeout))
-	n, err := w.conn.Write(b)
+func (w *failingWriter) Write(b []byte) (int, error) {
+	n, err := w.Writer.Write(b)
 	w.failed = w.failed || err != nil
 	return n, err
 }
--- a/internal/peer/carry_test.go
+++ b/internal/peer/carry_test.go
@@ -93,6 +93,20 @@
 	is.True(err != nil)
 }
 
+// A caller may hang up while an upstream reads nothing of its request.
+func TestEndReachesAnUpstreamThatReadsNothing(t *testing.T) {
+	is := is.New(t)
+	x := newCarryTest(t)
+	here, _ := x.dial(t)
+	is.NoErr(here.SetWriteDeadline(time.Now().Add(time.Second)))
+	_, err := io.Copy(here, endless{})
+	is.True(err != nil) // all buffers are full
+	is.NoErr(here.Close())
+	for x.b.Carried() > 0 {
+		time.Sleep(time.Millisecond) // until the upstream's connection has been closed
+	}
+}
+
 // A reset by the upstream and the loss of the carrying host are different things: only the former
 // may be a crash.
 func TestResetByTheUpstreamIsToldFromTheLossOfTheCarrier(t *testing.T) {
