--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -277,6 +277,16 @@
 	Limits       []intake.Evidence `cbor:"16,keyasint,omitempty"` // limits of replicas that have begun, changed or ended
 	PermitAsks   []intake.Ask      `cbor:"17,keyasint,omitempty"`
 	PermitGrants []intake.Grant    `cbor:"18,keyasint,omitempty"`
+
+	Pauses []Pause `cbor:"19,keyasint,omitempty"` // that replicas have asked of the receiver, in answers to requests that it carried
+}
+
+// Pause is a pause that an incarnation of a replica has asked for.
+type Pause struct {
+	_       struct{} `cbor:",toarray"`
+	Replica core.UpstreamID
+	Started int64
+	For     time.Duration
 }
 
 // Heartbeat is the state that a host sends to other hosts at regular intervals.
--- a/internal/core/relaynode/notices.go
+++ b/internal/core/relaynode/notices.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/table"
 )
@@ -19,6 +20,7 @@
 		return
 	}
 	m.applyNotice(r.upstream, r.upstreamStarted, e.Notice)
+	m.forwardPause(r, e.Notice.Pause)
 	if e.Notice.Limit == (replicas.NamedLimit{}) && !e.Confirmation {
 		m.applyNoLimit(r)
 	}
@@ -27,6 +29,14 @@
 	}
 }
 
+// forwardPause sends a pause to the host that carried the request: the replica has seen that host.
+func (m *Machine) forwardPause(r *request, pause time.Duration) {
+	p, ok := m.fleet.ByHostID(r.carrier.Host)
+	if pause > 0 && ok {
+		m.send([]fleet.Registration{p}, Message{Pauses: []Pause{{Replica: r.upstream, Started: r.upstreamStarted, For: pause}}})
+	}
+}
+
 // applyNotice applies what an incarnation of a replica says about itself.
 func (m *Machine) applyNotice(id core.UpstreamID, started int64, n replicas.Notice) {
 	if n.Leaving && m.replicas.MarkLeaving(id, started) {
--- a/internal/core/relaynode/paths.go
+++ b/internal/core/relaynode/paths.go
@@ -299,7 +299,10 @@
 // MayCarry reports whether this host opens a connection to a replica for another host.
 func (m *Machine) MayCarry(id core.UpstreamID, address string) bool {
 	x := m.replicas.Get(id)
-	return x != nil && x.Address == address && m.leavingSince == 0 && !m.paths.Blocked(id)
+	if x == nil || x.Address != address || m.leavingSince != 0 {
+		return false
+	}
+	return !x.Unavailable() && x.Pause(m.now) == 0 && !m.paths.Blocked(id)
 }
 
 // handleCarryDialled applies how the dial for another host's connection has ended.
--- a/internal/core/relaynode/paths_test.go
+++ b/internal/core/relaynode/paths_test.go
@@ -8,6 +8,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/reach"
+	"gentiancroft/internal/core/replicas"
 )
 
 // newPathHost returns a host of a fleet in which b and c are reachable too.
@@ -235,6 +236,29 @@
 	h.is.True(!h.m.MayCarry("s2", "s2"))
 }
 
+// A replica asks the host for a pause that it sees, which is the one that carries.
+func TestPauseIsForTheHostThatCarriesAsWell(t *testing.T) {
+	h := newPathHost(t)
+	h.cutOff()
+	d := h.dispatch()
+	h.step(ReplicaNoticed{ID: d.ID, Attempt: d.Attempt, Notice: replicas.Notice{Pause: time.Minute}})
+	sent, ok := get[SendToPeers](h)
+	h.is.True(ok)
+	h.is.Equal(sent.To[0].Host, d.Carrier.Host)
+
+	carrier := newPathHost(t)
+	carrier.step(MessageReceived{From: "b/1", Message: sent.Message})
+	h.is.True(!carrier.m.MayCarry(d.Upstream, string(d.Upstream)))
+	carrier.arrive(RequestArrived{Path: "/act/x"})
+	h.is.Equal(carrier.dispatch().Upstream, other(d.Upstream, "s1", "s2"))
+}
+
+func TestLeavingReplicaIsReachedOverNoOtherHost(t *testing.T) {
+	h := newPathHost(t)
+	h.m.replicas.MarkLeaving("s1", 1)
+	h.is.True(!h.m.MayCarry("s1", "s1"))
+}
+
 func TestLeavingHostWaitsForTheConnectionsThatItCarries(t *testing.T) {
 	h := newPathHost(t)
 	h.step(CarryDialled{For: "b/1", Replica: "s1", OK: true})
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -135,6 +135,9 @@
 	for _, g := range e.Message.PermitGrants {
 		m.applyGrant(g)
 	}
+	for _, p := range e.Message.Pauses {
+		m.applyNotice(p.Replica, p.Started, replicas.Notice{Pause: p.For})
+	}
 	m.applyListChanges(e.Message)
 	m.applyDocuments(e)
 	for _, d := range e.Message.Demands {
