--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -50,6 +50,8 @@
 	ReplicasSaturated  Cause = "the replicas were saturated, rejected it or could not be reached"
 	PartBlocked        Cause = "replicas were lost one after the other under a part of its prompt"
 	ReplicasLimited    Cause = "the replicas that could run it had named a limit, and took no more requests"
+	ReplicasBrittle    Cause = "the replicas that could run it were brittle, and had no room"
+	Unreached          Cause = "neither its host nor another one reached a replica of its service"
 	AnswerIncomplete   Cause = "a replica accepted it and gave no complete answer"
 	VersionExpired     Cause = "it waited at a replica until the adapter's version there could no longer be used"
 	ReplicaFailed      Cause = "the replica answered with an error"
@@ -152,6 +154,9 @@
 		}
 		return AnswerIncomplete, true
 	case "refusal no_upstream":
+		if strings.HasPrefix(l.Detail, "no host reaches") {
+			return Unreached, true
+		}
 		if strings.HasPrefix(l.Detail, "nobody") {
 			return NoLoader, true
 		}
@@ -170,6 +175,8 @@
 	switch {
 	case strings.HasPrefix(l.Detail, partBlocked):
 		return PartBlocked
+	case strings.HasSuffix(l.Detail, "are brittle and have no room"):
+		return ReplicasBrittle
 	case strings.HasSuffix(l.Detail, "take no more requests a second"):
 		return ReplicasLimited
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -73,3 +73,17 @@
 	is.Equal(Why(lines), NotLogged)
 	is.Equal(Why([]Line{{Decision: "refusal", Reason: "overloaded", Detail: "the replicas that could run it take no more requests a second"}}), ReplicasLimited)
 }
+
+// Guards against issue 36: a request that went over another host could not be followed there.
+func TestRequestIsFollowedToTheHostThatCarriedIt(t *testing.T) {
+	is := is.New(t)
+	logs := `{"time":"1","decision":"dispatch","reason":"least_occupied","request":"a","upstream":"s1","detail":"load 0, over b/1"}
+{"time":"2","decision":"carry","reason":"begun","request":"a","upstream":"s1","detail":"for a/1"}
+`
+	lines, err := Read(strings.NewReader(logs), "a")
+	is.NoErr(err)
+	is.Equal(len(lines), 2)
+	is.Equal(Why(lines), Served)
+	is.Equal(Why([]Line{{Decision: "refusal", Reason: "no_upstream", Detail: "no host reaches a replica of the service"}}), Unreached)
+	is.Equal(Why([]Line{{Decision: "refusal", Reason: "overloaded", Detail: "the replicas that could run it are brittle and have no room"}}), ReplicasBrittle)
+}
