--- a/internal/core/intake/granter.go
+++ b/internal/core/intake/granter.go
@@ -13,7 +13,7 @@
 	// burstTime is how much of the rate a granter saves up.
 	burstTime = 500 * time.Millisecond
 	// demandTime is how long a request for permits that got none counts in the wait that the next
-	// one is told.
+	// one gets.
 	demandTime = time.Second
 	// maxWait bounds that wait.
 	maxWait = 5 * time.Second
--- a/internal/core/intake/permits.go
+++ b/internal/core/intake/permits.go
@@ -11,7 +11,7 @@
 	permitTime = time.Second
 	// answerTime is how long an ask may stay unanswered.
 	answerTime = 200 * time.Millisecond
-	// retryTime is how long after that a host waits before it asks again.
+	// retryTime is how long after that a host waits before its next request for permits.
 	retryTime = 300 * time.Millisecond
 	// maxWanted bounds the permits that a host asks for beyond what waits for them.
 	maxWanted = 64
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -67,7 +67,7 @@
 	m.observeLimit(intake.Evidence{Key: intake.KeyOf(r.upstream, r.upstreamStarted), Held: m.now.Sub(r.stageSince)})
 }
 
-// observeLimit applies evidence of this host's own, and tells the other hosts what it has changed.
+// observeLimit applies evidence of this host's own, and reports to the other hosts what it has changed.
 func (m *Machine) observeLimit(e intake.Evidence) {
 	if m.applyLimit(e, "named in an answer") {
 		m.limits.news[e.Key] = e
@@ -241,7 +241,7 @@
 	}
 }
 
-// sendLimitNews tells the other hosts of the limits that have changed.
+// sendLimitNews sends the limits that have changed to the other hosts.
 func (m *Machine) sendLimitNews() {
 	if len(m.limits.news) == 0 || m.now < m.limits.newsDue {
 		return
--- a/internal/core/relaynode/partreports.go
+++ b/internal/core/relaynode/partreports.go
@@ -60,7 +60,7 @@
 }
 
 // notePartChange logs a change. A part that has just been blocked is enforced, and other hosts are
-// told of the last answer on one that is suspected or disputed.
+// sent the last answer on one that is suspected or disputed.
 func (m *Machine) notePartChange(p promptpart.ID, change promptpart.Change, source string, age time.Duration) {
 	if change == promptpart.Unchanged {
 		return
@@ -83,7 +83,7 @@
 	return c == promptpart.Suspected || c == promptpart.Acquitted
 }
 
-// reportLastAnswer tells the other hosts of the last answer on a part, if one is known.
+// reportLastAnswer reports the last answer on a part to the other hosts, if one is known.
 func (m *Machine) reportLastAnswer(p promptpart.ID) {
 	if age, ok := m.parts.tracker.LastAnswer(m.now, p); ok {
 		m.parts.report.Merge(promptpart.Report{Acquittals: []promptpart.Acquittal{{Part: p, Age: age}}})
@@ -150,8 +150,8 @@
 // sendVerdicts sends all verdicts to a host, unless that was done within verdictInterval.
 func (m *Machine) sendVerdicts(to core.HostID) {
 	verdicts := m.parts.tracker.Verdicts(m.now)
-	last, told := m.parts.toldAt[to]
-	if len(verdicts) == 0 || told && m.now.Sub(last) < verdictInterval {
+	last, sent := m.parts.toldAt[to]
+	if len(verdicts) == 0 || sent && m.now.Sub(last) < verdictInterval {
 		return
 	}
 	if p, ok := m.fleet.ByHostID(to); ok {
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -43,7 +43,7 @@
 	inherited bool                         // what earlier processes have blocked has been read
 	enforce   bool                         // a part was blocked since the open requests were last checked
 
-	reportVerdicts bool // this host has blocked a part by its own count: the others are to be told
+	reportVerdicts bool // this host has blocked a part by its own count: it is to be sent to the others
 }
 
 func newPromptParts() promptParts {
--- a/internal/peer/carry.go
+++ b/internal/peer/carry.go
@@ -295,7 +295,7 @@
 	return CarryTarget{For: from, Upstream: r.Upstream, Address: r.Address, Request: r.Request}, nil
 }
 
-// resultOf returns the result that tells a peer why a connection could not be opened.
+// resultOf returns the result by which a peer learns why a connection could not be opened.
 func resultOf(err error) carryResult {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return carryRefused
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,12 +63,12 @@
 	// BuildConfirmation makes a harmless request to a replica, whose answer shows that a
 	// connection works and what the replica says about itself.
 	BuildConfirmation(to *fasthttp.Request, a AttemptFields)
-	// MatchAnswer tells whether an answer is to the request with this id.
+	// MatchAnswer reports whether an answer is to the request with this id.
 	MatchAnswer(h *fasthttp.ResponseHeader, requestID string) upstream.Match
 	// ParseIncarnation reads the start of the replica's incarnation from the body of an answer to
 	// a confirmation, 0 where it isn't given.
 	ParseIncarnation(body []byte) int64
-	// MatchConfirmation tells whether an answer can be to a confirmation.
+	// MatchConfirmation reports whether an answer can be to a confirmation.
 	MatchConfirmation(h *fasthttp.ResponseHeader) upstream.Match
 	// ParseAnswer reads a replica's answer.
 	ParseAnswer(*fasthttp.ResponseHeader) AnswerFields
