A host's share of a brittle replica's room is computed only where it is used

It was computed for every brittle replica at every placement, by sorting and ranking all active hosts. It is a function now, called where a window is first set or grows: no change of behaviour.

--- a/internal/core/relaynode/windows.go
+++ b/internal/core/relaynode/windows.go
@@ -56,7 +56,7 @@
 	if !m.brittle(x) {
 		return true
 	}
-	return m.windows.Room(m.now, keyOf(x), x.Service, x.Batch, x.OwnRequests, m.shareOf(x))
+	return m.windows.Room(m.now, keyOf(x), x.Service, x.Batch, x.OwnRequests, func() window.Fleet { return m.shareOf(x) })
 }
 
 // shareOf returns what this host's share of a replica's room depends on.
--- a/internal/core/window/window.go
+++ b/internal/core/window/window.go
@@ -134,14 +134,15 @@
 }
 
 // Room reports whether a request may be sent to a brittle replica that runs batch requests at once
-// and has inFlight ones of this host.
-func (w *Windows) Room(now core.Instant, k intake.Key, service table.ServiceID, batch, inFlight int, f Fleet) bool {
+// and has inFlight ones of this host. share is called where the window is set or grows only.
+func (w *Windows) Room(now core.Instant, k intake.Key, service table.ServiceID, batch, inFlight int, share func() Fleet) bool {
 	rejections, brittle := w.Rejections(now, k, service)
 	if !brittle {
 		return true
 	}
 	x := w.window(k, service)
 	if !x.sized {
+		f := share()
 		x.size, x.sized = w.firstSize(x, batch, f), true
 		x.growAt = now.Add(w.growInterval(rejections, f))
 	}
@@ -151,7 +152,7 @@
 	if rejections > 0 && x.wanted && now >= x.growAt && x.size < batch {
 		x.size++
 		x.wanted = false
-		x.growAt = now.Add(w.growInterval(rejections, f))
+		x.growAt = now.Add(w.growInterval(rejections, share()))
 		return inFlight < x.size
 	}
 	x.wanted = true
