--- a/internal/core/relaynode/paths.go
+++ b/internal/core/relaynode/paths.go
@@ -117,7 +117,7 @@
 	return core.Carrier{}, false
 }
 
-// route returns over which host a replica is reached, the zero value for a direct path, and false
+// routeTo returns over which host a replica is reached, the zero value for a direct path, and false
 // where it isn't reached at all.
 func (m *Machine) routeTo(x *replicas.Replica) (core.Carrier, bool) {
 	if !m.paths.Blocked(x.ID) {
