--- a/internal/core/relaynode/paths.go
+++ b/internal/core/relaynode/paths.go
@@ -117,13 +117,14 @@
 	return core.Carrier{}, false
 }
 
-// routeTo returns over which host a replica is reached, the zero value for a direct path, and false
-// where it isn't reached at all.
-func (m *Machine) routeTo(x *replicas.Replica) (core.Carrier, bool) {
+// carrierFor returns the host that carries a request to a replica which is reached, the zero value
+// for a direct path.
+func (m *Machine) carrierFor(x *replicas.Replica) core.Carrier {
 	if !m.paths.Blocked(x.ID) {
-		return core.Carrier{}, true
+		return core.Carrier{}
 	}
-	return m.carrierTo(x.ID, m.carriers())
+	carrier, _ := m.carrierTo(x.ID, m.carriers())
+	return carrier
 }
 
 // reachable returns a function that reports whether this host or another one may reach a replica.
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -220,7 +220,7 @@
 // dispatch sends an attempt of a request to a replica.
 func (m *Machine) dispatch(r *request, x *replicas.Replica) {
 	r.attempt++
-	r.carrier, _ = m.routeTo(x)
+	r.carrier = m.carrierFor(x)
 	if r.carrier != (core.Carrier{}) {
 		m.paths.carriedBy[r.carrier.Host]++
 	}
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -7,6 +7,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/promptpart"
+	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/residency"
 )
 
@@ -121,6 +122,11 @@
 	if end == nil || end.ended || x == nil || x.Started != i.started || x.Pause(m.now) > 0 {
 		return
 	}
+	m.sendCheck(i, x, end, over)
+}
+
+// sendCheck requests a check of an incarnation, over another host if a carrier is given.
+func (m *Machine) sendCheck(i incarnation, x *replicas.Replica, end *replicaEnd, over core.Carrier) {
 	end.checking, end.checkedAt = true, m.now
 	m.emit(CheckReplica{Probe: residency.Probe{Replica: i.replica, Address: x.Address, NewConnection: true, Carrier: over}, Started: i.started})
 }
@@ -204,8 +210,7 @@
 	if x == nil || end.checking || x.Pause(m.now) > 0 {
 		return
 	}
-	end.checking, end.checkedAt = true, m.now
-	m.emit(CheckReplica{Probe: residency.Probe{Replica: i.replica, Address: x.Address, NewConnection: true}, Started: i.started})
+	m.sendCheck(i, x, end, core.Carrier{})
 }
 
 // handleReplicaChecked applies the result of a check.
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -29,8 +29,9 @@
 // Carry opens a connection to a replica for another host. The error wraps ECONNREFUSED only if
 // nothing listens at the address for certain: not if this host may be cut off from replicas itself.
 func (g *Gateway) Carry(ctx context.Context, from core.HostID, id core.UpstreamID, address, request string) (net.Conn, error) {
-	begun, ok := g.mayCarry(id, address)
-	if !ok {
+	may := g.ask(func(m *relaynode.Machine) bool { return m.MayCarry(id, address) })
+	begun := g.clock()
+	if !may {
 		return nil, NotCarried.New("this host doesn't reach replica %q at %s, or leaves", id, address)
 	}
 	opened, err := g.executors.Paths.OpenFor(ctx, id, address)
@@ -41,28 +42,12 @@
 	switch {
 	case err == nil:
 		return &carriedConn{Conn: opened, gateway: g}, nil
-	case refused && !g.refusalCounts(id):
+	case refused && !g.ask(func(m *relaynode.Machine) bool { return m.RefusalCounts(id) }):
 		return nil, NotCarried.New("refused, and this host may be cut off itself: %v", err)
 	}
 	return nil, NotCarried.Wrap(err)
 }
 
-// mayCarry asks the machine whether this host opens a connection for another one, and returns the
-// time.
-func (g *Gateway) mayCarry(id core.UpstreamID, address string) (core.Instant, bool) {
-	answer := make(chan bool, 1)
-	g.Notify(relaynode.Query{Read: func(m *relaynode.Machine) { answer <- m.MayCarry(id, address) }})
-	may := <-answer
-	return g.clock(), may
-}
-
-// refusalCounts asks the machine whether a refused connection shows that a replica has ended.
-func (g *Gateway) refusalCounts(id core.UpstreamID) bool {
-	answer := make(chan bool, 1)
-	g.Notify(relaynode.Query{Read: func(m *relaynode.Machine) { answer <- m.RefusalCounts(id) }})
-	return <-answer
-}
-
 // carriedConn is a connection that this host carries. Its end is reported once.
 type carriedConn struct {
 	net.Conn
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,8 +109,14 @@
 // Trusted reports whether a certificate's key is that of a registered host. It
 // waits for the machine.
 func (g *Gateway) Trusted(h core.HostID, key string) bool {
+	return g.ask(func(m *relaynode.Machine) bool { return m.Trusted(h, key) })
+}
+
+// ask returns what a question to the machine is answered. It waits until the machine has handled
+// the events before it.
+func (g *Gateway) ask(question func(*relaynode.Machine) bool) bool {
 	answer := make(chan bool, 1)
-	g.Notify(relaynode.Query{Read: func(m *relaynode.Machine) { answer <- m.Trusted(h, key) }})
+	g.Notify(relaynode.Query{Read: func(m *relaynode.Machine) { answer <- question(m) }})
 	return <-answer
 }
 
