review: the cases' hosts take other ports where one is taken

Five scripts at once: one of ten plays couldn't run, as another script had taken a port between its choice and the host's start.

--- a/review/stage/hosts.go
+++ b/review/stage/hosts.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -112,7 +113,7 @@
 // signal sends a signal to the process.
 func (h *host) signal(s syscall.Signal) { _ = h.command.Process.Signal(s) }
 
-// kill ends the process and waits for its end.
+// kill ends the process, if it was started, and waits for its end.
 func (h *host) kill() {
 	if h.command != nil {
 		h.signal(syscall.SIGKILL)
@@ -120,6 +121,23 @@
 	}
 }
 
+// listens waits until the process listens for callers, and returns false if it ends or takes too long.
+func (h *host) listens() bool {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+		if c, err := net.DialTimeout("tcp", h.ready, time.Second); err == nil {
+			_ = c.Close()
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	select {
+	case <-h.ended:
+		return false
+	case <-time.After(20 * time.Millisecond): // one that can't listen ends at once
+		return true
+	}
+}
+
 // isReady asks the host's readiness page.
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/stage/scene.go
+++ b/review/stage/scene.go
@@ -57,17 +57,11 @@
 // startHosts starts hosts whose stores are at these addresses, and waits until they are ready.
 func (s *scene) startHosts(stores ...string) error {
 	for i, store := range stores {
-		h, err := newHost(s.dir, i, store)
+		h, err := s.startHost(i, store)
 		if err != nil {
 			return err
 		}
 		s.hosts = append(s.hosts, h)
-		if err := h.writeSettings(true); err != nil {
-			return err
-		}
-		if err := h.start(s.pipeLogs); err != nil {
-			return err
-		}
 		s.note("host %d is process %d, for callers at %s", i, h.command.Process.Pid, h.callers)
 	}
 	if !awaitReady(s.hosts, 20*time.Second) {
@@ -81,6 +75,30 @@
 	return nil
 }
 
+// maxStarts is how often a host is started with other ports, as another process may have taken one.
+const maxStarts = 5
+
+// startHost starts a host and waits until it listens.
+func (s *scene) startHost(n int, store string) (*host, error) {
+	for range maxStarts {
+		h, err := newHost(s.dir, n, store)
+		if err != nil {
+			return nil, err
+		}
+		if err := h.writeSettings(true); err != nil {
+			return nil, err
+		}
+		if err := h.start(s.pipeLogs); err != nil {
+			return nil, err
+		}
+		if h.listens() {
+			return h, nil
+		}
+		h.kill()
+	}
+	return nil, fmt.Errorf("host %d doesn't start; logs in %s", n, s.dir)
+}
+
 // close ends all processes that the scene started.
 func (s *scene) close() { s.closing.Do(s.end) }
 
