--- a/review/stage/logs.go
+++ b/review/stage/logs.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"gentiancroft/platform/platformtest"
 )
 
@@ -62,6 +64,9 @@
 		s.note("trouble: nobody reads the standard output of host 0 any more")
 	}
 	time.Sleep(16 * time.Second)
+	if s.trouble && !leaving.logs.awaitFull(40*time.Second) {
+		return false, fmt.Errorf("the pipe to the reader of logs isn't full")
+	}
 	var rare []*rareConsumer
 	for i := range 10 {
 		c := &rareConsumer{scene: s, host: leaving, name: fmt.Sprintf("rare-%d", i), request: night}
@@ -213,6 +218,27 @@
 // stop makes the reader read no more. Its end stays open.
 func (r *logReader) stop() { r.mu.Lock() }
 
+// pipeBytes is how much of a pipe that holds 64 KiB is used once it is as good as full.
+const pipeBytes = 60 << 10
+
+// awaitFull waits until the pipe holds pipeBytes that nobody reads.
+func (r *logReader) awaitFull(limit time.Duration) bool {
+	raw, err := r.from.SyscallConn()
+	if err != nil {
+		return false
+	}
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		waiting := 0
+		if err := raw.Control(func(fd uintptr) { waiting, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
+			return false
+		}
+		if waiting >= pipeBytes {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *logReader) run(to io.Writer) {
 	buffer := make([]byte, 4<<10)
 	for {
