--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -24,7 +24,9 @@
 	Value     []byte
 	IfVersion uint64
 	Wait      time.Duration // of a watch: its timeout; 0: the client's default
-	Stale     bool          // of a list: the result may be seconds old
+	Stale     bool          // of a Get or List: the result may be seconds old
+
+	NewConnection bool // of a Get: not over a kept connection, which may have gone silent while it was idle; a Watch never is
 }
 
 // ObjectStatus is the status of a finished object call.
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -45,7 +45,6 @@
 	Relist  uint64 // rises each time that all objects are to be listed again
 	Standby bool   // this host is a standby host
 	Forming bool   // the whole deployment starts, and its hosts are finding each other
-	NoPeers bool   // no other active host is reachable: changes show only in this host's own calls
 }
 
 // formingTime is how long after the start of a whole deployment its hosts may still have
@@ -65,7 +64,6 @@
 		Relist:  m.relists,
 		Standby: !m.fleet.Active(),
 		Forming: m.forming(),
-		NoPeers: len(m.fleet.Members(m.now)) <= 1,
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/relaynode"
+)
+
+// Bounds of the users' platform and of its client.
+const (
+	contactTime = 3 * time.Second        // within it a host must make up for connections that have gone silent
+	spreadTime  = 400 * time.Millisecond // of that, until the other hosts have a change
+	clientTime  = 600 * time.Millisecond // after the wait of a watch, until the client gives up
+)
+
+// silencedStore is a fake store. The connections of the watches that wait at a time go silent then:
+// these calls end with the client's timeout. What is written at that time is found by any later call.
+type silencedStore struct {
+	silencedAt time.Time
+	kinds      int
+
+	mu       sync.Mutex
+	found    map[string]time.Time // when a kind's change was found
+	foundAll chan struct{}
+}
+
+// find records that a change has been found.
+func (s *silencedStore) find(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.found[kind]; known {
+		return
+	}
+	s.found[kind] = time.Now()
+	if len(s.found) == s.kinds {
+		close(s.foundAll)
+	}
+}
+
+// Do implements Store.
+func (s *silencedStore) Do(ctx context.Context, c core.ObjectCall) core.ObjectResult {
+	if time.Now().After(s.silencedAt) {
+		s.find(c.Key)
+		<-ctx.Done()
+		return core.ObjectResult{Status: core.ObjectUnknown}
+	}
+	if c.Op != core.ObjectWatch {
+		return core.ObjectResult{Status: core.ObjectOK, Version: 7}
+	}
+	if time.Now().Add(c.Wait).Before(s.silencedAt) {
+		time.Sleep(c.Wait)
+		return core.ObjectResult{Status: core.ObjectOK, Version: 7}
+	}
+	time.Sleep(c.Wait + clientTime)
+	return core.ObjectResult{Status: core.ObjectUnknown}
+}
+
+// Guards against missed configurations (review, case 5): the connections of all waiting watches
+// went silent at once, and what was written meanwhile was found seconds too late.
+func TestWatchesWhoseConnectionsGoSilentFindChangesInTime(t *testing.T) {
+	for after := 4 * time.Second; after < 14*time.Second; after += 190 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &silencedStore{silencedAt: time.Now().Add(after), found: map[string]time.Time{}, foundAll: make(chan struct{})}
+			g := New(relaynode.New(relaynode.Settings{}), Executors{Store: s, Documents: Documents{
+				ConfigurationKind: "configurations", ReplicasKind: "replicas", VersionsKind: "versions"}}, nil, metrics.NewRegistry())
+			g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			watches := g.watches()
+			s.kinds = len(watches)
+			for _, w := range watches {
+				go func() { _ = w.run(ctx) }()
+			}
+			go func() { // the machine, which only discards events
+				for {
+					select {
+					case <-g.events.Items():
+					case <-ctx.Done():
+						return
+					}
+				}
+			}()
+			<-s.foundAll
+			for _, at := range s.found {
+				is.True(at.Sub(s.silencedAt) <= contactTime-spreadTime)
+			}
+		})
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,14 +18,12 @@
 
 // Timeouts and intervals of the watches.
 const (
-	// shortWatchWait is how long a watch call waits for changes where a connection that
-	// broke unnoticed would cost too much: for urgent kinds, and on a host that no
-	// other host would inform of the changes.
-	shortWatchWait = 2400 * time.Millisecond
-	longWatchWait  = 8 * time.Second        // for all other watch calls
-	listInterval   = time.Minute            // between two lists of objects that another host watches
-	minRetryDelay  = 100 * time.Millisecond // after the first failed call
-	maxRetryDelay  = 600 * time.Millisecond // after several failed calls
+	// watchWait is how long a watch call waits for changes. Only its timeout shows that its
+	// connection has gone silent, which all hosts that watch can suffer at once.
+	watchWait     = 1800 * time.Millisecond
+	listInterval  = time.Minute            // between two lists of objects that another host watches
+	minRetryDelay = 100 * time.Millisecond // after the first failed call
+	maxRetryDelay = 600 * time.Millisecond // after several failed calls
 	// watchStartDelay is how long a host that has just started waits after its first
 	// list, so that it learns whether another host watches the objects.
 	watchStartDelay = 1800 * time.Millisecond
@@ -56,7 +54,6 @@
 	gateway     *Gateway
 	kind        string
 	minInterval time.Duration
-	urgent      bool // a change must be noticed soon even if the connection breaks unnoticed
 	startAtOnce bool // starts watching without watchStartDelay
 	reread      bool // lists again where another host has reported newer objects
 	onList      func([]core.Object)
@@ -76,7 +73,7 @@
 	versions.onChange = func(o core.Object) { g.sendVersion(o, versions.late) }
 	return []*watch{
 		{gateway: g, kind: d.ConfigurationKind, minInterval: minConfigurationInterval, reread: true, onList: forEach(g.configurationChanged), onChange: g.configurationChanged},
-		{gateway: g, kind: d.ReplicasKind, minInterval: minReplicasInterval, urgent: true, onList: g.replicasListed, onChange: g.replicaChanged},
+		{gateway: g, kind: d.ReplicasKind, minInterval: minReplicasInterval, onList: g.replicasListed, onChange: g.replicaChanged},
 		versions,
 		{gateway: g, kind: strings.TrimSuffix(relaynode.HostsPrefix, "/"), minInterval: minHostsInterval, startAtOnce: true, onList: forEach(g.hostChanged), onChange: g.hostChanged},
 	}
@@ -146,14 +143,6 @@
 	pause(waitCtx, listInterval)
 }
 
-// watchWait returns how long a watch call waits for a change.
-func (w *watch) watchWait() time.Duration {
-	if w.urgent || w.gateway.status.Load().reading.NoPeers {
-		return shortWatchWait
-	}
-	return longWatchWait
-}
-
 // poll lists the objects (version 0) or waits for changes after version. It returns
 // the version to continue from, 0 to list again, and whether the call succeeded; an
 // interrupted call counts as a success.
@@ -163,7 +152,7 @@
 		reading := w.gateway.status.Load().reading
 		w.lastReread, w.lastRelist = reading.Reread, reading.Relist
 	} else {
-		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: w.watchWait()}
+		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: watchWait}
 	}
 	callCtx, end := w.gateway.reread.attach(ctx)
 	result := w.gateway.executors.Store.Do(callCtx, call)
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -18,21 +18,32 @@
 	dialTimeout    = 2 * time.Second
 	maxConnections = 256
 	maxAnswerBytes = 16 << 20
+	// maxIdleTime is how long a connection without a call is kept. One that has gone silent
+	// meanwhile costs the next call its timeout.
+	maxIdleTime = 1500 * time.Millisecond
 )
 
 // Transport sends HTTP calls to one address. It sends each call once: whether a failed
 // call may be retried is the caller's decision.
 type Transport struct {
-	http  *fasthttp.HostClient
-	conns connections
+	kept   *fasthttp.HostClient // keeps connections for later calls
+	single *fasthttp.HostClient // has a connection for each call
+	conns  connections
 }
 
 // NewTransport returns a transport to an ip:port.
 func NewTransport(address string) *Transport {
 	t := &Transport{}
-	t.http = &fasthttp.HostClient{
+	t.kept, t.single = t.client(address), t.client(address)
+	return t
+}
+
+// client returns an HTTP client.
+func (t *Transport) client(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
 		Addr:                     address,
 		Dial:                     t.dial,
+		MaxIdleConnDuration:      maxIdleTime,
 		MaxConns:                 maxConnections,
 		MaxResponseBodySize:      maxAnswerBytes,
 		NoDefaultUserAgentHeader: true,
@@ -44,7 +55,6 @@
 			return false, false
 		},
 	}
-	return t
 }
 
 // dial opens a connection. Its errors are of class NotSent.
@@ -66,7 +76,8 @@
 }
 
 // Send sends a request and returns its answer. It gives up after the timeout, or when
-// ctx ends; the request may then still be in flight. IsNotSent classifies the error.
+// ctx ends; the request may then still be in flight. IsNotSent classifies the error. A request
+// with "Connection: close" is sent over a connection that is opened for it.
 func (t *Transport) Send(ctx context.Context, request *fasthttp.Request, timeout time.Duration) (*fasthttp.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, NotSent.Wrap(err)
@@ -75,13 +86,17 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
+	client := t.kept
+	if request.ConnectionClose() {
+		client = t.single
+	}
 	response := &fasthttp.Response{}
 	done := make(chan error, 1)
-	go func() { done <- t.http.DoDeadline(request, response, deadline) }()
+	go func() { done <- client.DoDeadline(request, response, deadline) }()
 	select {
 	case err := <-done:
 		if errors.Is(err, fasthttp.ErrTimeout) {
-			t.http.CloseIdleConnections() // if the platform has become unresponsive, they hang as well
+			t.kept.CloseIdleConnections() // if the platform has become unresponsive, they hang as well
 		}
 		return response, err
 	case <-ctx.Done():
