--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -62,7 +62,7 @@
 	m.services = map[table.ServiceID]limits{}
 	for id, s := range services {
 		if s.Engine != nil {
-			m.services[id] = limits{slots: s.Engine.AdapterSlots, models: s.Engine.Models}
+			m.services[id] = limits{slots: s.Engine.AdapterSlots, memory: s.Engine.Memory, models: s.Engine.Models}
 		}
 	}
 }
--- a/internal/core/residency/order.go
+++ b/internal/core/residency/order.go
@@ -114,20 +114,20 @@
 	r.sends = again.sends + 1
 }
 
-// loadOrder returns the order that loads a demand's adapter or, if all slots are taken,
-// the order that evicts another adapter; false if none can be evicted.
+// loadOrder returns the order that loads a demand's adapter or, if the replica has no room for
+// it, the order that evicts another adapter; false if none can be evicted.
 func (m *Machine) loadOrder(now core.Instant, r *replica, d *demand) (Order, bool) {
 	replaces := r.residents[d.merged.Adapter.ID] != nil
-	if len(r.residents) >= m.services[r.service].slots && !replaces {
-		return m.evictionOrder(now, r, d.merged.Model)
+	if !replaces && !r.hasRoom(m.services[r.service], d.merged.Model) {
+		return m.evictionOrder(now, r)
 	}
 	return Order{Load: true, Model: d.merged.Model, Adapter: d.merged.Adapter}, true
 }
 
 // loadModelOrder returns the order that loads the service's first base model, and
-// false if the replica has a model or the service none.
+// false if the replica has a model or no room for it, or the service has none.
 func (m *Machine) loadModelOrder(r *replica, limit limits) (Order, bool) {
-	if len(r.models) > 0 || len(limit.models) == 0 {
+	if len(r.models) > 0 || len(limit.models) == 0 || !r.fits(limit, limit.models[0].Weights) {
 		return Order{}, false
 	}
 	return Order{Load: true, Model: limit.models[0].Name}, true
@@ -136,13 +136,13 @@
 // evictionOrder returns the order that unloads the least popular adapter, and false if
 // none may be evicted or an unload is in progress. Invariant: an adapter with running
 // requests that have been reported isn't unloaded.
-func (m *Machine) evictionOrder(now core.Instant, r *replica, model core.BaseModel) (Order, bool) {
+func (m *Machine) evictionOrder(now core.Instant, r *replica) (Order, bool) {
 	var victimID core.AdapterID
 	var victim *resident
 	lowest := 0.0
 	for a, res := range r.residents {
 		if res.state == unloading {
-			return Order{}, false // this frees a slot
+			return Order{}, false // this makes room
 		}
 		if !r.evictable(now, a, res) {
 			continue
@@ -155,7 +155,7 @@
 	if victim == nil {
 		return Order{}, false
 	}
-	return Order{Model: model, Adapter: core.AdapterRef{ID: victimID, Version: victim.version}}, true
+	return Order{Model: r.modelOf(victim), Adapter: core.AdapterRef{ID: victimID, Version: victim.version}}, true
 }
 
 // evictable reports whether a resident adapter may be unloaded now.
@@ -165,7 +165,7 @@
 
 // updateFull determines whether the replica can take another adapter.
 func (m *Machine) updateFull(now core.Instant, r *replica) {
-	full := len(r.residents) >= m.services[r.service].slots
+	full := !r.hasRoomForAny(m.services[r.service])
 	for a, res := range r.residents {
 		full = full && res.state != unloading && !r.evictable(now, a, res)
 	}
--- a/internal/core/residency/outcome.go
+++ b/internal/core/residency/outcome.go
@@ -97,7 +97,7 @@
 		r.modelLoadingSince = now
 		r.probeAt = now.Add(probeModelInterval)
 	case o.Load:
-		res := &resident{version: o.Adapter.Version, state: loading, since: now, lastUsed: now, fromCopy: r.copies[o.Adapter.ID]}
+		res := &resident{version: o.Adapter.Version, model: o.Model, state: loading, since: now, lastUsed: now, fromCopy: r.copies[o.Adapter.ID]}
 		if old := r.residents[o.Adapter.ID]; old != nil {
 			res.lastUsed = old.lastUsed
 			res.fromCopy = false // the copy is of another version
@@ -122,7 +122,7 @@
 	case o.Adapter.ID == "":
 		r.resync(now)
 	case o.Load:
-		res := &resident{version: o.Adapter.Version, state: ready, since: now, lastUsed: now}
+		res := &resident{version: o.Adapter.Version, model: o.Model, state: ready, since: now, lastUsed: now}
 		if old := r.residents[o.Adapter.ID]; old != nil {
 			res.lastUsed = max(old.lastUsed, old.since)
 		}
--- a/internal/core/residency/replica.go
+++ b/internal/core/residency/replica.go
@@ -21,6 +21,7 @@
 // resident is an adapter that takes a slot of a replica.
 type resident struct {
 	version   int
+	model     core.BaseModel // that it belongs to; "": unknown
 	state     state
 	since     core.Instant // when it entered the state
 	lastUsed  core.Instant // last use
@@ -50,7 +51,9 @@
 	sequence          uint64
 	synced            bool // sequence and residents match the replica
 	models            map[core.BaseModel]int
+	weights           []core.BaseModel // models whose weights take memory; one of which it has two versions is there twice
 	residents         map[core.AdapterID]*resident
+	namesakes         []core.BaseModel // models of the adapters whose names are those of residents of other models
 	demands           map[core.AdapterID]*demand
 	uses              map[core.AdapterID]map[core.HostID]use
 	copies            map[core.AdapterID]bool          // adapters that the replica has loaded before
@@ -74,8 +77,13 @@
 	r.resend = nil
 	r.residents = map[core.AdapterID]*resident{}
 	r.models = map[core.BaseModel]int{}
-	add := func(a core.AdapterRef, st state) {
-		res := &resident{version: a.Version, state: st, since: now, lastUsed: now}
+	r.weights, r.namesakes = nil, nil
+	add := func(model core.BaseModel, a core.AdapterRef, st state) {
+		if x := r.residents[a.ID]; x != nil && model != "" && x.model != model {
+			r.namesakes = append(r.namesakes, model)
+			return
+		}
+		res := &resident{version: a.Version, model: model, state: st, since: now, lastUsed: now}
 		if o := old[a.ID]; o != nil {
 			res.lastUsed = o.lastUsed
 			if o.state == st {
@@ -89,13 +97,14 @@
 	}
 	for _, model := range models {
 		r.models[model.Name] = model.Version
+		r.weights = append(r.weights, model.Name)
 		for _, a := range model.Adapters {
-			add(a, ready)
+			add(model.Name, a, ready)
 			r.copies[a.ID] = true
 		}
 	}
 	for _, a := range pending {
-		add(a, loading)
+		add(r.onlyModel(), a, loading)
 	}
 }
 
@@ -158,7 +167,7 @@
 	if first == nil {
 		return Order{}, false
 	}
-	return Order{Load: first.state == loading, Model: r.loadedModel(), Adapter: core.AdapterRef{ID: due, Version: first.version}}, true
+	return Order{Load: first.state == loading, Model: r.modelOf(first), Adapter: core.AdapterRef{ID: due, Version: first.version}}, true
 }
 
 // loadedModel is the first of the loaded base models by name, "" if there is none.
@@ -172,6 +181,22 @@
 	return first
 }
 
+// onlyModel is the loaded base model where the replica has one, else "".
+func (r *replica) onlyModel() core.BaseModel {
+	if len(r.models) != 1 {
+		return ""
+	}
+	return r.loadedModel()
+}
+
+// modelOf is the base model that a resident adapter belongs to, as far as that is known.
+func (r *replica) modelOf(x *resident) core.BaseModel {
+	if x.model != "" {
+		return x.model
+	}
+	return r.loadedModel()
+}
+
 // loadsInFlight is the number of adapters that the replica is loading.
 func (r *replica) loadsInFlight() int {
 	n := 0
--- a/internal/core/residency/types.go
+++ b/internal/core/residency/types.go
@@ -113,8 +113,9 @@
 // false if it may not.
 type FenceFunc func(core.UpstreamID) (core.Fence, bool)
 
-// limits are the adapter slots and models of a service's replicas.
+// limits are what the replicas of a service can hold, and their models.
 type limits struct {
 	slots  int
+	memory table.Megabytes // for weights and adapters together; 0: not limited
 	models []table.Model
 }
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -85,15 +85,21 @@
 	return ""
 }
 
+// Megabytes is an amount of an engine's memory.
+type Megabytes float64
+
 // Model is a base model that a service's engines run.
 type Model struct {
-	Name core.BaseModel
+	Name    core.BaseModel
+	Weights Megabytes // that its weights take
+	Adapter Megabytes // that each of its adapters takes
 }
 
 // Engine describes the replicas of a service that run models.
 type Engine struct {
 	Batch        int // requests that run concurrently
 	AdapterSlots int
+	Memory       Megabytes // for weights and adapters together; 0: not given
 	Models       []Model
 }
 
