--- a/internal/core/relaynode/writes.go
+++ b/internal/core/relaynode/writes.go
@@ -46,9 +46,12 @@
 		panic(err) // a struct of strings, numbers and booleans: its encoding fails only for a capacity that is not finite
 	}
 	m.due.register = m.now.Add(registerRetryInterval)
-	m.putRegistration(HostsPrefix+r.Name, value, r.Era, 0)
+	m.putRegistration(m.RegistrationKey(), value, r.Era, 0)
 }
 
+// RegistrationKey is the key of this host's registration in the store. It never changes.
+func (m *Machine) RegistrationKey() string { return HostsPrefix + m.settings.Self.Name }
+
 // putRegistration writes this host's registration of an era of the store, whatever is
 // stored there: no other host writes its key.
 func (m *Machine) putRegistration(key string, value []byte, era, version uint64) {
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -105,34 +105,10 @@
 func (g *Gateway) callStore(ctx context.Context, c core.ObjectCall) {
 	result := g.executors.Store.Do(ctx, c)
 	result.Tag = c.Tag
-	g.reportStoreStatus(&result)
+	g.reportStoreStatus(ctx, &result)
 	g.Notify(relaynode.WriteDone{Result: result})
 }
 
-// reportStoreStatus counts a call's outcome, reports to the machine whether the
-// store was reached, and logs when that changes.
-func (g *Gateway) reportStoreStatus(r *core.ObjectResult) {
-	g.count("store.calls." + storeOutcomes[r.Status])
-	reached := r.Status != core.ObjectUnavailable && r.Status != core.ObjectUnknown
-	if reached {
-		g.Notify(relaynode.StoreAnswered{Era: r.Era})
-	} else {
-		g.Notify(relaynode.StoreCallFailed{})
-	}
-	if g.storeReachable.Swap(reached) != reached {
-		log.WithField("dependency", "store").WithField("reached", reached).Warn("dependency changed")
-	}
-}
-
-var storeOutcomes = map[core.ObjectStatus]string{
-	core.ObjectOK:          "ok",
-	core.ObjectNotFound:    "not_found",
-	core.ObjectConflict:    "conflict",
-	core.ObjectUnavailable: "unavailable",
-	core.ObjectUnknown:     "unknown",
-	core.ObjectHistoryGone: "history_gone",
-}
-
 // sendToPeers encodes a message once and sends it to each of its receivers.
 func (g *Gateway) sendToPeers(x relaynode.SendToPeers) {
 	payload, err := cbor.Marshal(x.Message)
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -47,6 +47,9 @@
 
 // Do implements Store.
 func (s *silencedStore) Do(ctx context.Context, c core.ObjectCall) core.ObjectResult {
+	if c.Op == core.ObjectGet { // the check whether the store is away
+		return core.ObjectResult{Status: core.ObjectNotFound}
+	}
 	if time.Now().After(s.silencedAt) {
 		s.find(c.Key)
 		<-ctx.Done()
@@ -56,10 +59,10 @@
 		return core.ObjectResult{Status: core.ObjectOK, Version: 7}
 	}
 	if time.Now().Add(c.Wait).Before(s.silencedAt) {
-		time.Sleep(c.Wait)
+		pause(ctx, c.Wait)
 		return core.ObjectResult{Status: core.ObjectOK, Version: 7}
 	}
-	time.Sleep(c.Wait + clientTime)
+	pause(ctx, c.Wait+clientTime)
 	return core.ObjectResult{Status: core.ObjectUnknown}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -100,6 +100,9 @@
 		}
 		began := time.Now()
 		next, ok := w.poll(ctx, version)
+		if time.Since(began) >= maxRetryDelay {
+			delay = minRetryDelay // the call was cut off while it waited, not refused
+		}
 		if !ok {
 			pause(ctx, delay)
 			delay = min(2*delay, maxRetryDelay)
@@ -161,7 +164,7 @@
 	if interrupted {
 		return 0, true // list again
 	}
-	w.gateway.reportStoreStatus(&result)
+	w.gateway.reportStoreStatus(ctx, &result)
 	switch {
 	case result.Status == core.ObjectHistoryGone:
 		return 0, true
@@ -305,7 +308,7 @@
 		stale := !eraSince.IsZero() && (era == 0 || time.Since(eraSince) > maxStaleness)
 		call := core.ObjectCall{Op: core.ObjectList, Key: strings.TrimSuffix(shard.Prefix, "/"), Stale: stale}
 		result := g.executors.Store.Do(ctx, call)
-		g.reportStoreStatus(&result)
+		g.reportStoreStatus(ctx, &result)
 		answered := result.Status == core.ObjectOK || result.Status == core.ObjectNotFound
 		restored := answered && result.Era != era
 		if answered && (restored || eraSince.IsZero()) {
