--- a/internal/core/origin/versions.go
+++ b/internal/core/origin/versions.go
@@ -10,27 +10,53 @@
 
 // Versions are the software versions that the replicas of each service have run lately.
 type Versions struct {
-	seen map[table.ServiceID]map[replicas.SoftwareVersion]core.Instant // when last
+	seen map[table.ServiceID]map[replicas.SoftwareVersion]sighting
 }
 
+// sighting is when a version was first and last known to run.
+type sighting struct{ first, last core.Instant }
+
 // Observe records that a replica of a service ran a version at a time.
 func (v *Versions) Observe(at core.Instant, s table.ServiceID, version replicas.SoftwareVersion) {
 	if v.seen == nil {
-		v.seen = map[table.ServiceID]map[replicas.SoftwareVersion]core.Instant{}
+		v.seen = map[table.ServiceID]map[replicas.SoftwareVersion]sighting{}
 	}
 	if v.seen[s] == nil {
-		v.seen[s] = map[replicas.SoftwareVersion]core.Instant{}
+		v.seen[s] = map[replicas.SoftwareVersion]sighting{}
+	}
+	x, ok := v.seen[s][version]
+	if !ok {
+		x = sighting{first: at, last: at}
+	}
+	v.seen[s][version] = sighting{first: min(x.first, at), last: max(x.last, at)}
+}
+
+// KnownFor is how long a version has been known to run, 0 if it isn't.
+func (v *Versions) KnownFor(now core.Instant, s table.ServiceID, version replicas.SoftwareVersion) time.Duration {
+	x, ok := v.seen[s][version]
+	if !ok {
+		return 0
 	}
-	if last, ok := v.seen[s][version]; !ok || at > last {
-		v.seen[s][version] = at
+	return now.Sub(x.first)
+}
+
+// Digest returns a hash of the versions of which a stream may still be taken up. It is never 0.
+func (v *Versions) Digest(now core.Instant) uint64 {
+	v.Forget(now)
+	var sum uint64
+	for s, versions := range v.seen {
+		for version := range versions {
+			sum += core.Fingerprint(0, string(s), string(version))
+		}
 	}
+	return max(sum, 1)
 }
 
 // Forget removes the versions of which no stream can be taken up any more.
 func (v *Versions) Forget(now core.Instant) {
 	for _, versions := range v.seen {
-		for version, at := range versions {
-			if now.Sub(at) > Memory {
+		for version, x := range versions {
+			if now.Sub(x.last) > Memory {
 				delete(versions, version)
 			}
 		}
@@ -67,8 +93,8 @@
 	ages := map[string]map[string]int64{}
 	for s, versions := range v.seen {
 		ages[string(s)] = map[string]int64{}
-		for version, at := range versions {
-			ages[string(s)][string(version)] = now.Sub(at).Milliseconds()
+		for version, x := range versions {
+			ages[string(s)][string(version)] = now.Sub(x.last).Milliseconds()
 		}
 	}
 	return ages
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -50,6 +50,11 @@
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
 		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
+		{Name: "stall", Subject: "whether this process has stood still", Age: "the last step before", Reasons: []Reason{
+			{Name: "list_in_doubt", Meaning: "it has; its list of replicas counts again once it has been compared with the store's"}}},
+		{Name: "software", Subject: "whether this host knows all software versions at which streams can have begun lately", Age: "the last comparison of the list of replicas; with `known_elsewhere`: the knowledge", Reasons: []Reason{
+			{Name: "unknown", Meaning: "its list wasn't current for too long: streams whose origin isn't recorded are refused for a minute"},
+			{Name: "known_elsewhere", Meaning: "another host knows all, and has seen the same versions"}}},
 		{Name: "path", Subject: "this host's own path to `upstream`", Detail: "the evidence", Age: "the evidence", Reasons: []Reason{
 			{Name: "blocked", Meaning: "no connection can be opened; other hosts carry requests to it"},
 			{Name: "open", Meaning: "a connection was opened again"},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -113,7 +113,16 @@
 }
 
 // ReplicasListed is the platform's complete list of replicas.
-type ReplicasListed struct{ Entries []replicas.Entry }
+type ReplicasListed struct {
+	Entries []replicas.Entry
+	Sent    core.Instant // when the list was asked for; 0: now
+}
+
+// ReplicasCompared is sent when the store has told what changed in the list of replicas, if
+// anything, after the events of these changes.
+type ReplicasCompared struct {
+	Sent core.Instant // when it was asked
+}
 
 // ReplicaListed is a new or changed entry of the list of replicas.
 type ReplicaListed struct{ Entry replicas.Entry }
@@ -150,7 +159,10 @@
 type StoreCallFailed struct{}
 
 // StoreAnswered is sent when the store has answered, before the event of the answer.
-type StoreAnswered struct{ Era uint64 }
+type StoreAnswered struct {
+	Era  uint64
+	Sent core.Instant // when the call was sent; 0: now
+}
 
 // WriteDone is the result of a write to the store.
 type WriteDone struct{ Result core.ObjectResult }
@@ -230,6 +242,7 @@
 func (ReplicaNoticed) isEvent()    {}
 func (ConfigurationRead) isEvent() {}
 func (ReplicasListed) isEvent()    {}
+func (ReplicasCompared) isEvent()  {}
 func (ReplicaListed) isEvent()     {}
 func (ReplicaUnlisted) isEvent()   {}
 func (VersionAnnounced) isEvent()  {}
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -120,11 +120,13 @@
 		VersionSum:        m.versionSum,
 		IsWatcher:         m.isWatcher() && m.storeAnswers(),
 		ListDigest:        m.listDigest(),
+		ReplicaDigest:     m.replicas.Digest(),
 		ReachableStandbys: m.fleet.DirectStandbys(m.now),
 		RequestRate:       m.arrivalRate(),
 		ConfigRestored:    m.configuration.restored,
 		BlockedParts:      m.parts.tracker.Digest(),
 		Paths:             m.paths.Report(m.now),
+		Software:          m.softwareDigest(),
 	}
 }
 
@@ -199,6 +201,7 @@
 	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts})
 	m.applyPeerCrashes(b.Host, b.Crashes)
 	m.compareState(b)
+	m.compareSoftware(b.Software)
 	if b.Host == from {
 		m.compareVerdicts(from, b.BlockedParts)
 	}
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -49,6 +49,7 @@
 	gossip        gossip
 	changes       changes
 	watch         watchState
+	list          listState
 	rereads       uint64                      // counts the requested rereads of the documents
 	relists       uint64                      // counts the requested rereads of all lists
 	versionSum    uint64                      // of the adapters' newest versions
@@ -93,7 +94,7 @@
 		limits:          newLimits(),
 		paths:           newPathState(core.NewRand(s.Seed)),
 		windows:         window.New(core.NewRand(s.Seed)),
-		origins:         newOrigins(),
+		origins:         newOrigins(s.FirstStart),
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
 		requests:        newRequests(),
@@ -112,7 +113,7 @@
 		m.due.selection, m.due.heartbeat = core.Instant(discoveryTime), core.Instant(discoveryTime)
 	}
 	m.shards.SetLevels(func() map[core.WorkspaceID]float64 { return m.quota.Levels(m.now) })
-	m.shards.SetSoftwareAges(m.softwareAges)
+	m.shards.SetSoftware(m.software)
 	m.shards.SetPartStates(m.partStates)
 	return m
 }
@@ -120,8 +121,8 @@
 // Step handles one event and returns its effects. Time never goes back: an earlier
 // now counts as that of the last step.
 func (m *Machine) Step(now core.Instant, event Event) []Effect {
-	m.now = max(m.now, now)
 	m.effects = nil
+	m.advanceTo(now)
 	switch e := event.(type) {
 	case RequestArrived:
 		m.handleArrival(e)
@@ -137,6 +138,9 @@
 		m.handleConfiguration(e)
 	case ReplicasListed:
 		m.applyReplicaList(e.Entries)
+		m.listCompared(e.Sent)
+	case ReplicasCompared:
+		m.listCompared(e.Sent)
 	case ReplicaListed:
 		m.applyReplicaEntry(e.Entry)
 	case ReplicaUnlisted:
@@ -168,7 +172,7 @@
 		m.watch.storeLost = true
 		m.replicas.StoreLost(m.now)
 	case StoreAnswered:
-		m.handleStoreReached(e.Era)
+		m.handleStoreReached(e)
 	case WriteDone:
 		m.writes.complete(e.Result)
 	case OrderDone:
@@ -207,6 +211,7 @@
 		m.dropIfGone(id)
 	}
 	m.quota.SetReachableFraction(m.now, m.fleet.ReachableFraction(m.now))
+	m.trackSoftware()
 	if m.watch.rereadPending {
 		m.requestReread("store_back", "")
 	}
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -67,6 +67,8 @@
 	Prompts           []Load           `cbor:"16,keyasint,omitempty"` // prompt tokens that are queued at replicas
 	BlockedParts      uint64           `cbor:"17,keyasint,omitempty"` // digest of the prompt parts that are kept from replicas
 	Paths             *reach.Report    `cbor:"18,keyasint,omitempty"` // replicas that it doesn't reach; nil: no change
+	Software          uint64           `cbor:"19,keyasint,omitempty"` // digest of the replicas' software versions that ran lately; 0: it doesn't know all
+	ReplicaDigest     uint64           `cbor:"20,keyasint,omitempty"` // of its list of replicas alone; 0: a former build, which sends ListDigest only
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
 }
 
--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -6,7 +6,6 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/replicas"
-	"gentiancroft/internal/core/shard"
 	"gentiancroft/internal/core/table"
 )
 
@@ -30,13 +29,23 @@
 	own       origin.Records  // by this host
 	versions  origin.Versions // of replicas' software
 	inherited bool            // what earlier processes have observed has been read
+	knownFrom core.Instant    // since when no stream can have begun at a version that versions lacks
+	lostAt    core.Instant    // since when the list of replicas is not current; 0: it is
 	shared    bool            // records are sent to the other hosts
 	resendOwn bool            // those of before are to be sent too: they have begun to be shared, or a host has started
 	unsent    []origin.Record // for the other active hosts
 	unrelayed []origin.Record // for the standby hosts that report to this host
 }
 
-func newOrigins() origins { return origins{known: origin.NewRecords(), own: origin.NewRecords()} }
+// newOrigins returns what a host knows at its start: all there is, where the whole deployment starts
+// for the first time.
+func newOrigins(firstStart bool) origins {
+	o := origins{known: origin.NewRecords(), own: origin.NewRecords()}
+	if firstStart {
+		o.knownFrom = core.Instant(-origin.Memory)
+	}
+	return o
+}
 
 // observeSoftware records the software versions of all replicas.
 func (m *Machine) observeSoftware() {
@@ -48,25 +57,13 @@
 // decideSharing decides whether the other hosts need this host's records.
 func (m *Machine) decideSharing() {
 	m.observeSoftware()
-	needed := m.origins.versions.Mixed(m.now) || !m.listIsFresh()
+	needed := m.origins.versions.Mixed(m.now) || !m.listIsFresh() || !m.knowsSoftware()
 	if needed && !m.origins.shared {
 		m.origins.resendOwn = true
 	}
 	m.origins.shared = needed
 }
 
-// inheritSoftware reads from the shards' leases, once, which software versions ran before this
-// process started.
-func (m *Machine) inheritSoftware() {
-	if m.origins.inherited {
-		return
-	}
-	m.origins.inherited = true
-	for _, ages := range m.shards.SoftwareAges() {
-		m.origins.versions.ObserveAges(m.now, ages)
-	}
-}
-
 // listIsFresh reports whether the list of replicas has lately been compared with the store's,
 // by this host or by a watcher.
 func (m *Machine) listIsFresh() bool {
@@ -81,7 +78,7 @@
 			return v, true
 		}
 	}
-	if !m.origins.inherited || !m.listIsFresh() {
+	if !m.origins.inherited || !m.knowsSoftware() || !m.listIsCurrent() {
 		return 0, false
 	}
 	m.observeSoftware()
@@ -211,9 +208,3 @@
 		m.queueRecords(received...)
 	}
 }
-
-// softwareAges returns the software versions that are kept with each lease.
-func (m *Machine) softwareAges() shard.SoftwareAges {
-	m.observeSoftware()
-	return m.origins.versions.Ages(m.now)
-}
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -140,7 +140,7 @@
 // canRun reports whether a replica has loaded what a request needs, at a version
 // that may still be used, and has the software that a stream must go on at.
 func (m *Machine) canRun(r *request, x *replicas.Replica) bool {
-	if !r.mayGoOnAt(x) {
+	if !r.mayGoOnAt(x) || !m.mayBeginAt(r, x) {
 		return false
 	}
 	if r.service.Engine == nil || r.arrival.Model == "" {
--- a/internal/core/relaynode/software_test.go
+++ b/internal/core/relaynode/software_test.go
@@ -219,8 +219,7 @@
 	h.step(LeasesListed{Objects: leases})
 	h.takeUp("q")
 	h.is.Equal(h.refusal().Code, core.CodeNoUpstream)
-	h.now += origin.Memory + time.Second
-	h.step(StoreAnswered{})
+	h.follow(origin.Memory + time.Second)
 	h.takeUp("q")
 	h.dispatch() // no stream of v1 can be taken up any more
 }
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -32,7 +32,7 @@
 	olderSince    core.Instant                 // when newest was first seen; 0: no other host has newer documents
 	newest        documents                    // newest ones of another host that this host lacks
 	lastReread    core.Instant                 // when documents were last reread
-	lastAnswer    core.Instant                 // when the store last answered this host
+	lastAnswer    core.Instant                 // when the latest call that the store has answered was sent
 	era           uint64                       // of the store; 0: it has given none
 	storeLost     bool                         // the last call to the store failed
 	rereadPending bool                         // a reread is due after rereadInterval
@@ -128,14 +128,15 @@
 
 // handleStoreReached records an answer of the store. After an outage everything is
 // read again: calls that were pending since before it may never be answered.
-func (m *Machine) handleStoreReached(era uint64) {
-	m.applyEra(era)
-	m.watch.lastAnswer = m.now
+func (m *Machine) handleStoreReached(e StoreAnswered) {
+	m.applyEra(e.Era)
+	m.watch.lastAnswer = max(m.watch.lastAnswer, m.sentAt(e.Sent))
 	m.replicas.StoreReached(m.now)
 	if !m.watch.storeLost {
 		return
 	}
 	m.watch.storeLost = false
+	m.list.doubtedAt = m.now
 	m.relists++ // changes during the outage have not reached this host if it missed the watchers' messages too
 	m.requestReread("store_back", "")
 }
@@ -154,7 +155,7 @@
 }
 
 // storeAnswers reports whether the store answers this host: its last call was not
-// refused or lost, and its last answer is not older than storeAnswerTTL.
+// refused or lost, and one that was sent within storeAnswerTTL has been answered.
 func (m *Machine) storeAnswers() bool {
 	return m.watch.lastAnswer != 0 && !m.watch.storeLost && m.now.Sub(m.watch.lastAnswer) < storeAnswerTTL
 }
--- a/internal/core/shard/record.go
+++ b/internal/core/shard/record.go
@@ -1,6 +1,10 @@
 package shard
 
-import "gentiancroft/internal/core"
+import (
+	"time"
+
+	"gentiancroft/internal/core"
+)
 
 // Record is a lease as stored.
 type Record struct {
@@ -17,6 +21,9 @@
 	// Software is which software versions the replicas had at the renewal or before, for
 	// hosts that start.
 	Software SoftwareAges `json:"software,omitempty"`
+	// SoftwareKnownMS is for how long, in ms, the owner had then known all versions; missing: it
+	// hadn't.
+	SoftwareKnownMS int64 `json:"softwareKnown,omitempty"`
 
 	// Parts are the prompt parts under which replicas had ended at the renewal, for hosts that
 	// start.
@@ -50,11 +57,23 @@
 	return all
 }
 
-// SoftwareAges returns the software versions stored with the known leases, one element a lease.
-func (m *Machine) SoftwareAges() []SoftwareAges {
-	var all []SoftwareAges
+// Software is what a lease holds of the replicas' software versions.
+type Software struct {
+	Ages  SoftwareAges
+	Known time.Duration // for how long its owner has known all of them
+}
+
+// Software returns what the known leases hold of the replicas' software versions, one element a
+// lease. A lease of an earlier era may be older than what ran last.
+func (m *Machine) Software() []Software {
+	var all []Software
 	for i := range m.leases {
-		all = append(all, m.leases[i].record.Software)
+		l := &m.leases[i]
+		s := Software{Ages: l.record.Software}
+		if !l.outdated {
+			s.Known = max(time.Duration(l.record.SoftwareKnownMS)*time.Millisecond, 0)
+		}
+		all = append(all, s)
 	}
 	return all
 }
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -87,7 +87,7 @@
 	leaving  bool
 	cutOff   bool                                // from all replicas
 	levels   func() map[core.WorkspaceID]float64 // nil: leases are written without levels
-	software func() SoftwareAges                 // nil: leases are written without it
+	software func() Software                     // nil: leases are written without it
 	parts    func() PartStates                   // nil: leases are written without it
 }
 
@@ -160,8 +160,8 @@
 // SetLevels sets the function that returns the bucket levels stored with each lease.
 func (m *Machine) SetLevels(levels func() map[core.WorkspaceID]float64) { m.levels = levels }
 
-// SetSoftwareAges sets the function that returns the software versions stored with each lease.
-func (m *Machine) SetSoftwareAges(ages func() SoftwareAges) { m.software = ages }
+// SetSoftware sets the function that returns what is stored of software versions with each lease.
+func (m *Machine) SetSoftware(software func() Software) { m.software = software }
 
 // SetPartStates sets the function that returns the states of prompt parts stored with each lease.
 func (m *Machine) SetPartStates(parts func() PartStates) { m.parts = parts }
@@ -282,7 +282,8 @@
 		r.Levels = m.levels()
 	}
 	if m.software != nil {
-		r.Software = m.software()
+		s := m.software()
+		r.Software, r.SoftwareKnownMS = s.Ages, s.Known.Milliseconds()
 	}
 	if m.parts != nil {
 		r.Parts = m.parts()
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -51,7 +51,7 @@
 // request's handler never saw was never reported as ended.
 func TestDispatchThatNobodyCarriesOutIsReportedAsEnded(t *testing.T) {
 	is := is.New(t)
-	g := New(relaynode.New(relaynode.Settings{}), Executors{}, nil, metrics.NewRegistry())
+	g := New(relaynode.New(relaynode.Settings{}), Executors{}, noClock, metrics.NewRegistry())
 	x := g.StartRequest(relaynode.RequestArrived{ID: "before"})
 	g.sendDecision("before", relaynode.Dispatch{ID: "before", Attempt: 1})
 	x.Close() // the caller has left
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -103,9 +103,10 @@
 
 // callStore carries out a write of the machine.
 func (g *Gateway) callStore(ctx context.Context, c core.ObjectCall) {
+	sent := g.clock()
 	result := g.executors.Store.Do(ctx, c)
 	result.Tag = c.Tag
-	g.reportStoreStatus(ctx, &result)
+	g.reportStoreStatus(ctx, sent, &result)
 	g.Notify(relaynode.WriteDone{Result: result})
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -74,7 +74,7 @@
 			is := is.New(t)
 			s := &silencedStore{silencedAt: time.Now().Add(after), found: map[string]time.Time{}, foundAll: make(chan struct{})}
 			g := New(relaynode.New(relaynode.Settings{}), Executors{Store: s, Documents: Documents{
-				ConfigurationKind: "configurations", ReplicasKind: "replicas", VersionsKind: "versions"}}, nil, metrics.NewRegistry())
+				ConfigurationKind: "configurations", ReplicasKind: "replicas", VersionsKind: "versions"}}, noClock, metrics.NewRegistry())
 			g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
--- a/internal/gateway/storestatus_test.go
+++ b/internal/gateway/storestatus_test.go
@@ -58,7 +58,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &cuttingStore{}
-		g := New(relaynode.New(relaynode.Settings{}), Executors{Store: s}, nil, metrics.NewRegistry())
+		g := New(relaynode.New(relaynode.Settings{}), Executors{Store: s}, noClock, metrics.NewRegistry())
 		g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -86,16 +86,16 @@
 func TestAWriteWithoutAnAnswerDoesNotShowThatTheStoreIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := New(relaynode.New(relaynode.Settings{}), Executors{Store: &cuttingStore{}}, nil, metrics.NewRegistry())
+		g := New(relaynode.New(relaynode.Settings{}), Executors{Store: &cuttingStore{}}, noClock, metrics.NewRegistry())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var events storeEvents
 		go events.count(ctx, g)
-		g.reportStoreStatus(ctx, &core.ObjectResult{Status: core.ObjectUnknown})
+		g.reportStoreStatus(ctx, 0, &core.ObjectResult{Status: core.ObjectUnknown})
 		synctest.Wait()
 		is.Equal(events.failed.Load(), int32(0))
 		is.Equal(events.answered.Load(), int32(1))
-		g.reportStoreStatus(ctx, &core.ObjectResult{Status: core.ObjectUnavailable}) // refused, or nothing listens
+		g.reportStoreStatus(ctx, 0, &core.ObjectResult{Status: core.ObjectUnavailable}) // refused, or nothing listens
 		synctest.Wait()
 		is.Equal(events.failed.Load(), int32(1))
 	})
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -58,12 +58,14 @@
 	reread      bool // lists again where another host has reported newer objects
 	onList      func([]core.Object)
 	onChange    func(core.Object)
+	onAnswer    func() // nil, or called after the changes of an answer
 
-	listedOnce bool   // the first list is complete
-	late       bool   // a call has failed since the last answer: changes may have been made long ago
-	era        uint64 // of the store at the last list
-	lastReread uint64 // the machine's count of reread requests at the last list
-	lastRelist uint64 // the same of its requests to list all kinds again
+	sent       core.Instant // when the last call was sent
+	listedOnce bool         // the first list is complete
+	late       bool         // a call has failed since the last answer: changes may have been made long ago
+	era        uint64       // of the store at the last list
+	lastReread uint64       // the machine's count of reread requests at the last list
+	lastRelist uint64       // the same of its requests to list all kinds again
 }
 
 // watches returns the watches of all kinds of objects that the machine reads.
@@ -71,9 +73,12 @@
 	d := g.executors.Documents
 	versions := &watch{gateway: g, kind: d.VersionsKind, minInterval: minVersionsInterval, reread: true, onList: g.versionsListed}
 	versions.onChange = func(o core.Object) { g.sendVersion(o, versions.late) }
+	list := &watch{gateway: g, kind: d.ReplicasKind, minInterval: minReplicasInterval, onChange: g.replicaChanged}
+	list.onList = func(all []core.Object) { g.replicasListed(all, list.sent) }
+	list.onAnswer = func() { g.Notify(relaynode.ReplicasCompared{Sent: list.sent}) }
 	return []*watch{
 		{gateway: g, kind: d.ConfigurationKind, minInterval: minConfigurationInterval, reread: true, onList: forEach(g.configurationChanged), onChange: g.configurationChanged},
-		{gateway: g, kind: d.ReplicasKind, minInterval: minReplicasInterval, onList: g.replicasListed, onChange: g.replicaChanged},
+		list,
 		versions,
 		{gateway: g, kind: strings.TrimSuffix(relaynode.HostsPrefix, "/"), minInterval: minHostsInterval, startAtOnce: true, onList: forEach(g.hostChanged), onChange: g.hostChanged},
 	}
@@ -157,6 +162,7 @@
 	} else {
 		call = core.ObjectCall{Op: core.ObjectWatch, Key: w.kind, IfVersion: version, Wait: watchWait}
 	}
+	w.sent = w.gateway.clock()
 	callCtx, end := w.gateway.reread.attach(ctx)
 	result := w.gateway.executors.Store.Do(callCtx, call)
 	interrupted := callCtx.Err() != nil
@@ -164,7 +170,7 @@
 	if interrupted {
 		return 0, true // list again
 	}
-	w.gateway.reportStoreStatus(ctx, &result)
+	w.gateway.reportStoreStatus(ctx, w.sent, &result)
 	switch {
 	case result.Status == core.ObjectHistoryGone:
 		return 0, true
@@ -185,6 +191,9 @@
 	for _, o := range result.Objects {
 		w.onChange(o)
 	}
+	if w.onAnswer != nil {
+		w.onAnswer()
+	}
 	w.late = false
 	return result.Version, true
 }
@@ -238,7 +247,7 @@
 
 func documentHash(document []byte) uint64 { return core.Fingerprint(0, string(document)) }
 
-func (g *Gateway) replicasListed(all []core.Object) {
+func (g *Gateway) replicasListed(all []core.Object, sent core.Instant) {
 	var entries []replicas.Entry
 	for _, o := range all {
 		e, err := g.executors.Documents.DecodeReplica(objectName(o), o.Value)
@@ -248,7 +257,7 @@
 		}
 		entries = append(entries, e)
 	}
-	g.Notify(relaynode.ReplicasListed{Entries: entries})
+	g.Notify(relaynode.ReplicasListed{Entries: entries, Sent: sent})
 }
 
 func (g *Gateway) replicaChanged(o core.Object) {
@@ -307,8 +316,9 @@
 	for ctx.Err() == nil {
 		stale := !eraSince.IsZero() && (era == 0 || time.Since(eraSince) > maxStaleness)
 		call := core.ObjectCall{Op: core.ObjectList, Key: strings.TrimSuffix(shard.Prefix, "/"), Stale: stale}
+		sent := g.clock()
 		result := g.executors.Store.Do(ctx, call)
-		g.reportStoreStatus(ctx, &result)
+		g.reportStoreStatus(ctx, sent, &result)
 		answered := result.Status == core.ObjectOK || result.Status == core.ObjectNotFound
 		restored := answered && result.Era != era
 		if answered && (restored || eraSince.IsZero()) {
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -12,6 +12,9 @@
 	"gentiancroft/internal/core/relaynode"
 )
 
+// noClock is a clock that tells no time, so that events count as of when they are handled.
+func noClock() core.Instant { return 0 }
+
 // firstCallHangs is a fake store whose first call hangs until it is cancelled.
 type firstCallHangs struct{ calls chan core.ObjectCall }
 
@@ -32,7 +35,7 @@
 func TestAFirstListThatIsInterruptedIsReadAgainAtOnce(t *testing.T) {
 	is := is.New(t)
 	store := firstCallHangs{calls: make(chan core.ObjectCall, 8)}
-	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, nil, metrics.NewRegistry())
+	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, noClock, metrics.NewRegistry())
 	w := &watch{gateway: g, kind: "k", onList: func([]core.Object) {}, onChange: func(core.Object) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -82,7 +85,7 @@
 		{Status: core.ObjectOK, Version: 9, Era: 2, Objects: []core.Object{{Key: "k/a", Version: 3, Era: 2}, {Key: "k/b", Version: 9, Era: 2}}},
 		{Status: core.ObjectOK, Version: 9, Era: 2},
 	}}
-	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, nil, metrics.NewRegistry())
+	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, noClock, metrics.NewRegistry())
 	g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
 	var lists, changes int
 	w := &watch{gateway: g, kind: "k", startAtOnce: true, onList: func([]core.Object) { lists++ }, onChange: func(core.Object) { changes++ }}
@@ -107,7 +110,7 @@
 		{Status: core.ObjectOK, Era: 1},
 		{Status: core.ObjectOK, Era: 2},
 	}}
-	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, nil, metrics.NewRegistry())
+	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, noClock, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- g.readLeases(ctx) }()
@@ -128,7 +131,7 @@
 	store := &scriptedStore{calls: make(chan core.ObjectCall), results: []core.ObjectResult{
 		{Status: core.ObjectOK, Version: 1}, change(2), {Status: core.ObjectUnavailable}, change(3), change(4),
 	}}
-	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, nil, metrics.NewRegistry())
+	g := New(relaynode.New(relaynode.Settings{}), Executors{Store: store}, noClock, metrics.NewRegistry())
 	g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
 	w := &watch{gateway: g, kind: "k", startAtOnce: true, onList: func([]core.Object) {}}
 	late := map[uint64]bool{}
