--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -268,6 +269,7 @@
 	e, err := g.executors.Documents.DecodeReplica(objectName(o), o.Value)
 	if err != nil {
 		logSkipped(o, err)
+		g.Notify(relaynode.ReplicaUnlisted{ID: core.UpstreamID(objectName(o))}) // as a list without its entry
 		return
 	}
 	g.Notify(relaynode.ReplicaListed{Entry: e})
@@ -300,13 +302,25 @@
 		return
 	}
 	var r fleet.Registration
-	if err := json.Unmarshal(o.Value, &r); err != nil || r.Host == "" || r.Name == "" {
+	if err := json.Unmarshal(o.Value, &r); err != nil || r.Name != objectName(o) || !validRegistration(&r) {
 		logSkipped(o, err)
 		return
 	}
 	g.Notify(relaynode.HostListed{Host: r})
 }
 
+// validRegistration reports whether a registration can be that of a host: it names a process, and its
+// addresses can be connected to.
+func validRegistration(r *fleet.Registration) bool {
+	return r.Host != "" && validAddress(r.Link) && validAddress(r.Entry) && r.Capacity >= 0
+}
+
+// validAddress reports whether an address is an ip:port with a port.
+func validAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0
+}
+
 // readLeases lists the shards' leases periodically. Stale answers are accepted, as they
 // only delay a takeover, but not for the first list and while they may be of an earlier
 // era of the store.
