--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	checkingStore    atomic.Bool // a call that checks whether the store is reached is open
 	decisionCounters map[string]metrics.Counter
 	reread           interrupts // interrupts watches so that they list their objects again
+	relist           interrupts // interrupts watches that wait for changes so that they list their objects
 	wake             interrupts // interrupts idle watches so that they check whether to watch
 
 	mu        sync.Mutex
@@ -175,6 +176,9 @@
 	if last.reading.Reread != next.reading.Reread {
 		g.reread.interruptAll()
 	}
+	if next.reading.Relist != last.reading.Relist {
+		g.relist.interruptAll()
+	}
 	if next.reading.Watch && !last.reading.Watch || next.reading.Relist != last.reading.Relist {
 		g.wake.interruptAll()
 	}
--- /dev/null
+++ b/internal/gateway/objects.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+
+	"github.com/apex/log"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/relaynode"
+	"gentiancroft/internal/core/replicas"
+)
+
+// logSkipped logs an object that can't be decoded.
+func logSkipped(o core.Object, err error) {
+	log.WithField("object", o.Key).WithField("version", o.Version).WithError(err).Warn("object skipped")
+}
+
+// objectName returns the part of an object's key after its kind.
+func objectName(o core.Object) string {
+	_, n, _ := strings.Cut(o.Key, "/")
+	return n
+}
+
+func (g *Gateway) configurationChanged(o core.Object) {
+	if o.Deleted {
+		return
+	}
+	t, err := g.executors.Documents.DecodeTable(o.Value)
+	if err != nil {
+		logSkipped(o, err)
+		return
+	}
+	g.Notify(relaynode.ConfigurationRead{Table: t, Document: o.Value, Hash: documentHash(o.Value), Revision: o.Revision()})
+}
+
+// configurationReceived decodes a configuration that another host has read from the
+// store. The event carries no document, which marks it as reported by a peer.
+func (g *Gateway) configurationReceived(from core.HostID, document []byte, restored uint64) {
+	t, err := g.executors.Documents.DecodeTable(document)
+	if err != nil {
+		log.WithField("peer", string(from)).WithError(err).Warn("configuration of a peer skipped")
+		return
+	}
+	g.Notify(relaynode.ConfigurationRead{Table: t, Hash: documentHash(document), Restored: restored})
+}
+
+func documentHash(document []byte) uint64 { return core.Fingerprint(0, string(document)) }
+
+func (g *Gateway) replicasListed(all []core.Object, sent core.Instant) {
+	var entries []replicas.Entry
+	for _, o := range all {
+		e, err := g.executors.Documents.DecodeReplica(objectName(o), o.Value)
+		if err != nil {
+			logSkipped(o, err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	g.Notify(relaynode.ReplicasListed{Entries: entries, Sent: sent})
+}
+
+func (g *Gateway) replicaChanged(o core.Object) {
+	if o.Deleted {
+		g.Notify(relaynode.ReplicaUnlisted{ID: core.UpstreamID(objectName(o))})
+		return
+	}
+	e, err := g.executors.Documents.DecodeReplica(objectName(o), o.Value)
+	if err != nil {
+		logSkipped(o, err)
+		g.Notify(relaynode.ReplicaUnlisted{ID: core.UpstreamID(objectName(o))}) // as a list without its entry
+		return
+	}
+	g.Notify(relaynode.ReplicaListed{Entry: e})
+}
+
+func (g *Gateway) versionsListed(all []core.Object) {
+	for _, o := range all {
+		g.sendVersion(o, true)
+	}
+	g.Notify(relaynode.VersionsRead{})
+}
+
+// sendVersion sends an announced version to the machine. late is set where it may have been
+// announced long ago.
+func (g *Gateway) sendVersion(o core.Object, late bool) {
+	if o.Deleted {
+		return
+	}
+	model, ref, err := g.executors.Documents.DecodeVersion(o.Value)
+	if err != nil {
+		logSkipped(o, err)
+		return
+	}
+	g.Notify(relaynode.VersionAnnounced{Model: model, Adapter: ref, Listed: late})
+}
+
+func (g *Gateway) hostChanged(o core.Object) {
+	if o.Deleted {
+		g.Notify(relaynode.HostUnlisted{Name: objectName(o)})
+		return
+	}
+	var r fleet.Registration
+	if err := json.Unmarshal(o.Value, &r); err != nil || r.Name != objectName(o) || !validRegistration(&r) {
+		logSkipped(o, err)
+		return
+	}
+	g.Notify(relaynode.HostListed{Host: r})
+}
+
+// validRegistration reports whether a registration can be that of a host: it names a process, and its
+// addresses can be connected to.
+func validRegistration(r *fleet.Registration) bool {
+	return r.Host != "" && validAddress(r.Link) && validAddress(r.Entry) && r.Capacity >= 0
+}
+
+// validAddress reports whether an address is an ip:port with a port.
+func validAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -99,3 +99,38 @@
 		})
 	}
 }
+
+// A call that waits was sent before the machine asked for a list: its answer shows nothing of what came
+// later.
+func TestAWatchThatWaitsIsInterruptedForAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &silencedStore{silencedAt: time.Now().Add(time.Hour)}
+		calls := &countedStore{Store: s, calls: make(chan core.ObjectCall, 8)}
+		g := New(relaynode.New(relaynode.Settings{}), Executors{Store: calls}, noClock, metrics.NewRegistry())
+		g.status.Store(&status{reading: relaynode.ReadPlan{Watch: true}})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := &watch{gateway: g, kind: "k", startAtOnce: true, onList: func([]core.Object) {}, onChange: func(core.Object) {}}
+		go func() { _ = w.run(ctx) }()
+		is.Equal((<-calls.calls).Op, core.ObjectList)
+		is.Equal((<-calls.calls).Op, core.ObjectWatch)
+		synctest.Wait()
+		began := time.Now()
+		g.relist.interruptAll()
+		is.Equal((<-calls.calls).Op, core.ObjectList)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// countedStore passes the calls to another store.
+type countedStore struct {
+	Store
+	calls chan core.ObjectCall
+}
+
+// Do implements Store.
+func (s *countedStore) Do(ctx context.Context, c core.ObjectCall) core.ObjectResult {
+	s.calls <- c
+	return s.Store.Do(ctx, c)
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,19 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/netip"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"gentiancroft/internal/core"
-	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/relaynode"
-	"gentiancroft/internal/core/replicas"
-	"gentiancroft/internal/core/shard"
 )
 
 // Timeouts and intervals of the watches.
@@ -31,11 +23,6 @@
 	// formingStartDelay replaces watchStartDelay while a whole deployment starts, which
 	// takes its hosts longer to learn who watches.
 	formingStartDelay = 3500 * time.Millisecond
-	leasesInterval    = time.Second // between two reads of the leases
-
-	leasesStandbyInterval = 4 * time.Second // the same on a standby host
-
-	maxStaleness = 10 * time.Second // age of a stale answer
 )
 
 // Minimum times from a call that found changes to the next one, both taken at their
@@ -165,8 +152,10 @@
 	}
 	w.sent = w.gateway.clock()
 	callCtx, end := w.gateway.reread.attach(ctx)
+	callCtx, endRelist := w.gateway.relist.attach(callCtx)
 	result := w.gateway.executors.Store.Do(callCtx, call)
 	interrupted := callCtx.Err() != nil
+	endRelist()
 	end()
 	if interrupted {
 		return 0, true // list again
@@ -211,180 +200,3 @@
 	case <-t.C:
 	}
 }
-
-// logSkipped logs an object that can't be decoded.
-func logSkipped(o core.Object, err error) {
-	log.WithField("object", o.Key).WithField("version", o.Version).WithError(err).Warn("object skipped")
-}
-
-// objectName returns the part of an object's key after its kind.
-func objectName(o core.Object) string {
-	_, n, _ := strings.Cut(o.Key, "/")
-	return n
-}
-
-func (g *Gateway) configurationChanged(o core.Object) {
-	if o.Deleted {
-		return
-	}
-	t, err := g.executors.Documents.DecodeTable(o.Value)
-	if err != nil {
-		logSkipped(o, err)
-		return
-	}
-	g.Notify(relaynode.ConfigurationRead{Table: t, Document: o.Value, Hash: documentHash(o.Value), Revision: o.Revision()})
-}
-
-// configurationReceived decodes a configuration that another host has read from the
-// store. The event carries no document, which marks it as reported by a peer.
-func (g *Gateway) configurationReceived(from core.HostID, document []byte, restored uint64) {
-	t, err := g.executors.Documents.DecodeTable(document)
-	if err != nil {
-		log.WithField("peer", string(from)).WithError(err).Warn("configuration of a peer skipped")
-		return
-	}
-	g.Notify(relaynode.ConfigurationRead{Table: t, Hash: documentHash(document), Restored: restored})
-}
-
-func documentHash(document []byte) uint64 { return core.Fingerprint(0, string(document)) }
-
-func (g *Gateway) replicasListed(all []core.Object, sent core.Instant) {
-	var entries []replicas.Entry
-	for _, o := range all {
-		e, err := g.executors.Documents.DecodeReplica(objectName(o), o.Value)
-		if err != nil {
-			logSkipped(o, err)
-			continue
-		}
-		entries = append(entries, e)
-	}
-	g.Notify(relaynode.ReplicasListed{Entries: entries, Sent: sent})
-}
-
-func (g *Gateway) replicaChanged(o core.Object) {
-	if o.Deleted {
-		g.Notify(relaynode.ReplicaUnlisted{ID: core.UpstreamID(objectName(o))})
-		return
-	}
-	e, err := g.executors.Documents.DecodeReplica(objectName(o), o.Value)
-	if err != nil {
-		logSkipped(o, err)
-		g.Notify(relaynode.ReplicaUnlisted{ID: core.UpstreamID(objectName(o))}) // as a list without its entry
-		return
-	}
-	g.Notify(relaynode.ReplicaListed{Entry: e})
-}
-
-func (g *Gateway) versionsListed(all []core.Object) {
-	for _, o := range all {
-		g.sendVersion(o, true)
-	}
-	g.Notify(relaynode.VersionsRead{})
-}
-
-// sendVersion sends an announced version to the machine. late is set where it may have been
-// announced long ago.
-func (g *Gateway) sendVersion(o core.Object, late bool) {
-	if o.Deleted {
-		return
-	}
-	model, ref, err := g.executors.Documents.DecodeVersion(o.Value)
-	if err != nil {
-		logSkipped(o, err)
-		return
-	}
-	g.Notify(relaynode.VersionAnnounced{Model: model, Adapter: ref, Listed: late})
-}
-
-func (g *Gateway) hostChanged(o core.Object) {
-	if o.Deleted {
-		g.Notify(relaynode.HostUnlisted{Name: objectName(o)})
-		return
-	}
-	var r fleet.Registration
-	if err := json.Unmarshal(o.Value, &r); err != nil || r.Name != objectName(o) || !validRegistration(&r) {
-		logSkipped(o, err)
-		return
-	}
-	g.Notify(relaynode.HostListed{Host: r})
-}
-
-// validRegistration reports whether a registration can be that of a host: it names a process, and its
-// addresses can be connected to.
-func validRegistration(r *fleet.Registration) bool {
-	return r.Host != "" && validAddress(r.Link) && validAddress(r.Entry) && r.Capacity >= 0
-}
-
-// validAddress reports whether an address is an ip:port with a port.
-func validAddress(address string) bool {
-	a, err := netip.ParseAddrPort(address)
-	return err == nil && a.Port() != 0
-}
-
-// readLeases lists the shards' leases periodically. Stale answers are accepted, as they
-// only delay a takeover, but not for the first list and while they may be of an earlier
-// era of the store.
-func (g *Gateway) readLeases(ctx context.Context) error {
-	var era uint64
-	var eraSince time.Time // zero: nothing was read yet
-	for ctx.Err() == nil {
-		stale := !eraSince.IsZero() && (era == 0 || time.Since(eraSince) > maxStaleness)
-		call := core.ObjectCall{Op: core.ObjectList, Key: strings.TrimSuffix(shard.Prefix, "/"), Stale: stale}
-		sent := g.clock()
-		result := g.executors.Store.Do(ctx, call)
-		g.reportStoreStatus(ctx, sent, &result)
-		answered := result.Status == core.ObjectOK || result.Status == core.ObjectNotFound
-		restored := answered && result.Era != era
-		if answered && (restored || eraSince.IsZero()) {
-			era, eraSince = result.Era, time.Now()
-		}
-		if restored && stale {
-			continue // the list may be of the earlier era
-		}
-		if answered {
-			g.Notify(relaynode.LeasesListed{Era: result.Era, Objects: result.Objects})
-		}
-		if g.status.Load().reading.Standby {
-			pause(ctx, leasesStandbyInterval)
-		} else {
-			pause(ctx, leasesInterval)
-		}
-	}
-	return ctx.Err()
-}
-
-// interrupts is a set of waiting calls that can be interrupted together.
-type interrupts struct {
-	mu      sync.Mutex
-	lastID  int
-	cancels map[int]context.CancelFunc
-}
-
-// attach returns a context that interruptAll cancels, and a function that removes
-// it from the set and must be called.
-func (i *interrupts) attach(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.cancels == nil {
-		i.cancels = map[int]context.CancelFunc{}
-	}
-	i.lastID++
-	id := i.lastID
-	i.cancels[id] = cancel
-	return ctx, func() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		delete(i.cancels, id)
-		cancel()
-	}
-}
-
-// interruptAll cancels all attached contexts.
-func (i *interrupts) interruptAll() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, cancel := range i.cancels {
-		cancel()
-	}
-}
