--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -57,16 +57,17 @@
 // decideSharing decides whether the other hosts need this host's records.
 func (m *Machine) decideSharing() {
 	m.observeSoftware()
-	needed := m.origins.versions.Mixed(m.now) || !m.listIsFresh() || !m.knowsSoftware()
+	needed := m.origins.versions.Mixed(m.now) || !m.followsList() || !m.knowsSoftware()
 	if needed && !m.origins.shared {
 		m.origins.resendOwn = true
 	}
 	m.origins.shared = needed
 }
 
-// listIsFresh reports whether the list of replicas has lately been compared with the store's,
-// by this host or by a watcher.
-func (m *Machine) listIsFresh() bool {
+// followsList reports whether this host follows the list of replicas, by its own calls or a watcher's
+// messages. Unlike listIsCurrent it bears a list that lags for a moment, so that sharing doesn't
+// begin anew at each change.
+func (m *Machine) followsList() bool {
 	return m.storeAnswers() || m.firstWatcher() != "" && !m.listDiffers()
 }
 
