Whether a service has a settled replica is found once in 20 ms

Cause: each request asked for each replica of an unsettled version, which scans the service: replicas squared a request in the first 3.2 s of a host, 22 ms by estimate at 670 replicas. And whether the list is current was asked at each tick; it is asked every 100 ms now, with the selection of the active hosts.

--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -42,6 +42,7 @@
 	if m.now >= m.due.selection {
 		m.due.selection = m.now.Add(selectInterval)
 		m.selectActive()
+		m.trackSoftware()
 	}
 	if m.now < m.due.heartbeat {
 		return
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -211,7 +211,6 @@
 		m.dropIfGone(id)
 	}
 	m.quota.SetReachableFraction(m.now, m.fleet.ReachableFraction(m.now))
-	m.trackSoftware()
 	if m.watch.rereadPending {
 		m.requestReread("store_back", "")
 	}
--- a/internal/core/relaynode/origins.go
+++ b/internal/core/relaynode/origins.go
@@ -31,6 +31,7 @@
 	inherited bool            // what earlier processes have observed has been read
 	knownFrom core.Instant    // since when no stream can have begun at a version that versions lacks
 	lostAt    core.Instant    // since when the list of replicas is not current; 0: it is
+	settled   settledReplicas
 	shared    bool            // records are sent to the other hosts
 	resendOwn bool            // those of before are to be sent too: they have begun to be shared, or a host has started
 	unsent    []origin.Record // for the other active hosts
--- a/internal/core/relaynode/software.go
+++ b/internal/core/relaynode/software.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -13,8 +14,9 @@
 // A host takes the only software version that it has seen for the one at which a stream began. That
 // holds if it has seen all versions at which streams can have begun lately. It hasn't where it has
 // just started, unless it learns the rest from the leases or from another host, and where its list
-// of replicas wasn't current for a while. So that a short while doesn't count, no host begins streams at a version
-// that is new until all others know it, or know that their lists aren't current.
+// of replicas wasn't current for a while. So that a short while doesn't count, no host begins
+// streams at a version that is new until all others know it, or know that their lists aren't
+// current.
 
 const (
 	// settleTime is how long a software version must be known before streams begin at it, while
@@ -97,10 +99,10 @@
 // mayBeginAt reports whether a stream may begin at a replica's software version. A new version waits
 // for settleTime while replicas of other versions serve.
 func (m *Machine) mayBeginAt(r *request, x *replicas.Replica) bool {
-	if r.software != 0 || m.settled(x) || !m.hasSettledReplica(x.Service) {
+	if r.software != 0 || m.settled(x) {
 		return true
 	}
-	return !r.route.Resumable || r.service.Engine == nil
+	return !m.hasSettledReplica(x.Service) || !r.route.Resumable || r.service.Engine == nil
 }
 
 // settled reports whether the software version of a replica has been known for settleTime.
@@ -108,13 +110,29 @@
 	return m.origins.versions.KnownFor(m.now, x.Service, x.Software) >= settleTime
 }
 
+// settledReplicas is which services have a replica for new requests whose software version isn't new,
+// as found at a time.
+type settledReplicas struct {
+	at        core.Instant
+	byService map[table.ServiceID]bool
+}
+
+// settledTTL is how long what was found counts: each request asks for each replica.
+const settledTTL = 20 * time.Millisecond
+
 // hasSettledReplica reports whether a service has a replica for new requests whose software version
 // isn't new.
 func (m *Machine) hasSettledReplica(s table.ServiceID) bool {
-	for _, x := range m.replicas.ByService(s) {
-		if !x.Unavailable() && !x.Down(m.now) && m.settled(x) {
-			return true
-		}
+	known := &m.origins.settled
+	if known.byService == nil || m.now.Sub(known.at) >= settledTTL {
+		*known = settledReplicas{at: m.now, byService: map[table.ServiceID]bool{}}
+	}
+	has, ok := known.byService[s]
+	if !ok {
+		has = slices.ContainsFunc(m.replicas.ByService(s), func(x *replicas.Replica) bool {
+			return !x.Unavailable() && !x.Down(m.now) && m.settled(x)
+		})
+		known.byService[s] = has
 	}
-	return false
+	return has
 }
