--- a/internal/gateway/objects.go
+++ b/internal/gateway/objects.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/netip"
 	"strings"
 
 	"github.com/apex/log"
@@ -11,6 +10,7 @@
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/upstream"
 )
 
 // logSkipped logs an object that can't be decoded.
@@ -113,11 +113,5 @@
 // validRegistration reports whether a registration can be that of a host: it names a process, and its
 // addresses can be connected to.
 func validRegistration(r *fleet.Registration) bool {
-	return r.Host != "" && validAddress(r.Link) && validAddress(r.Entry) && r.Capacity >= 0
-}
-
-// validAddress reports whether an address is an ip:port with a port.
-func validAddress(address string) bool {
-	a, err := netip.ParseAddrPort(address)
-	return err == nil && a.Port() != 0
+	return r.Host != "" && upstream.ValidAddress(r.Link) && upstream.ValidAddress(r.Entry) && r.Capacity >= 0
 }
--- a/internal/gateway/storestatus.go
+++ b/internal/gateway/storestatus.go
@@ -9,9 +9,10 @@
 	"gentiancroft/internal/core/relaynode"
 )
 
-// reportStoreStatus counts the outcome of a call that was sent at a time and reports to the machine whether the store was
-// reached. A call that ended without an answer doesn't tell: the store may cut off a watch that
-// waits, and a connection may have gone silent. A call on a new connection then decides.
+// reportStoreStatus counts the outcome of a call that was sent at a time and reports to the machine
+// whether the store was reached. A call that ended without an answer doesn't tell: the store may cut
+// off a watch that waits, and a connection may have gone silent. A call on a new connection then
+// decides.
 func (g *Gateway) reportStoreStatus(ctx context.Context, sent core.Instant, r *core.ObjectResult) {
 	g.count("store.calls." + storeOutcomes[r.Status])
 	if r.Status != core.ObjectUnknown {
