A request waits for a copy of its adapter where those that have it are full

Now such a request demands the adapter on a replica that has room, waits for it as for any other adapter, and takes a place that becomes free meanwhile. Where every replica is full it is refused at once as before.

--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -212,7 +212,7 @@
 		return
 	}
 	x.OwnRequests = max(x.OwnRequests-1, 0)
-	m.placementDue = m.placementDue || m.brittle(x)
+	m.placementDue = m.placementDue || m.brittle(x) || r.service.Engine != nil && m.requests.anyWaiting()
 	switch e.Kind {
 	case EndOK:
 		m.recordSuccess(x.ID)
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -61,7 +61,7 @@
 		}
 		return
 	}
-	if c.saturated {
+	if c.saturated && !m.canLoadOnUnsaturated(r) {
 		m.refuse(r, core.Refuse(core.CodeOverloaded, retryAfterSaturated, "every replica that could run it is full"))
 		return
 	}
@@ -137,6 +137,17 @@
 	return slices.ContainsFunc(m.preferredReplicas(r), func(x *replicas.Replica) bool { return !m.limited(x) && !m.brittle(x) })
 }
 
+// canLoadOnUnsaturated reports whether a request's adapter can be loaded on a replica that has
+// room for more requests: a popular adapter can fill the few replicas that have it while others are idle.
+func (m *Machine) canLoadOnUnsaturated(r *request) bool {
+	if r.arrival.Adapter == "" || r.service.Engine == nil {
+		return false
+	}
+	return slices.ContainsFunc(m.preferredReplicas(r), func(x *replicas.Replica) bool {
+		return m.loadRank(r, x) == rankLoadable
+	})
+}
+
 // canRun reports whether a replica has loaded what a request needs, at a version
 // that may still be used, and has the software that a stream must go on at.
 func (m *Machine) canRun(r *request, x *replicas.Replica) bool {
--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -206,3 +206,53 @@
 	h.step(ReplicaChecked{Replica: "e1", Started: 1, Result: CheckEnded}) // of the earlier one
 	h.is.True(!h.m.replicas.Get("e1").Down(core.Instant(h.now)))
 }
+
+// saturate fills the replicas that have adapter x.
+func (h *host) saturate() {
+	for _, id := range []core.UpstreamID{"e1", "e2"} {
+		h.m.replicas.Get(id).OtherRequests = 7
+	}
+}
+
+// Guards against refusals for a popular adapter whose few replicas are full while others are idle.
+func TestRequestWaitsForItsAdapterOnAnIdleReplicaWhereThoseThatHaveItAreFull(t *testing.T) {
+	h := newOwner(t)
+	h.saturate()
+	id := h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	_, refused := get[Refuse](h)
+	h.is.True(!refused)
+	order, ordered := get[SendOrder](h)
+	h.is.True(ordered)
+	h.is.Equal(order.Replica, core.UpstreamID("e3"))
+	h.m.replicas.ApplyResidency(core.Instant(h.now), replicas.Residency{
+		Replica: "e3", Started: 1, Orders: 9, Models: []replicas.Model{{Name: model, Version: 1, Adapters: []core.AdapterRef{{ID: "x", Version: 1}}}},
+	})
+	h.m.placementDue = true
+	h.advance(20 * time.Millisecond)
+	d := h.dispatch()
+	h.is.Equal(d.ID, id)
+	h.is.Equal(d.Upstream, core.UpstreamID("e3"))
+}
+
+// Guards against a request that waits on although a replica that has its adapter has room again.
+func TestRequestThatWaitsForACopyTakesAPlaceThatBecomesFree(t *testing.T) {
+	h := newOwner(t)
+	first := h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	running := h.dispatch()
+	h.is.Equal(running.ID, first)
+	h.saturate()
+	h.m.replicas.Get(running.Upstream).OtherRequests = 6
+	waiting := h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	h.is.Equal(len(h.sent()), 0)
+	h.endAttempt(running, EndOK)
+	h.is.Equal(h.dispatch().ID, waiting)
+}
+
+// Guards against requests that wait although no replica has room.
+func TestRequestIsRefusedAtOnceWhereEveryReplicaIsFull(t *testing.T) {
+	h := newOwner(t)
+	h.saturate()
+	h.m.replicas.Get("e3").OtherRequests = 7
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	h.is.Equal(h.refusal().Code, core.CodeOverloaded)
+}
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -103,6 +103,16 @@
 	return nil
 }
 
+// anyWaiting reports whether a request waits for a replica.
+func (t *requests) anyWaiting() bool {
+	for _, r := range t.byID {
+		if r.stage == stageWaiting && !r.closed {
+			return true
+		}
+	}
+	return false
+}
+
 // waiting returns the waiting requests, the most urgent first.
 func (t *requests) waiting() []*request {
 	all := slices.DeleteFunc(t.all(), func(r *request) bool { return r.stage != stageWaiting || r.closed })
