A host that has just started doesn't fill its token buckets as if it were cut off

For its first second a host now fills at the whole rate. Test: 2 of 6 requests within the rate served before, 6 of 6 after.

--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -1,6 +1,8 @@
 package relaynode
 
 import (
+	"time"
+
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/dispatch/retry"
 	"gentiancroft/internal/core/fleet"
@@ -210,7 +212,7 @@
 	for _, id := range m.replicas.Tick(m.now) {
 		m.dropIfGone(id)
 	}
-	m.quota.SetReachableFraction(m.now, m.fleet.ReachableFraction(m.now))
+	m.updateQuotaFraction()
 	if m.watch.rereadPending {
 		m.requestReread("store_back", "")
 	}
@@ -232,6 +234,20 @@
 	m.finishLeaving()
 }
 
+// firstHeartbeatsTime is how long after its start a host may not have heard a host that it reaches.
+const firstHeartbeatsTime = time.Second
+
+// updateQuotaFraction tells the quota machine which fraction of the fleet this host reaches. A host that
+// has just started doesn't know: where all hosts have restarted, each of them would take itself for cut off
+// and refuse what is within a workspace's rate. The buckets of a host that has just started are nearly empty, so that
+// a fleet that restarts in several parts can't exceed a rate by more than this time's worth.
+func (m *Machine) updateQuotaFraction() {
+	if m.now < core.Instant(firstHeartbeatsTime) {
+		return
+	}
+	m.quota.SetReachableFraction(m.now, m.fleet.ReachableFraction(m.now))
+}
+
 // applySettings applies changed settings.
 func (m *Machine) applySettings(e SettingsChanged) {
 	s := &m.settings
--- a/internal/core/relaynode/restore_test.go
+++ b/internal/core/relaynode/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -265,3 +266,29 @@
 	_, only := h.m.origins.versions.Only(core.Instant(h.now), "engines")
 	is.True(!only)
 }
+
+// Guards against hosts that refuse what is within a workspace's rate after all of them have restarted: each had read the
+// others' registrations, had heard none of them yet and filled its buckets at a tenth of the rate.
+func TestHostThatHasJustStartedDoesNotTakeItselfForCutOff(t *testing.T) {
+	h := &host{is: is.New(t), m: New(Settings{Self: fleet.Registration{Name: "a", Host: "a/1", Domain: "a"}})}
+	h.now = 200 * time.Millisecond
+	h.step(ConfigurationRead{Table: testTable()})
+	h.step(VersionsRead{})
+	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s1", services), replica("s2", services)}})
+	for i := range 9 {
+		name := "b" + strconv.Itoa(i)
+		h.step(HostListed{Host: fleet.Registration{Name: name, Host: core.HostID(name + "/1"), Domain: "a"}})
+	}
+	served := 0
+	for range 30 { // three requests of 10 tokens in 300 ms; the rate is 100 tokens a second
+		h.advance(20 * time.Millisecond)
+		if served < 6 && h.keyWorks() {
+			served++
+		}
+	}
+	h.is.Equal(served, 6)
+	h.advance(time.Second)
+	h.is.Equal(h.m.fleet.ReachableFraction(core.Instant(h.now)), 0.1)
+	_, fraction := h.m.quota.Level(core.Instant(h.now), "w")
+	h.is.Equal(fraction, 0.1) // it still has heard none of them
+}
