Error shares of replicas: first attempts and retries avoid one that fails part of its requests

Cause: an answer 500 added 0.15 to a score that halves with each success, and multiplied the load. With a replica that fails 45 % of its requests, first attempts went on to it, and a retry chose by load between the rest. Where hosts see few answers, the score also decided between idle replicas long after the recovery.

Change: internal/core/errorshare keeps the answers of each incarnation (last 20, half-life 5 s) and compares them with the rest of the service. A replica far above its siblings is avoided by first attempts, except for one in 20; a retry pays 10 times the error share. 4xx answers count as the request's fault; resets and hangs count as failures. An error no longer adds to the failure score.

--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -196,8 +196,7 @@
 // Weights of failed attempts in a replica's failure score.
 const (
 	weightBroken       = 1.0
-	weightError        = 0.15 // the request may be the cause
-	weightNotRun       = 0.5  // the replica is saturated
+	weightNotRun       = 0.5 // the replica is saturated
 	weightUnresponsive = 0.7
 )
 
@@ -213,11 +212,10 @@
 	}
 	x.OwnRequests = max(x.OwnRequests-1, 0)
 	m.placementDue = m.placementDue || m.brittle(x)
+	m.observeErrors(r, x, &e)
 	switch e.Kind {
 	case EndOK:
 		m.recordSuccess(x.ID)
-	case EndError:
-		m.recordFailure(x.ID, weightError)
 	case EndNotRun:
 		m.recordFailure(x.ID, weightNotRun)
 		m.observeRejection(x)
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -68,6 +68,7 @@
 	m.residency.RemoveReplica(id)
 	m.paths.Forget(id)
 	delete(m.failures, id)
+	m.errors.Forget(m.now, id)
 	delete(m.waiters, id)
 	delete(m.unsent, id)
 	m.emit(LogDecision{Name: "replica", Reason: "gone", Upstream: id})
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -3,6 +3,7 @@
 import (
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/dispatch/retry"
+	"gentiancroft/internal/core/errorshare"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/forecast"
 	"gentiancroft/internal/core/quota"
@@ -39,6 +40,8 @@
 	paths           pathState
 	windows         *window.Windows
 	failures        map[core.UpstreamID]*core.Decaying
+	errors          *errorshare.Shares
+	avoided         map[core.UpstreamID]bool        // as last logged
 	lastExtraDemand map[core.AdapterID]core.Instant // when another copy or a newer version was last demanded
 
 	requests      *requests
@@ -96,6 +99,8 @@
 		windows:         window.New(core.NewRand(s.Seed)),
 		origins:         newOrigins(s.FirstStart),
 		failures:        map[core.UpstreamID]*core.Decaying{},
+		errors:          errorshare.New(),
+		avoided:         map[core.UpstreamID]bool{},
 		lastExtraDemand: map[core.AdapterID]core.Instant{},
 		requests:        newRequests(),
 		writes:          writes{pending: map[uint64]func(core.ObjectResult){}},
@@ -226,6 +231,7 @@
 	m.checkRequests()
 	m.checkEnds()
 	m.expireParts()
+	m.endAvoided()
 	m.sendPartReports()
 	m.expireLimits()
 	m.sendLimitNews()
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -157,11 +157,15 @@
 }
 
 // choose returns the replica with the lowest utilization and the shortest queue of prompts,
-// weighted against failures, remote failure domains, earlier attempts and older versions.
+// weighted against failures, error shares, remote failure domains, earlier attempts and older versions.
 func (m *Machine) choose(r *request, from []*replicas.Replica) *replicas.Replica {
+	if x := m.errorProbe(r, from); x != nil {
+		return x
+	}
 	score := func(x *replicas.Replica) float64 {
 		s := (float64(x.Load())+1)/float64(max(x.Batch, 1)) + m.promptPressure(r, x, r.arrival.Prompt)
 		s *= 1 + failureWeight*m.failureScore(x.ID)
+		s += m.errorCost(r, x)
 		if x.Domain != m.settings.Self.Domain {
 			s += remoteDomainWeight
 		}
--- a/internal/core/relaynode/state.go
+++ b/internal/core/relaynode/state.go
@@ -31,6 +31,7 @@
 	Others       int           // requests of other hosts there
 	ReportAge    time.Duration // since its owner last reported its residency; 0: never
 	FailureScore float64       // decaying failure score
+	ErrorShare   float64       // expected share of failures in its next answers
 }
 
 // WorkspaceState is the state of one workspace's bucket on this host.
@@ -73,7 +74,7 @@
 		}
 	}
 	for _, x := range m.replicas.All() {
-		s.Replicas = append(s.Replicas, ReplicaState{ID: x.ID, Own: x.OwnRequests, Others: x.OtherRequests, ReportAge: x.ReportAge(m.now), FailureScore: m.failureScore(x.ID)})
+		s.Replicas = append(s.Replicas, ReplicaState{ID: x.ID, Own: x.OwnRequests, Others: x.OtherRequests, ReportAge: x.ReportAge(m.now), FailureScore: m.failureScore(x.ID), ErrorShare: m.errors.Assess(m.now, errorKey(x)).Share})
 	}
 	for id, granted := range m.quota.Admitted() {
 		level, _ := m.quota.Level(m.now, id)
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -84,6 +84,7 @@
 		g.setGauge(prefix+".in_flight_elsewhere", int64(x.Others))
 		milliseconds(prefix+".told_age_ms", x.ReportAge)
 		metrics.GetOrRegisterGaugeFloat64(prefix+".failures_lately", g.registry).Update(x.FailureScore)
+		metrics.GetOrRegisterGaugeFloat64(prefix+".error_share", g.registry).Update(x.ErrorShare)
 	}
 	for _, w := range s.Workspaces {
 		prefix := prefixWorkspace + string(w.ID)
