Model of each replica: first events and pauses (core/replicamodel)

Cause: the choice knew one reading speed for all engines of a service. Engines differ in speed (1.0 to 1.3) and turn slow for seconds. Change: core/replicamodel takes the place of core/forecast. The service's model learns the reading speed (as before), what of a first event doesn't depend on prompts, the time that a place is held, and the gaps between events with and without queued prompts. Each incarnation has a factor against it: a lasting part and one that passes with a half-life of 2 s; requests that wait longer than predicted count before they are answered. Streams report their events once, at the end of an attempt. Metrics: service.*.first_event*_us. Measured (tests, virtual time): speeds 1.0 and 1.3 are told apart, a slowdown of 3.5 is found within four answers and forgotten within a second of answers or three half-lives without any.

--- a/internal/core/relaynode/effects.go
+++ b/internal/core/relaynode/effects.go
@@ -6,6 +6,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/residency"
+	"gentiancroft/internal/core/table"
 )
 
 // Effect is an output of the machine, to be carried out by its caller.
@@ -100,6 +101,14 @@
 	Total     time.Duration
 }
 
+// FirstEventSeen is the first event of an attempt at an engine for which a time had been
+// predicted, for the metrics only. Times are from the dispatch.
+type FirstEventSeen struct {
+	Service   table.ServiceID
+	Predicted time.Duration
+	Took      time.Duration
+}
+
 // LeaveCompleted is sent when the graceful shutdown is complete and the process may exit.
 type LeaveCompleted struct{}
 
@@ -117,3 +126,4 @@
 func (LogDecision) isEffect()    {}
 func (LeaveCompleted) isEffect() {}
 func (RequestEnded) isEffect()   {}
+func (FirstEventSeen) isEffect() {}
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -17,6 +17,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/promptpart"
+	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/residency"
 	"gentiancroft/internal/core/table"
@@ -80,6 +81,7 @@
 	LastEvent        string        // last event that was sent to the caller
 	RetryAfter       time.Duration // as given by the replica; 0: none
 	Answer           AnswerEvidence
+	Stream           replicamodel.Stream // the events of a stream
 }
 
 // AnswerEvidence describes the answer that ended an attempt, for the log.
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if !r.answerStarted {
-		m.observeSpeed(r)
+		m.observeFirstEvent(r)
 	}
 	r.answerStarted, r.answeringSince = true, m.now
 	if r.carrier == (core.Carrier{}) {
@@ -207,6 +207,7 @@
 	m.endPrompt(r)
 	m.observePath(r, &e)
 	m.observeEnd(r, &e)
+	m.observeEvents(r, &e)
 	x := m.replicas.Get(r.upstream)
 	if x == nil {
 		return
@@ -282,6 +283,7 @@
 func (m *Machine) checkRequests() {
 	for _, r := range m.requests.due(m.now) {
 		r.nextCheck = m.now.Add(requestCheckInterval)
+		m.observeUnanswered(r)
 		switch {
 		case r.closed:
 		case m.now >= r.deadline:
--- a/internal/core/relaynode/loads.go
+++ b/internal/core/relaynode/loads.go
@@ -4,11 +4,15 @@
 	"time"
 
 	"gentiancroft/internal/core"
-	"gentiancroft/internal/core/forecast"
+	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/table"
 )
 
+// paceCheckInterval is how often a request that waits for its first event is held against what
+// was predicted.
+const paceCheckInterval = 100 * time.Millisecond
+
 // hostLoad is what another host has at the replicas.
 type hostLoad struct {
 	requests []Load
@@ -56,11 +60,29 @@
 	}
 }
 
-// countPrompt counts the prompt of a request that is sent to a replica.
+// countPrompt counts the prompt of a request that is sent to a replica, and keeps what is
+// predicted of it there.
 func (m *Machine) countPrompt(r *request, x *replicas.Replica) {
 	r.promptCounted = true
 	x.OwnPrompts += r.arrival.Prompt
-	r.queuedPrompts = x.QueuedPrompts()
+	r.sentTo = loadOf(x)
+	if r.service.Engine == nil {
+		r.expected, r.predicted = 0, replicamodel.Prediction{}
+		return
+	}
+	service := m.model(r.service.ID)
+	r.expected = service.FirstEvent(r.sentTo)
+	r.predicted = service.Predict(m.now, &x.Pace, r.sentTo)
+}
+
+// loadOf returns the load at a replica.
+func loadOf(x *replicas.Replica) replicamodel.Load {
+	return replicamodel.Load{Requests: x.Load(), Batch: x.Batch, Prompts: x.QueuedPrompts()}
+}
+
+// loadWith returns the load at a replica with one more request.
+func loadWith(x *replicas.Replica, prompt core.Tokens) replicamodel.Load {
+	return replicamodel.Load{Requests: x.Load() + 1, Batch: x.Batch, Prompts: x.QueuedPrompts() + prompt}
 }
 
 // endPrompt stops counting the prompt of a request whose replica has sent the first event,
@@ -70,29 +92,69 @@
 		return
 	}
 	r.promptCounted = false
-	if x := m.replicas.Get(r.upstream); x != nil && x.Started == r.upstreamStarted {
+	if x := m.sentReplica(r); x != nil {
 		x.OwnPrompts = max(x.OwnPrompts-r.arrival.Prompt, 0)
 	}
 }
 
-// speed returns the learned reading speed of a service's engines.
-func (m *Machine) speed(id table.ServiceID) *forecast.Speed {
-	s := m.speeds[id]
+// model returns what is learned of the engines of a service.
+func (m *Machine) model(id table.ServiceID) *replicamodel.Service {
+	s := m.models[id]
 	if s == nil {
-		s = &forecast.Speed{}
-		m.speeds[id] = s
+		s = &replicamodel.Service{}
+		m.models[id] = s
 	}
 	return s
 }
 
-// observeSpeed learns from the first event of a request.
-func (m *Machine) observeSpeed(r *request) {
-	if r.service.Engine != nil {
-		m.speed(r.service.ID).Observe(r.queuedPrompts, m.now.Sub(r.stageSince))
+// observeFirstEvent learns from the first event of a request.
+func (m *Machine) observeFirstEvent(r *request) {
+	if r.service.Engine == nil {
+		return
+	}
+	took := m.now.Sub(r.stageSince)
+	if x := m.sentReplica(r); x != nil {
+		x.Pace.Observe(m.now, r.expected, took)
+	}
+	m.model(r.service.ID).ObserveFirstEvent(r.sentTo, took)
+	if r.predicted.FirstEvent > 0 {
+		m.emit(FirstEventSeen{Service: r.service.ID, Predicted: r.predicted.FirstEvent, Took: took})
+	}
+}
+
+// observeUnanswered learns from a request that waits for its first event for longer than
+// predicted: a replica that has become slow shows it before it answers.
+func (m *Machine) observeUnanswered(r *request) {
+	if r.stage != stageRunning || r.answerStarted || r.service.Engine == nil || r.route.Kind != table.Streaming || m.now < r.nextPaceCheck {
+		return
+	}
+	r.nextPaceCheck = m.now.Add(paceCheckInterval)
+	if x := m.sentReplica(r); x != nil {
+		x.Pace.ObserveWaiting(m.now, r.expected, m.now.Sub(r.stageSince))
+	}
+}
+
+// observeEvents learns from the events of an attempt that has ended.
+func (m *Machine) observeEvents(r *request, e *AttemptEnded) {
+	if r.service.Engine == nil {
+		return
+	}
+	m.model(r.service.ID).ObserveStream(e.Stream)
+	if e.Kind == EndOK && r.answerStarted {
+		m.model(r.service.ID).ObservePlace(m.now.Sub(r.answeringSince))
+	}
+}
+
+// sentReplica returns the replica of a request's latest attempt, nil where another incarnation
+// runs now.
+func (m *Machine) sentReplica(r *request) *replicas.Replica {
+	if x := m.replicas.Get(r.upstream); x != nil && x.Started == r.upstreamStarted {
+		return x
 	}
+	return nil
 }
 
-// promptDelay is how long a replica takes to read the prompts queued at it and one more.
+// promptDelay is how long the first event of a request with a prompt takes at a replica.
 func (m *Machine) promptDelay(x *replicas.Replica, prompt core.Tokens) time.Duration {
-	return m.speed(x.Service).ReadTime(x.QueuedPrompts() + prompt)
+	return m.model(x.Service).Predict(m.now, &x.Pace, loadWith(x, prompt)).FirstEvent
 }
--- a/internal/core/relaynode/loads_test.go
+++ b/internal/core/relaynode/loads_test.go
@@ -20,7 +20,7 @@
 		h.step(ReplicaListed{Entry: e})
 	}
 	for range 20 {
-		h.m.speed(engines).Observe(10000, time.Second)
+		h.m.model(engines).Speed.Observe(10000, time.Second)
 	}
 	return h
 }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -4,8 +4,8 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/dispatch/retry"
 	"gentiancroft/internal/core/fleet"
-	"gentiancroft/internal/core/forecast"
 	"gentiancroft/internal/core/quota"
+	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/residency"
 	"gentiancroft/internal/core/shard"
@@ -45,7 +45,7 @@
 	placementDue  bool // a replica may have become usable for waiting requests
 	writes        writes
 	loads         map[core.HostID]hostLoad
-	speeds        map[table.ServiceID]*forecast.Speed
+	models        map[table.ServiceID]*replicamodel.Service
 	gossip        gossip
 	changes       changes
 	watch         watchState
@@ -100,7 +100,7 @@
 		requests:        newRequests(),
 		writes:          writes{pending: map[uint64]func(core.ObjectResult){}},
 		loads:           map[core.HostID]hostLoad{},
-		speeds:          map[table.ServiceID]*forecast.Speed{},
+		models:          map[table.ServiceID]*replicamodel.Service{},
 		gossip:          gossip{latest: map[core.HostID]Heartbeat{}},
 		waiters:         residencyWaiters{},
 		watch:           watchState{differSince: map[core.HostID]core.Instant{}},
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/origin"
+	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/table"
 )
 
@@ -31,17 +33,20 @@
 	stage      stage
 	stageSince core.Instant // start of the stage
 
-	attempt          int             // attempts sent
-	queuedPrompts    core.Tokens     // prompt tokens at the replica when the latest attempt was sent, its own included
-	promptCounted    bool            // its prompt counts as queued at the replica
-	possibleRuns     int             // ended attempts that may have run
-	notReached       int             // ended attempts for which no connection could be opened
-	upstream         core.UpstreamID // of the latest attempt
-	carrier          core.Carrier    // that carries it; the zero value: none does
-	upstreamStarted  int64           // start of its incarnation at that time
-	version          int             // of its adapter there at that time; 0: unknown, or no adapter
-	sentSoftware     origin.Software // of its replica at that time
-	software         origin.Software // at which alone the request may run, since it goes on with a stream; 0: any
+	attempt          int                     // attempts sent
+	sentTo           replicamodel.Load       // at the replica when the latest attempt was sent, the request included
+	expected         time.Duration           // from its dispatch to its first event, at an average replica
+	predicted        replicamodel.Prediction // of the latest attempt
+	nextPaceCheck    core.Instant            // when the wait for its first event is next held against that
+	promptCounted    bool                    // its prompt counts as queued at the replica
+	possibleRuns     int                     // ended attempts that may have run
+	notReached       int                     // ended attempts for which no connection could be opened
+	upstream         core.UpstreamID         // of the latest attempt
+	carrier          core.Carrier            // that carries it; the zero value: none does
+	upstreamStarted  int64                   // start of its incarnation at that time
+	version          int                     // of its adapter there at that time; 0: unknown, or no adapter
+	sentSoftware     origin.Software         // of its replica at that time
+	software         origin.Software         // at which alone the request may run, since it goes on with a stream; 0: any
 	tried            []core.UpstreamID
 	answerStarted    bool         // the replica has started to answer the latest attempt
 	answeringSince   core.Instant // when it did
--- a/internal/core/forecast/forecast.go
+++ b/internal/core/replicamodel/speed.go
@@ -1,9 +1,4 @@
-// Package forecast predicts how long an engine takes to read the prompts that are queued
-// at it. An engine reads prompts one after the other, between the steps of the requests
-// that already generate: the tokens to be read tell more about the time until a first
-// event than the number of requests does. The reading speed is learned from the first
-// events of earlier requests. Which replica gets a request is decided elsewhere.
-package forecast
+package replicamodel
 
 import (
 	"math"
@@ -47,9 +42,11 @@
 
 // ReadTime returns how long an engine takes to read a number of tokens, and 0 while the
 // speed is not known.
-func (s *Speed) ReadTime(tokens core.Tokens) time.Duration {
+func (s *Speed) ReadTime(tokens core.Tokens) time.Duration { return seconds(s.readSeconds(tokens)) }
+
+func (s *Speed) readSeconds(tokens core.Tokens) float64 {
 	if s.tokensPerSecond == 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / s.tokensPerSecond * float64(time.Second))
+	return float64(tokens) / s.tokensPerSecond
 }
--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/replicamodel/speed_test.go
@@ -1,4 +1,4 @@
-package forecast
+package replicamodel
 
 import (
 	"testing"
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/table"
 )
 
@@ -56,6 +57,7 @@
 	OtherRequests  int                    // other hosts' requests there, as last reported
 	OwnPrompts     core.Tokens            // prompts of this host's requests that have had no event yet
 	OtherPrompts   core.Tokens            // the same of other hosts, as last reported
+	Pace           replicamodel.Replica   // of this incarnation against its service
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
 	pausedUntil    core.Instant           // it has asked this host to send it nothing until then
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,6 +230,8 @@
 		g.logDecision(x)
 	case relaynode.RequestEnded:
 		g.recordRequestEnd(x)
+	case relaynode.FirstEventSeen:
+		g.recordFirstEvent(x)
 	case relaynode.LeaveCompleted:
 		g.mayExit <- struct{}{} // sent once, so the buffer of one never blocks
 	}
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -50,6 +50,23 @@
 	observe("total_us", s.Total)
 }
 
+// recordFirstEvent records how well a first event was predicted.
+func (g *Gateway) recordFirstEvent(e relaynode.FirstEventSeen) {
+	const reservoir, decay = 512, 0.015
+	prefix := prefixService + string(e.Service) + "."
+	observe := func(name string, d time.Duration) {
+		sample := func() metrics.Histogram {
+			return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
+		}
+		if h, ok := g.registry.GetOrRegister(prefix+name, sample).(metrics.Histogram); ok {
+			h.Update(d.Microseconds())
+		}
+	}
+	observe("first_event_predicted_us", e.Predicted)
+	observe("first_event_us", e.Took)
+	observe("first_event_error_us", (e.Took - e.Predicted).Abs())
+}
+
 // UpdateMetrics updates the gauges that describe the machine's state. It is called when
 // the metrics page is read, so that a host without a scraper spends nothing on it.
 func (g *Gateway) UpdateMetrics() {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,6 +1,34 @@
 package relay
 
-import "bytes"
+import (
+	"bytes"
+	"time"
+
+	"gentiancroft/internal/core/replicamodel"
+)
+
+// eventTimes are the times at which the events of one attempt's stream arrived.
+type eventTimes struct {
+	count       int
+	first, last time.Time
+	largestGap  time.Duration
+}
+
+// add records events that arrived together.
+func (t *eventTimes) add(now time.Time, events int) {
+	if t.count == 0 {
+		t.first = now
+	} else {
+		t.largestGap = max(t.largestGap, now.Sub(t.last))
+	}
+	t.count += events
+	t.last = now
+}
+
+// summary returns what the node learns from.
+func (t *eventTimes) summary() replicamodel.Stream {
+	return replicamodel.Stream{Events: t.count, Lasted: t.last.Sub(t.first), LargestGap: t.largestGap}
+}
 
 // lineEnds are the bytes that end a line of an event stream: LF, CRLF or CR.
 const lineEnds = "\r\n"
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,7 +48,8 @@
 	hasEvent    bool   // the answer has had a complete event
 	insideEvent bool   // the answer has ended inside an event
 	endMarked   bool   // the caller's answer marks its end, by its last chunk
-	released    bool   // the attempt's end has been reported to the node
+	events      eventTimes
+	released    bool // the attempt's end has been reported to the node
 }
 
 // beginStream waits for the first complete event and starts the caller's answer. It
@@ -88,6 +89,7 @@
 	e.LastEvent = s.lastEvent
 	e.Answer = evidence(s.answer)
 	e.Answer.InsideEvent = s.insideEvent
+	e.Stream = s.events.summary()
 	s.answer.Close()
 	s.cancel()
 	s.task.attemptEnded(s.dispatch, e)
@@ -103,7 +105,9 @@
 	s.buffer = slices.Grow(s.buffer, readSize)
 	n, err := s.answer.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	s.findEvents()
+	if found := s.findEvents(); found > 0 {
+		s.events.add(time.Now(), found)
+	}
 	if err == nil {
 		return
 	}
@@ -118,12 +122,13 @@
 	}
 }
 
-// findEvents finds the complete events in the buffer and the last event id in them.
-func (s *stream) findEvents() {
-	for {
+// findEvents finds the complete events in the buffer and the last event id in them. It returns
+// how many there are.
+func (s *stream) findEvents() (found int) {
+	for ; ; found++ {
 		length, id := scanEvent(s.buffer[s.readyBytes:])
 		if length == 0 {
-			return
+			return found
 		}
 		if id != nil {
 			s.lastEvent = string(id)
@@ -204,7 +209,7 @@
 		}
 		s.task.server.node.Notify(relaynode.AnswerStarted{ID: d.ID, Attempt: d.Attempt})
 		s.dispatch, s.attempt, s.cancel, s.answer = d, attempt, cancel, answer
-		s.released, s.complete, s.broken, s.hasEvent = false, false, nil, false
+		s.released, s.complete, s.broken, s.hasEvent, s.events = false, false, nil, false, eventTimes{}
 		return true
 	}
 }
