Choice of a replica by predicted first event and pause

Cause: the choice weighed occupied places and queued tokens at one speed for all. About 10,000 queued tokens at a replica make all streams there miss their gap, which it didn't count, and a slowed replica got its full share. Change: choose is split into costs (score.go): occupied places scaled by the replica's factor, the predicted first event against the objective (later ones cost more), the predicted pause against the least MaxEventGap of the service's routes weighted with the streams there, and failures, domain, path, tried and version as before. With no observations it equals the former choice. Dispatch lines have the two predictions.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -48,8 +48,8 @@
 			{Name: "room", Meaning: "only brittle replicas can run it, and they have no room for requests of this host"},
 			{Name: "permit", Meaning: "only replicas that name a limit can run it; a permit is asked for"},
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
-		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
-			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
+		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; of an engine whose answers are known: the predicted time until the first event, and the predicted pause in the streams that run there; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
+			{Name: "least_occupied", Meaning: "the replica with the lowest cost among those that can run it: predicted first event, predicted pause and occupied places"}}},
 		{Name: "stall", Subject: "whether this process has stood still", Age: "the last step before", Reasons: []Reason{
 			{Name: "list_in_doubt", Meaning: "it has; its list of replicas counts again once it has been compared with the store's"}}},
 		{Name: "software", Subject: "whether this host knows all software versions at which streams can have begun lately", Age: "the last comparison of the list of replicas; with `known_elsewhere`: the knowledge", Reasons: []Reason{
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -25,14 +25,6 @@
 	saturationThreshold = 1.6
 )
 
-// Weights in the score by which a replica is chosen; the lowest score wins.
-const (
-	failureWeight      = 3.0  // factor of the failure score
-	remoteDomainWeight = 0.08 // added utilization of a replica in a remote failure domain
-	triedWeight        = 10.0 // added where the request has already failed
-	olderVersionWeight = 1.0  // added where the adapter is of an older version
-)
-
 // place sends a request to a replica, lets it wait for its adapter or refuses it.
 func (m *Machine) place(r *request) {
 	if m.refuseBlocked(r) {
@@ -156,52 +148,20 @@
 	return ok && version >= m.minVersion(r.arrival.Adapter) && m.beginsInTime(r, x, version)
 }
 
-// choose returns the replica with the lowest utilization and the shortest queue of prompts,
-// weighted against failures, remote failure domains, earlier attempts and older versions.
+// choose returns the replica with the lowest cost for a request (score.go).
 func (m *Machine) choose(r *request, from []*replicas.Replica) *replicas.Replica {
-	score := func(x *replicas.Replica) float64 {
-		s := (float64(x.Load())+1)/float64(max(x.Batch, 1)) + m.promptPressure(r, x, r.arrival.Prompt)
-		s *= 1 + failureWeight*m.failureScore(x.ID)
-		if x.Domain != m.settings.Self.Domain {
-			s += remoteDomainWeight
-		}
-		if m.paths.Blocked(x.ID) {
-			s += carriedWeight
-		}
-		if slices.Contains(r.tried, x.ID) {
-			s += triedWeight
-		}
-		if version, ok := x.AdapterVersion(r.arrival.Adapter); ok && version < m.versions[r.arrival.Adapter].newest() {
-			s += olderVersionWeight
-		}
-		return s
-	}
+	s := m.newScorer(r)
 	first := m.rng.IntN(len(from)) // ties are broken evenly
-	best, lowest := from[first], score(from[first])
+	best, lowest := from[first], s.score(from[first])
 	for i := 1; i < len(from); i++ {
 		x := from[(first+i)%len(from)]
-		if s := score(x); s < lowest {
-			best, lowest = x, s
+		if cost := s.score(x); cost < lowest {
+			best, lowest = x, cost
 		}
 	}
 	return best
 }
 
-// promptPressure is how long a replica takes to read the prompts queued at it and one more,
-// as a fraction of the route's objective.
-func (m *Machine) promptPressure(r *request, x *replicas.Replica, more core.Tokens) float64 {
-	if r.service.Engine == nil || r.route.LatencyTarget <= 0 {
-		return 0
-	}
-	return m.promptDelay(x, more).Seconds() / r.route.LatencyTarget.Seconds()
-}
-
-// utilization is the higher one of a replica's occupancy and the pressure of the prompts
-// queued at it.
-func (m *Machine) utilization(r *request, x *replicas.Replica) float64 {
-	return max(x.Occupancy(), m.promptPressure(r, x, 0))
-}
-
 // placeWaiting places the waiting requests that can run now, the most urgent first, if a
 // replica may have become usable. Invariant: it isn't called while a request is being placed;
 // placing one makes demands, which can change replicas again. Each repetition follows a
@@ -259,6 +219,9 @@
 // dispatchDetail describes a dispatch for the log.
 func (m *Machine) dispatchDetail(r *request, x *replicas.Replica) string {
 	text := "load " + utoa(uint64(x.Load()))
+	if p := r.predicted; p.FirstEvent > 0 {
+		text += ", first event in " + utoa(uint64(p.FirstEvent.Milliseconds())) + " ms, pause " + utoa(uint64(p.Pause.Milliseconds())) + " ms"
+	}
 	switch {
 	case r.partDelivered:
 		text += ", goes on at " + string(x.Software)
--- /dev/null
+++ b/internal/core/relaynode/score.go
@@ -0,0 +1,136 @@
+package relaynode
+
+import (
+	"slices"
+	"time"
+
+	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/replicamodel"
+	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/table"
+)
+
+// The cost of a replica for a request. Its unit is the route's objective: a first event that takes
+// the whole objective costs 1, and so does a full batch. The lowest cost wins.
+
+// Weights of the costs.
+const (
+	failureWeight      = 3.0  // factor of the failure score
+	remoteDomainWeight = 0.08 // added for a replica in a remote failure domain
+	triedWeight        = 10.0 // added where the request has already failed
+	olderVersionWeight = 1.0  // added where the adapter is of an older version
+	// latenessWeight is added for each objective by which the first event is late: a late one
+	// loses a part of its benefit, an earlier one gains none.
+	latenessWeight = 2.0
+	// pauseWeight is added where all places of a replica are streams that miss their gap. They
+	// lose as much as requests whose first events are late.
+	pauseWeight = 2.0
+)
+
+// scorer computes the costs of replicas for one request.
+type scorer struct {
+	m      *Machine
+	r      *request
+	model  *replicamodel.Service // nil: a plain service
+	gap    time.Duration         // that the streams of the service may have; 0: any
+	newest int                   // version of the adapter
+}
+
+func (m *Machine) newScorer(r *request) scorer {
+	s := scorer{m: m, r: r, newest: m.versions[r.arrival.Adapter].newest()}
+	if r.service.Engine != nil {
+		s.model, s.gap = m.model(r.service.ID), m.gapOf(r.service.ID)
+	}
+	return s
+}
+
+// gapOf returns the least gap between events that routes to a service allow; 0: any.
+func (m *Machine) gapOf(id table.ServiceID) (gap time.Duration) {
+	for i := range m.table.Routes {
+		route := &m.table.Routes[i]
+		leads := slices.ContainsFunc(route.Targets, func(t table.Target) bool { return t.Service == id })
+		if leads && route.MaxEventGap > 0 && (gap == 0 || route.MaxEventGap < gap) {
+			gap = route.MaxEventGap
+		}
+	}
+	return gap
+}
+
+// score returns the cost of a replica.
+func (s *scorer) score(x *replicas.Replica) float64 {
+	p := replicamodel.Prediction{Factor: 1}
+	if s.model != nil {
+		p = s.model.Predict(s.m.now, &x.Pace, loadWith(x, s.r.arrival.Prompt))
+	}
+	cost := occupancyCost(x, p) + firstEventCost(p, s.r.route.LatencyTarget) + pauseCost(x, p, s.gap)
+	cost *= 1 + failureWeight*s.m.failureScore(x.ID)
+	return cost + s.domainCost(x) + s.pathCost(x) + s.triedCost(x) + s.versionCost(x)
+}
+
+// occupancyCost is the part of the replica's places that are taken with the request. Those of a
+// slower replica count for more.
+func occupancyCost(x *replicas.Replica, p replicamodel.Prediction) float64 {
+	return float64(x.Load()+1) / float64(max(x.Batch, 1)) * p.Factor
+}
+
+// firstEventCost is the predicted time of the first event against the route's objective.
+func firstEventCost(p replicamodel.Prediction, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	objectives := p.FirstEvent.Seconds() / objective.Seconds()
+	return objectives + latenessWeight*max(objectives-1, 0)
+}
+
+// pauseCost is by how much the replica's streams miss their gap while it reads the queued prompts,
+// weighted by how many there are.
+func pauseCost(x *replicas.Replica, p replicamodel.Prediction, gap time.Duration) float64 {
+	if gap <= 0 || p.Pause <= gap {
+		return 0
+	}
+	missed := min(p.Pause.Seconds()/gap.Seconds()-1, 1)
+	return pauseWeight * missed * float64(x.Load()+1) / float64(max(x.Batch, 1))
+}
+
+func (s *scorer) domainCost(x *replicas.Replica) float64 {
+	if x.Domain != s.m.settings.Self.Domain {
+		return remoteDomainWeight
+	}
+	return 0
+}
+
+func (s *scorer) pathCost(x *replicas.Replica) float64 {
+	if s.m.paths.Blocked(x.ID) {
+		return carriedWeight
+	}
+	return 0
+}
+
+func (s *scorer) triedCost(x *replicas.Replica) float64 {
+	if slices.Contains(s.r.tried, x.ID) {
+		return triedWeight
+	}
+	return 0
+}
+
+func (s *scorer) versionCost(x *replicas.Replica) float64 {
+	if version, ok := x.AdapterVersion(s.r.arrival.Adapter); ok && version < s.newest {
+		return olderVersionWeight
+	}
+	return 0
+}
+
+// promptPressure is how long the first event of a request with more prompt tokens takes at a
+// replica, as a fraction of the route's objective.
+func (m *Machine) promptPressure(r *request, x *replicas.Replica, more core.Tokens) float64 {
+	if r.service.Engine == nil || r.route.LatencyTarget <= 0 {
+		return 0
+	}
+	return m.promptDelay(x, more).Seconds() / r.route.LatencyTarget.Seconds()
+}
+
+// utilization is the higher one of a replica's occupancy and the pressure of the prompts
+// queued at it.
+func (m *Machine) utilization(r *request, x *replicas.Replica) float64 {
+	return max(x.Occupancy(), m.promptPressure(r, x, 0))
+}
