The watches of a host share their retries while the store refuses calls

Each watch retried by itself every 0.6 s. While the store doesn't answer, one watch now tries each 0.6 s and the others wait for its answer. Test: refused calls in 6 s at most 2 for each watch and one each 0.6 s (failed before); every kind is listed as soon after the store's return as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	mayExit          chan struct{}
 	status           atomic.Pointer[status]
 	storeReachable   atomic.Bool // whether the last call reached the store
+	retries          retryGate
 	checkingStore    atomic.Bool // a call that checks whether the store is reached is open
 	decisionCounters map[string]metrics.Counter
 	reread           interrupts // interrupts watches so that they list their objects again
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -97,7 +97,7 @@
 			delay = minRetryDelay // the call was cut off while it waited, not refused
 		}
 		if !ok {
-			pause(ctx, delay)
+			w.gateway.awaitRetry(ctx, delay)
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
