An engine that has rejected a request gets no other one for 100 ms

It now waits, and its adapter is demanded on another engine. Test: the attempt after a rejection was sent at once before.

--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -220,6 +220,7 @@
 	case EndNotRun:
 		m.recordFailure(x.ID, weightNotRun)
 		m.observeRejection(x)
+		m.avoidRejecting(x)
 	case EndAdapterMissing:
 		m.replicas.MarkNotLoaded(x.ID, r.arrival.Adapter)
 	case EndBroken:
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -67,6 +67,7 @@
 	arrivals      core.Decaying // requests, with arrivalHalfLife
 	requiredCores float64       // capacity that the active hosts must have, in cores
 	pausesUntil   core.Instant  // when the last pause of a replica ends; 0: none is paused
+	rejectsUntil  core.Instant  // until when an engine that has rejected a request gets no other one; 0: none has
 	leavingSince  core.Instant  // 0: not leaving
 	leaveDone     bool
 }
@@ -223,6 +224,7 @@
 	}
 	m.applyRewrite()
 	m.endPauses()
+	m.endRejections()
 	m.register()
 	m.probePaths()
 	m.yieldShards()
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -102,7 +102,7 @@
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
 		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x) || !reachable(x.ID):
-		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
+		case r.service.Engine != nil && (x.Occupancy() >= saturationThreshold || x.Rejects(m.now)) && r.software == 0:
 			c.saturated = true
 		case !m.hasRoom(x):
 			c.roomless = true
--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -256,3 +256,21 @@
 	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
 	h.is.Equal(h.refusal().Code, core.CodeOverloaded)
 }
+
+// Guards against a request that is sent to the same full engine again and again within a few milliseconds, because
+// it alone has the adapter, until the request's attempts are used up.
+func TestEngineThatHasRejectedARequestGetsNoOtherOneForAMoment(t *testing.T) {
+	h := newOwner(t)
+	h.m.replicas.Get("e2").OtherRequests = 7 // full
+	id := h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x"})
+	d := h.dispatch()
+	h.is.Equal(d.Upstream, core.UpstreamID("e1"))
+	h.endAttempt(d, EndNotRun)
+	h.is.Equal(len(h.sent()), 0)
+	h.advance(rejectionTime / 2)
+	h.is.Equal(len(h.sent()), 0)
+	h.advance(rejectionTime / 2)
+	again := h.dispatch()
+	h.is.Equal(again.ID, id)
+	h.is.Equal(again.Upstream, core.UpstreamID("e1"))
+}
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -61,6 +61,7 @@
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
 	pausedUntil    core.Instant           // it has asked this host to send it nothing until then
+	rejectsUntil   core.Instant           // it has just rejected a request for want of room
 	downUntil      core.Instant           // its process has ended, as far as this host has seen, and is tried again then
 	adapters       map[core.AdapterID]int // versions of the loaded adapters
 	baseModels     map[core.BaseModel]bool
@@ -99,6 +100,10 @@
 // Down reports whether nothing listened at the replica's address a moment ago.
 func (r *Replica) Down(now core.Instant) bool { return now < r.downUntil }
 
+// Rejects reports whether the replica rejected a request a moment ago, so that the next one would
+// be rejected as well.
+func (r *Replica) Rejects(now core.Instant) bool { return now < r.rejectsUntil }
+
 // HasModel reports whether a base model is loaded on the replica.
 func (r *Replica) HasModel(m core.BaseModel) bool { return r.baseModels[m] }
 
@@ -308,6 +313,14 @@
 	}
 }
 
+// MarkRejecting records that an incarnation of a replica has rejected a request and is to get no other one
+// for d.
+func (s *Set) MarkRejecting(now core.Instant, id core.UpstreamID, started int64, d time.Duration) {
+	if r := s.byID[id]; r != nil && r.Started == started {
+		r.rejectsUntil = now.Add(d)
+	}
+}
+
 // MarkDown records that nothing listens at the address of an incarnation of a replica, which is to
 // be tried again after d.
 func (s *Set) MarkDown(now core.Instant, id core.UpstreamID, started int64, d time.Duration) {
