Copies of popular adapters as long as targets are missed; waiting for one where all are saturated

Cause: one more copy a second and host, by occupied places only, was too slow for an adapter that takes a fifth of the requests. Where every replica with the adapter was saturated, requests were refused and no copy was demanded. Change: while the best replica is predicted to miss the objective or the gap, the copies may double every 250 ms, at the first replicas in the adapter's order that would meet it; all hosts demand the same ones.

--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -27,6 +27,15 @@
 	// copyInterval is the minimum time between two demands for another copy of an
 	// adapter.
 	copyInterval = time.Second
+	// shortageInterval is that time while requests for the adapter are predicted to miss a
+	// target. It is about as long as a load takes: an earlier demand would not know its result.
+	shortageInterval = 250 * time.Millisecond
+	// copyTargetOccupancy is the occupancy below which a replica takes a copy. A fuller one would
+	// soon be short of places itself.
+	copyTargetOccupancy = 0.8
+	// maxCopiesAtOnce bounds the copies that are demanded at once. The weight store slows down
+	// beyond 48 adapters in transit, which other adapters need too.
+	maxCopiesAtOnce = 16
 )
 
 // preferredReplicas returns the replicas on which an adapter can be loaded, in order
@@ -73,7 +82,7 @@
 	slices.SortStableFunc(preferred, func(a, b *replicas.Replica) int { return m.loadRank(r, a) - m.loadRank(r, b) })
 	for _, x := range preferred {
 		_, older := x.AdapterVersion(r.arrival.Adapter)
-		if !m.sendDemand(r, x) {
+		if m.saturated(r, x) && m.canRun(r, x) || !m.sendDemand(r, x) {
 			continue
 		}
 		demanded = true
@@ -147,23 +156,90 @@
 	return max(n, 1)
 }
 
-// demandCopy demands another copy of an adapter where the replicas that have it
-// loaded are busy.
+// demandCopy demands more copies of an adapter where the best replica that has it is busy, or is
+// predicted to miss a target.
 func (m *Machine) demandCopy(r *request, best *replicas.Replica) {
-	a := r.arrival.Adapter
-	if a == "" || r.service.Engine == nil || m.lastExtraDemand[a] != 0 && m.now.Sub(m.lastExtraDemand[a]) < copyInterval {
+	if r.arrival.Adapter == "" || r.service.Engine == nil {
 		return
 	}
+	s := m.newScorer(r)
 	busy := m.utilization(r, best)
-	if busy < copyUtilizationThreshold {
-		return
+	switch {
+	case s.missesTarget(best):
+		m.demandCopies(r, &s)
+	case busy >= copyUtilizationThreshold && m.extraDemandDue(r, copyInterval):
+		m.demandCopiesAt(r, 1, func(x *replicas.Replica) bool { return m.utilization(r, x) <= busy/2 })
+	}
+}
+
+// extraDemandDue reports whether the last demand for a copy of a request's adapter is so long ago,
+// and if so, remembers one now.
+func (m *Machine) extraDemandDue(r *request, interval time.Duration) bool {
+	a := r.arrival.Adapter
+	if m.lastExtraDemand[a] != 0 && m.now.Sub(m.lastExtraDemand[a]) < interval {
+		return false
 	}
 	m.lastExtraDemand[a] = m.now
+	return true
+}
+
+// demandCopies demands copies of the adapter of a request that no replica with it can run in time.
+// They may double in each interval: every host demands the first ones in the same order of
+// replicas, so that all hosts together demand no more than one of them does.
+func (m *Machine) demandCopies(r *request, s *scorer) {
+	if m.extraDemandDue(r, shortageInterval) {
+		m.demandCopiesAt(r, min(max(m.copies(r), 1), maxCopiesAtOnce), func(x *replicas.Replica) bool { return m.takesCopy(r, s, x) })
+	}
+}
+
+// demandCopiesAt demands a number of copies at replicas that suit.
+func (m *Machine) demandCopiesAt(r *request, wanted int, suits func(*replicas.Replica) bool) {
 	for _, x := range m.preferredReplicas(r) {
-		if _, ok := x.AdapterVersion(a); ok || m.limited(x) || m.utilization(r, x) > busy/2 {
+		if _, ok := x.AdapterVersion(r.arrival.Adapter); ok || m.limited(x) || !suits(x) {
 			continue
 		}
-		m.sendDemand(r, x)
-		return
+		if m.sendDemand(r, x) {
+			wanted--
+		}
+		if wanted <= 0 {
+			return
+		}
+	}
+}
+
+// takesCopy reports whether a replica that lacks a request's adapter can load it and would then
+// run the request in time.
+func (m *Machine) takesCopy(r *request, s *scorer, x *replicas.Replica) bool {
+	return !x.Full(m.now) && x.Occupancy() < copyTargetOccupancy && !s.missesTarget(x)
+}
+
+// copies returns how many replicas have a request's adapter loaded.
+func (m *Machine) copies(r *request) int {
+	n := 0
+	for _, x := range m.replicas.ByService(r.service.ID) {
+		if _, ok := x.AdapterVersion(r.arrival.Adapter); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitCopy lets a request wait for another copy of its adapter where all replicas that have it are
+// saturated. It returns false where none can load it that would run it in time.
+func (m *Machine) awaitCopy(r *request) bool {
+	if r.arrival.Adapter == "" || r.service.Engine == nil {
+		return false
+	}
+	s := m.newScorer(r)
+	lacks := func(x *replicas.Replica) bool {
+		_, has := x.AdapterVersion(r.arrival.Adapter)
+		return !has && !m.limited(x) && m.takesCopy(r, &s, x)
+	}
+	if !slices.ContainsFunc(m.preferredReplicas(r), lacks) {
+		return false
 	}
+	m.beginAdapterWait(r)
+	r.lastDemand = m.now
+	m.demandCopies(r, &s)
+	return true
 }
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -53,6 +53,9 @@
 		}
 		return
 	}
+	if c.saturated && m.awaitCopy(r) {
+		return
+	}
 	if c.saturated {
 		m.refuse(r, core.Refuse(core.CodeOverloaded, retryAfterSaturated, "every replica that could run it is full"))
 		return
@@ -73,11 +76,16 @@
 		m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterSaturated, "no replica has the software version at which the stream began"))
 		return
 	}
+	m.beginAdapterWait(r)
+	m.demandAdapter(r)
+}
+
+// beginAdapterWait lets a request wait for its adapter.
+func (m *Machine) beginAdapterWait(r *request) {
 	if r.stage != stageWaiting {
 		r.stage, r.stageSince = stageWaiting, m.now
 		m.emit(LogDecision{Name: "wait", Reason: "adapter", ID: r.id(), Detail: string(r.arrival.Adapter)})
 	}
-	m.demandAdapter(r)
 }
 
 // refuseNoReplica refuses a request that no replica can run now.
@@ -102,7 +110,7 @@
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
 		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x) || !reachable(x.ID):
-		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
+		case m.saturated(r, x):
 			c.saturated = true
 		case !m.hasRoom(x):
 			c.roomless = true
@@ -120,6 +128,11 @@
 	return c
 }
 
+// saturated reports whether a replica has so many requests that it is sent no more.
+func (m *Machine) saturated(r *request, x *replicas.Replica) bool {
+	return r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0
+}
+
 // canLoadElsewhere reports whether a request's adapter can be loaded on a replica that isn't
 // limited.
 func (m *Machine) canLoadElsewhere(r *request) bool {
--- a/internal/core/relaynode/score.go
+++ b/internal/core/relaynode/score.go
@@ -92,6 +92,14 @@
 	return pauseWeight * missed * float64(x.Load()+1) / float64(max(x.Batch, 1))
 }
 
+// missesTarget reports whether a request is predicted to be late at a replica, or to make the
+// streams there miss their gap.
+func (s *scorer) missesTarget(x *replicas.Replica) bool {
+	p := s.model.Predict(s.m.now, &x.Pace, loadWith(x, s.r.arrival.Prompt))
+	objective := s.r.route.LatencyTarget
+	return objective > 0 && p.FirstEvent > objective || s.gap > 0 && p.Pause > s.gap
+}
+
 func (s *scorer) domainCost(x *replicas.Replica) float64 {
 	if x.Domain != s.m.settings.Self.Domain {
 		return remoteDomainWeight
