--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,9 @@
 	// copyTargetOccupancy is the occupancy below which a replica takes a copy. A fuller one would
 	// soon be short of places itself.
 	copyTargetOccupancy = 0.8
+	// copyPlacesFraction is the part of a replica's places that one of its adapters can count on: it
+	// shares them with the others.
+	copyPlacesFraction = 0.4
 	// maxCopiesAtOnce bounds the copies that are demanded at once. The weight store slows down
 	// beyond 48 adapters in transit, which other adapters need too.
 	maxCopiesAtOnce = 16
@@ -187,8 +191,13 @@
 // They may double in each interval: every host demands the first ones in the same order of
 // replicas, so that all hosts together demand no more than one of them does.
 func (m *Machine) demandCopies(r *request, s *scorer) {
-	if m.extraDemandDue(r, shortageInterval) {
-		m.demandCopiesAt(r, min(max(m.copies(r), 1), maxCopiesAtOnce), func(x *replicas.Replica) bool { return m.takesCopy(r, s, x) })
+	copies, needed := m.copies(r)
+	interval, wanted := shortageInterval, min(copies, needed-copies, maxCopiesAtOnce)
+	if wanted <= 0 {
+		interval, wanted = copyInterval, 1
+	}
+	if m.extraDemandDue(r, interval) {
+		m.demandCopiesAt(r, wanted, func(x *replicas.Replica) bool { return m.takesCopy(r, s, x) })
 	}
 }
 
@@ -213,15 +222,27 @@
 	return !x.Full(m.now) && x.Occupancy() < copyTargetOccupancy && !s.missesTarget(x)
 }
 
-// copies returns how many replicas have a request's adapter loaded.
-func (m *Machine) copies(r *request) int {
-	n := 0
-	for _, x := range m.replicas.ByService(r.service.ID) {
+// copies returns how many replicas have a request's adapter loaded, at least 1, and how many the
+// fleet's requests for it need. The other hosts are taken to have as large a part of their requests
+// for it as this one.
+func (m *Machine) copies(r *request) (n, needed int) {
+	own, all, places := 0, 0, 0
+	replicas := m.replicas.ByService(r.service.ID)
+	for _, x := range replicas {
+		own, all, places = own+x.OwnRequests, all+x.Load(), places+x.Batch
 		if _, ok := x.AdapterVersion(r.arrival.Adapter); ok {
 			n++
 		}
 	}
-	return n
+	same := 0
+	for _, other := range m.requests.byID {
+		if other.arrival.Adapter == r.arrival.Adapter && !other.closed {
+			same++
+		}
+	}
+	running := float64(same) * float64(max(all, 1)) / float64(max(own, 1))
+	perCopy := float64(places) / float64(max(len(replicas), 1)) * copyPlacesFraction
+	return max(n, 1), int(math.Ceil(running / max(perCopy, 1)))
 }
 
 // awaitCopy lets a request wait for another copy of its adapter where all replicas that have it are
