intake: coldness as a second source of a replica's limit

Cause: a cold replica takes few requests a second from all hosts together and crashes well above that, in any one second. Permits bound a named limit over 4 s only.

Change: Limits knows coldness, which ends at a time, beside the limit that a replica names; the lower rate applies. Named limits are as before.

--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -1,7 +1,7 @@
-// Package intake keeps hosts, all together, to the limit that a replica names: how many requests a
-// second it takes.
+// Package intake keeps hosts, all together, to the limit of a replica: how many requests a second it
+// takes. A replica names a limit in its answers, or has one for as long as it is cold after a start.
 //
-// For each limited incarnation of a replica one host, its granter, hands out permits at the named
+// For each limited incarnation of a replica one host, its granter, hands out permits at that
 // rate, on demand. A permit is for one request, and only for a short time from when its host asked for
 // it, so that one that is delayed is lost and not added to later ones. A host without a permit sends
 // nothing. What is known of limits (Limits), a host's permits (Permits) and the granter's side
@@ -60,13 +60,17 @@
 	endedAt    core.Instant // when an answer that named none was received
 }
 
-// Limits holds what one host knows of limits. It is not safe for concurrent use.
-type Limits struct{ byKey map[Key]*limit }
+// Limits holds what one host knows of limits: those that replicas name, and the coldness of replicas.
+// It is not safe for concurrent use.
+type Limits struct {
+	byKey map[Key]*limit
+	cold  map[Key]*coldness
+}
 
 // NewLimits returns limits of which nothing is known.
-func NewLimits() *Limits { return &Limits{byKey: map[Key]*limit{}} }
+func NewLimits() *Limits { return &Limits{byKey: map[Key]*limit{}, cold: map[Key]*coldness{}} }
 
-// Rate returns how many requests a second an incarnation takes, and false where it isn't limited.
+// Rate returns how many requests a second an incarnation names, and false where it names no limit.
 func (l *Limits) Rate(k Key) (perSecond float64, limited bool) {
 	x := l.byKey[k]
 	if x == nil || !x.named {
@@ -76,7 +80,7 @@
 }
 
 // Any reports whether any limit is known.
-func (l *Limits) Any() bool { return len(l.byKey) > 0 }
+func (l *Limits) Any() bool { return len(l.byKey) > 0 || len(l.cold) > 0 }
 
 // Apply applies evidence. Answers on different connections overtake each other, so that a limit ends
 // only by an answer to a request that was sent after the latest answer that named it.
@@ -130,4 +134,9 @@
 			delete(l.byKey, k)
 		}
 	}
+	for k := range l.cold {
+		if !keep(k) {
+			delete(l.cold, k)
+		}
+	}
 }
--- a/internal/core/intake/permits.go
+++ b/internal/core/intake/permits.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -9,6 +10,8 @@
 const (
 	// permitTime is how long a permit may be used, from when its host asked for it.
 	permitTime = time.Second
+	// coldPermitTime is permitTime for a cold replica, whose rate is to be kept in each second.
+	coldPermitTime = 250 * time.Millisecond
 	// answerTime is how long an ask may stay unanswered.
 	answerTime = 200 * time.Millisecond
 	// retryTime is how long after that a host waits before its next request for permits.
@@ -26,30 +29,75 @@
 	noneUntil core.Instant // the granter has had none, and may have one again then
 	waitUntil core.Instant // with those that asked before, one may be had then
 	wanted    int          // permits to ask for: more where all were used, fewer where some were not
+	returned  []Permit     // given back, for as long as they may still be used
+}
+
+// Permit is the right to send one request to an incarnation. The zero value is none.
+type Permit struct {
+	Key   Key
+	Until core.Instant // when it ends
 }
 
 // Permits holds the permits of one host. It is not safe for concurrent use.
 type Permits struct {
 	byKey  map[Key]*permits
-	number uint64 // of the last ask
+	number uint64  // of the last ask
+	limits *Limits // which incarnations are cold; nil: none is
 }
 
 // NewPermits returns no permits.
 func NewPermits() *Permits { return &Permits{byKey: map[Key]*permits{}} }
 
+// Follow lets permits for incarnations that are cold end after coldPermitTime.
+func (p *Permits) Follow(l *Limits) { p.limits = l }
+
+// end returns when the permits of the latest answered ask end.
+func (p *Permits) end(now core.Instant, k Key, x *permits) core.Instant {
+	if p.cold(now, k) {
+		return min(x.until, x.askedAt.Add(coldPermitTime))
+	}
+	return x.until
+}
+
+func (p *Permits) cold(now core.Instant, k Key) bool { return p.limits != nil && p.limits.Cold(now, k) }
+
 // Count returns how many requests may be sent to a limited incarnation now.
 func (p *Permits) Count(now core.Instant, k Key) int {
 	x := p.byKey[k]
-	if x == nil || now >= x.until {
+	if x == nil {
 		return 0
 	}
-	return x.count
+	x.returned = slices.DeleteFunc(x.returned, func(r Permit) bool { return now >= r.Until })
+	if now >= p.end(now, k, x) {
+		return len(x.returned)
+	}
+	return len(x.returned) + x.count
 }
 
-// Use uses one permit, if there is one.
-func (p *Permits) Use(now core.Instant, k Key) {
-	if p.Count(now, k) > 0 {
-		p.byKey[k].count--
+// Use uses one permit, if there is one, and returns it.
+func (p *Permits) Use(now core.Instant, k Key) Permit {
+	if p.Count(now, k) == 0 {
+		return Permit{}
+	}
+	x := p.byKey[k]
+	if len(x.returned) > 0 {
+		used := x.returned[0]
+		x.returned = slices.Delete(x.returned, 0, 1)
+		return used
+	}
+	x.count--
+	return Permit{Key: k, Until: p.end(now, k, x)}
+}
+
+// Return gives back the permit of a request that its replica has not counted, while the permit may
+// still be used. A replica that names a limit counts every request.
+func (p *Permits) Return(now core.Instant, used Permit) {
+	x := p.byKey[used.Key]
+	if x == nil || now >= used.Until || !p.cold(now, used.Key) {
+		return
+	}
+	if _, named := p.limits.Rate(used.Key); !named {
+		x.returned = append(x.returned, used)
 	}
 }
 
