Coldness in entries, answers and the configuration; slow start

Cause: replicas say how much longer they are cold, in their entries and in answers, and a service says how long a start takes and what a cold replica stands; none of it was read.

--- a/internal/core/replicas/notice.go
+++ b/internal/core/replicas/notice.go
@@ -8,6 +8,7 @@
 	Pause   time.Duration // how long it wants nothing from the host that it answers; 0: no pause
 	Limit   NamedLimit
 	Brittle Brittleness
+	Cold    time.Duration // how much longer it is cold; 0: it isn't, or doesn't say
 }
 
 // Brittleness is what a replica says that falls over where it rejects many requests.
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -38,6 +38,14 @@
 	Started  int64  // start of this incarnation, in ms of the replica's clock
 	Sequence uint64 // rises with each entry that this incarnation writes
 	Models   []Model
+	Cold     Coldness // hosts of the previous build send none: it doesn't say
+}
+
+// Coldness is what an entry says of how much longer its replica is cold: how much longer it takes few
+// requests a second, as of when the entry was written.
+type Coldness struct {
+	Known     bool // false: it doesn't say
+	Remaining time.Duration
 }
 
 // Newer reports whether an entry describes the same or a later state than another of
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -105,8 +105,10 @@
 
 // Service is a group of interchangeable replicas.
 type Service struct {
-	ID     ServiceID
-	Engine *Engine // nil: a plain service
+	ID        ServiceID
+	Engine    *Engine       // nil: a plain service
+	ColdStart time.Duration // how long a replica is cold after a start during traffic; 0: not at all
+	ColdRate  float64       // requests a second that a cold replica takes from all hosts; 0: no limit
 }
 
 // Workspace is a group of callers with one rate.
