relaynode: cold replicas get requests under permits only; slow start

Cause: a replica that has just started crashed under the requests of hosts that sent it as many as to others, and was slow for those that it got.

Change: cold.go composes intake and warmup. Coldness comes from entries, X-Cold-Ms, an unknown new incarnation, a possible restart, and (markDomainCold) the end of an evacuation. Watchers pass an entry on where coldness has changed; what one host alone has seen (X-Cold-Ms, nothing listens, another incarnation or nobody answers a check) goes to the others in a message (field 21), which the previous build ignores. An ask for a cold replica is an ordinary ask to a granter of the previous build. A 421 gives its permit back. New: replica lines cold and cold_ended, gauge replicas.cold.

The check of what the former build writes names the fields that are new (Entry.Cold, Message.Cold), as it does for others.

--- a/internal/core/intake/cold.go
+++ b/internal/core/intake/cold.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -214,6 +213,16 @@
 	}
 }
 
+// ShowRunningSince is ShowRunning for the incarnations that have been suspected since a time for which
+// shown returns true.
+func (l *Limits) ShowRunningSince(shown func(since core.Instant) bool) {
+	for _, c := range l.cold {
+		if c.restartedAt != never && shown(c.restartedAt) {
+			c.restartedAt = never
+		}
+	}
+}
+
 // ApplyCold applies another host's news, and reports whether they were unknown. News of what is known
 // change nothing, so that hosts that tell each other don't prolong it.
 func (l *Limits) ApplyCold(now core.Instant, rule ColdRule, news Cold) (changed bool) {
@@ -258,9 +267,7 @@
 			delete(l.cold, k)
 		}
 	}
-	slices.SortFunc(changes, func(a, b ColdChange) int {
-		return cmp.Or(cmp.Compare(a.Key.Replica, b.Key.Replica), cmp.Compare(a.Key.Started, b.Key.Started))
-	})
+	slices.SortFunc(changes, func(a, b ColdChange) int { return a.Key.Compare(b.Key) })
 	return changes
 }
 
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -9,6 +9,7 @@
 package intake
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -27,6 +28,11 @@
 	return Key{Replica: replica, Started: started}
 }
 
+// Compare orders keys by replica and start.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Replica, other.Replica), cmp.Compare(k.Started, other.Started))
+}
+
 // minRate is the least rate, in requests a second, at which permits are handed out: a replica that
 // names less would never be asked again, and its limit not end.
 const minRate = 0.2
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -46,7 +46,7 @@
 			Reasons: append([]Reason{{Name: "admitted", Meaning: "it is placed on a replica", MetricsOnly: true}}, refusalReasons...)},
 		{Name: "wait", Subject: "a request that no replica can run now", Detail: "the adapter", Reasons: []Reason{
 			{Name: "room", Meaning: "only brittle replicas can run it, and they have no room for requests of this host"},
-			{Name: "permit", Meaning: "only replicas that name a limit can run it; a permit is asked for"},
+			{Name: "permit", Meaning: "only replicas that name a limit or are cold can run it; a permit is asked for"},
 			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
 		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest weighted utilization among those that can run it"}}},
@@ -100,6 +100,8 @@
 			{Name: "limit_altered", Meaning: "they name another limit"},
 			{Name: "limit_ended", Meaning: "an answer to a request that was sent after the last that named a limit names none"},
 			{Name: "limit_malformed", Meaning: "a limit that an answer of the replica names can't be read"},
+			{Name: "cold", Meaning: "it takes few requests a second from all hosts, as it has started lately or says so; the rate, how long, and who hands out permits are in the detail"},
+			{Name: "cold_ended", Meaning: "it takes any number of requests again"},
 			{Name: "paused", Meaning: "it has asked this host to send it nothing for the time in the detail"},
 			{Name: "outdated", Meaning: "an entry that is older than the replica's removal is ignored"},
 			{Name: "gone", Meaning: "its entry was removed"}}},
--- a/internal/core/relaynode/configuration.go
+++ b/internal/core/relaynode/configuration.go
@@ -98,6 +98,7 @@
 	m.quota.Configure(m.now, m.table.Workspaces)
 	m.restoreQuota()
 	m.residency.Configure(m.table.Services)
+	m.applyColdRules()
 	m.workspaces = make(map[uint32]core.WorkspaceID, len(m.table.Workspaces))
 	for id := range m.table.Workspaces {
 		m.workspaces[core.ShortHash(string(id))] = id
--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -88,7 +88,7 @@
 const (
 	rankLoadable = iota
 	rankBusy     // its prompts take longer than the objective
-	rankLimited  // it takes few requests
+	rankLimited  // it takes few requests, because it names a limit or is cold
 	rankFull     // no slot can be freed
 )
 
--- a/internal/core/relaynode/effects.go
+++ b/internal/core/relaynode/effects.go
@@ -25,7 +25,7 @@
 	NonRepeatable   bool          // the request must not run twice
 	Confirmable     bool          // the replica answers a confirmation without running anything
 	Incarnation     int64         // start of the incarnation that alone may run it, which is to be confirmed; 0: any
-	Limited         bool          // the replica has named a limit, or said that it is brittle: whether its answer does is to be reported
+	Limited         bool          // the replica has named a limit or is cold, or has said that it is brittle: whether its answer does is to be reported
 	Priority        int           // among the requests that wait at the replica; 0 is the most urgent
 }
 
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -71,6 +71,7 @@
 	}
 	if !r.answerStarted {
 		m.observeSpeed(r)
+		m.observeStartingAnswer(r, false)
 	}
 	r.answerStarted, r.answeringSince = true, m.now
 	if r.carrier == (core.Carrier{}) {
@@ -216,6 +217,7 @@
 	switch e.Kind {
 	case EndOK:
 		m.recordSuccess(x.ID)
+		m.observeStartingAnswer(r, true)
 	case EndError:
 		m.recordFailure(x.ID, weightError)
 	case EndNotRun:
@@ -223,6 +225,7 @@
 		m.observeRejection(x)
 	case EndAdapterMissing:
 		m.replicas.MarkNotLoaded(x.ID, r.arrival.Adapter)
+		m.limits.permits.Return(m.now, r.permit)
 	case EndBroken:
 		if e.ConnectionClosed || r.carrier == (core.Carrier{}) && !m.paths.Blocked(x.ID) {
 			m.recordFailure(x.ID, weightBroken)
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -13,7 +13,7 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// A replica that names a limit gets requests only under permits, which one host hands out for it, its
+// A replica that names a limit, or is cold, gets requests only under permits, which one host hands out for it, its
 // granter: every host chooses the same one, by the replica's id. A request that only limited
 // replicas can run waits for a permit for as long as an answer of the granter takes, and is refused
 // with the wait that the rate gives. So that requests for which there are other replicas use permits too,
@@ -46,7 +46,9 @@
 }
 
 func newLimits() limits {
-	return limits{known: intake.NewLimits(), permits: intake.NewPermits(), granter: intake.NewGranter(), news: map[intake.Key]intake.Evidence{}}
+	l := limits{known: intake.NewLimits(), permits: intake.NewPermits(), granter: intake.NewGranter(), news: map[intake.Key]intake.Evidence{}}
+	l.permits.Follow(l.known)
+	return l
 }
 
 func keyOf(x *replicas.Replica) intake.Key { return intake.KeyOf(x.ID, x.Started) }
@@ -103,9 +105,9 @@
 	return core.HostID(m.settings.Self.Name)
 }
 
-// limited reports whether a replica has named a limit.
+// limited reports whether a replica has named a limit, or is cold.
 func (m *Machine) limited(x *replicas.Replica) bool {
-	_, limited := m.limits.known.Rate(keyOf(x))
+	_, limited := m.limits.known.RateAt(m.now, keyOf(x))
 	return limited
 }
 
@@ -115,16 +117,17 @@
 }
 
 // usePermit uses a permit for a request that is sent to a replica, if it is limited.
-func (m *Machine) usePermit(x *replicas.Replica) {
+func (m *Machine) usePermit(r *request, x *replicas.Replica) {
+	r.permit = intake.Permit{}
 	if m.limited(x) {
-		m.limits.permits.Use(m.now, keyOf(x))
+		r.permit = m.limits.permits.Use(m.now, keyOf(x))
 	}
 }
 
 // askPermits asks the granter of a replica for permits for the requests that wait for them.
 func (m *Machine) askPermits(x *replicas.Replica, waiting int) {
 	k := keyOf(x)
-	evidence, ok := m.limits.known.Evidence(m.now, k)
+	evidence, ok := m.limits.known.AskEvidence(m.now, k)
 	if !ok || m.limits.permits.Asking(m.now, k) || m.limits.permits.Wait(m.now, k) > 0 {
 		return
 	}
@@ -136,7 +139,7 @@
 		return
 	}
 	if p, known := m.fleet.ByName(string(granter)); known {
-		m.send([]fleet.Registration{p}, Message{PermitAsks: []intake.Ask{ask}})
+		m.send([]fleet.Registration{p}, Message{PermitAsks: []intake.Ask{ask}, Cold: m.coldNewsOf(k)})
 	}
 }
 
@@ -154,13 +157,21 @@
 // grant hands out permits for an ask, as their granter.
 func (m *Machine) grant(ask intake.Ask) intake.Grant {
 	k := ask.Limit.Key
-	m.applyLimit(ask.Limit, "known to a host that asks for permits")
-	rate, limited := m.limits.known.Rate(k)
+	cold := m.limits.known.Cold(m.now, k)
+	rate, limited := m.limits.known.RateAt(m.now, k)
+	if !cold || ask.Limit.PerSecond < rate { // no cold rate, which isn't to outlast the coldness
+		m.applyLimit(ask.Limit, "known to a host that asks for permits")
+		rate, limited = m.limits.known.RateAt(m.now, k)
+	}
 	if !limited {
 		return intake.Grant{Number: ask.Number, Key: k, Count: ask.Count} // the asking host will see that the limit has ended
 	}
 	fraction := max(m.fleet.ReachableFraction(m.now), minGrantedFraction)
-	g := m.limits.granter.Grant(m.now, k, rate*fraction, ask.Count, len(m.fleet.Members(m.now)))
+	give := m.limits.granter.Grant
+	if cold {
+		give = m.limits.granter.GrantCold
+	}
+	g := give(m.now, k, rate*fraction, ask.Count, len(m.fleet.Members(m.now)))
 	g.Number = ask.Number
 	return g
 }
@@ -279,4 +290,5 @@
 	m.limits.known.Keep(listed)
 	m.limits.permits.Keep(listed)
 	m.limits.granter.Keep(listed)
+	m.limits.granter.KeepCold(func(id core.UpstreamID) bool { return m.replicas.Get(id) != nil })
 }
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -13,6 +13,7 @@
 			m.changes.replicas = append(m.changes.replicas, e)
 		}
 	}
+	m.cold.listRead = true
 	m.replicas.RemoveUnlisted(m.now, entries)
 	for _, id := range m.residency.Replicas() {
 		m.dropIfGone(id)
@@ -28,7 +29,7 @@
 }
 
 // updateReplica applies an entry of the list. It reports whether the replica is new
-// or restarted, starts to leave, or has another address. An entry that is older than the
+// or restarted, starts to leave, turns cold or no longer is, or has another address. An entry that is older than the
 // replica's removal is ignored.
 func (m *Machine) updateReplica(e replicas.Entry, from replicas.Source) (changed bool) {
 	if !m.replicas.Accepts(m.now, e, from) {
@@ -38,7 +39,9 @@
 	before := m.replicas.Get(e.ID)
 	moved := before != nil && before.Address != e.Address
 	wasLeaving := before != nil && before.Leaving
+	news := m.newsOf(&e)
 	fresh := m.replicas.Update(m.now, e)
+	coldChanged := m.observeStart(&e, news)
 	m.origins.versions.Observe(m.now, e.Service, e.Software)
 	m.residency.UpdateReplica(e)
 	if fresh {
@@ -52,7 +55,7 @@
 	if leaves {
 		m.emit(LogDecision{Name: "replica", Reason: "leaving", Upstream: e.ID, Detail: string(e.Service)})
 	}
-	return fresh || leaves || moved
+	return fresh || leaves || moved || coldChanged
 }
 
 // dropIfGone removes the state of a replica that no longer exists, and keeps its removal
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -36,6 +36,7 @@
 	crashes         map[uint64]*crashRecord
 	parts           promptParts
 	limits          limits
+	cold            coldState
 	paths           pathState
 	windows         *window.Windows
 	failures        map[core.UpstreamID]*core.Decaying
@@ -92,6 +93,7 @@
 		crashes:         map[uint64]*crashRecord{},
 		parts:           newPromptParts(),
 		limits:          newLimits(),
+		cold:            newColdState(),
 		paths:           newPathState(core.NewRand(s.Seed)),
 		windows:         window.New(core.NewRand(s.Seed)),
 		origins:         newOrigins(s.FirstStart),
@@ -228,7 +230,9 @@
 	m.expireParts()
 	m.sendPartReports()
 	m.expireLimits()
+	m.updateCold()
 	m.sendLimitNews()
+	m.sendColdNews()
 	m.finishLeaving()
 }
 
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -37,6 +37,8 @@
 	PermitAsks   []intake.Ask      `cbor:"17,keyasint,omitempty"`
 	PermitGrants []intake.Grant    `cbor:"18,keyasint,omitempty"`
 
+	Cold []intake.Cold `cbor:"21,keyasint,omitempty"` // replicas that one host has seen turn cold
+
 	Pauses []Pause `cbor:"19,keyasint,omitempty"` // that replicas have asked of the receiver, in answers to requests that it carried
 }
 
--- a/internal/core/relaynode/notices.go
+++ b/internal/core/relaynode/notices.go
@@ -43,6 +43,7 @@
 		m.recordLeaving(replicas.Removal{ID: id, Started: started}, "says_leaving")
 	}
 	m.applyLimitNotice(id, started, n.Limit, 0)
+	m.applyColdNotice(id, started, n.Cold)
 	if n.Brittle.Named {
 		m.applyBrittleNotice(id, started, n.Brittle, 0)
 	}
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -131,6 +131,7 @@
 	m.receiveRecords(e.From, e.Message.Origins)
 	m.receivePartReport(e.From, e.Message.Parts)
 	m.receiveLimits(e.From, e.Message.Limits)
+	m.receiveCold(e.From, e.Message.Cold)
 	m.answerAsks(e.From, e.Message.PermitAsks)
 	for _, g := range e.Message.PermitGrants {
 		m.applyGrant(g)
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -157,11 +157,12 @@
 }
 
 // choose returns the replica with the lowest utilization and the shortest queue of prompts,
-// weighted against failures, remote failure domains, earlier attempts and older versions.
+// weighted against failures, recent starts, remote failure domains, earlier attempts and older versions.
 func (m *Machine) choose(r *request, from []*replicas.Replica) *replicas.Replica {
 	score := func(x *replicas.Replica) float64 {
 		s := (float64(x.Load())+1)/float64(max(x.Batch, 1)) + m.promptPressure(r, x, r.arrival.Prompt)
 		s *= 1 + failureWeight*m.failureScore(x.ID)
+		s /= m.startShare(x)
 		if x.Domain != m.settings.Self.Domain {
 			s += remoteDomainWeight
 		}
@@ -231,7 +232,7 @@
 	r.answerStarted, r.moving = false, false
 	r.awaitsPermit, r.awaitsRoom = false, false
 	x.OwnRequests++
-	m.usePermit(x)
+	m.usePermit(r, x)
 	m.countPrompt(r, x)
 	m.countUse(r, x)
 	if r.attempt == 1 {
--- a/internal/core/relaynode/replicaends.go
+++ b/internal/core/relaynode/replicaends.go
@@ -85,6 +85,9 @@
 // running.
 func (m *Machine) observeEnd(r *request, e *AttemptEnded) {
 	i := incarnation{r.upstream, r.upstreamStarted}
+	if e.ConnectionClosed {
+		m.checkRestart(i)
+	}
 	switch {
 	case e.Refused:
 		m.observeRefusal(i, r.carrier)
@@ -107,11 +110,15 @@
 			return
 		}
 		if over, ok := m.carrierTo(i.replica, m.carriers()); ok {
+			if m.suspectRestart(i) {
+				m.endOf(i) // so that it is checked
+			}
 			m.confirmRefusal(i, over)
 			return
 		}
 	}
 	m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
+	m.reportRestart(i)
 	m.confirmEnd(i)
 }
 
@@ -224,12 +231,14 @@
 	end := m.parts.ends[i]
 	if end != nil {
 		end.checking, end.unknown = false, e.Result == CheckUnknown
+		m.observeRestartCheck(i, e.Result, end.checkedAt)
 	}
 	switch {
 	case e.Result == CheckEnded && e.Refused:
 		m.observeRefusal(i, e.Carrier)
 	case e.Result == CheckEnded:
 		m.replicas.MarkDown(m.now, i.replica, i.started, downTime)
+		m.reportRestart(i)
 		m.confirmEnd(i)
 	case e.Result == CheckAlive && end != nil:
 		m.observeAlive(i, end)
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/intake"
 	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/table"
 )
@@ -43,16 +44,17 @@
 	sentSoftware     origin.Software // of its replica at that time
 	software         origin.Software // at which alone the request may run, since it goes on with a stream; 0: any
 	tried            []core.UpstreamID
-	answerStarted    bool         // the replica has started to answer the latest attempt
-	answeringSince   core.Instant // when it did
-	partDelivered    bool         // a part of the answer has been sent to the caller
-	moving           bool         // the attempt is being cancelled, to be retried on another replica
-	retryTaken       bool         // its next retry has been taken from the budget
-	withdrawn        bool         // it is being cancelled because a part of its prompt was blocked
-	awaitsRoom       bool         // it waits for room at a brittle replica
-	awaitsPermit     bool         // it waits for a permit for a limited replica
-	trial            bool         // it has blocked parts and is tried all the same
-	closed           bool         // the caller has its final answer or has hung up
+	answerStarted    bool          // the replica has started to answer the latest attempt
+	answeringSince   core.Instant  // when it did
+	partDelivered    bool          // a part of the answer has been sent to the caller
+	moving           bool          // the attempt is being cancelled, to be retried on another replica
+	retryTaken       bool          // its next retry has been taken from the budget
+	withdrawn        bool          // it is being cancelled because a part of its prompt was blocked
+	awaitsRoom       bool          // it waits for room at a brittle replica
+	awaitsPermit     bool          // it waits for a permit for a limited replica
+	permit           intake.Permit // that the latest attempt has used; the zero value: none
+	trial            bool          // it has blocked parts and is tried all the same
+	closed           bool          // the caller has its final answer or has hung up
 	outcome          string
 	answerStartedAt  core.Instant // 0: no answer yet
 	lastEvent        string
--- a/internal/core/relaynode/state.go
+++ b/internal/core/relaynode/state.go
@@ -18,6 +18,7 @@
 	OldestHeartbeatAge time.Duration // age of the oldest heartbeat among the active hosts
 	Shards             int           // shards that this host owns
 	Waiting            int           // requests that wait for their adapters
+	Cold               int           // cold replicas
 	Replicas           []ReplicaState
 	Workspaces         []WorkspaceState
 	Retries            map[table.ServiceID]float64 // available retries, by service
@@ -47,6 +48,7 @@
 		Active:            m.fleet.Active(),
 		ActiveHosts:       len(m.fleet.Members(m.now)),
 		ReachableFraction: m.fleet.ReachableFraction(m.now),
+		Cold:              m.limits.known.ColdCount(m.now),
 		Retries:           map[table.ServiceID]float64{},
 		Routes:            map[string]bool{},
 	}
--- a/internal/gateway/former_build_test.go
+++ b/internal/gateway/former_build_test.go
@@ -14,6 +14,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/relaynode"
+	"gentiancroft/internal/core/replicas"
 	"gentiancroft/internal/core/shard"
 )
 
@@ -152,6 +153,7 @@
 	is.NoErr(cbor.Unmarshal(former(t, "message.cbor"), &m))
 	wantMessage := filled[relaynode.Message]()
 	wantMessage.Heartbeats[0].Software, wantMessage.Heartbeats[0].ReplicaDigest = 0, 0
+	wantMessage.Replicas[0].Cold, wantMessage.Cold = replicas.Coldness{}, nil
 	is.Equal(m, wantMessage)
 	var r shard.Record
 	is.NoErr(json.Unmarshal(former(t, "lease.json"), &r))
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -76,6 +76,7 @@
 	metrics.GetOrRegisterGaugeFloat64("fleet.part", g.registry).Update(s.ReachableFraction)
 	g.setGauge("fleet.shards", int64(s.Shards))
 	g.setGauge("gateway.waiting", int64(s.Waiting))
+	g.setGauge("replicas.cold", int64(s.Cold))
 	present := map[string]bool{prefixRoute + unrouted: true}
 	for _, x := range s.Replicas {
 		prefix := prefixUpstream + string(x.ID)
