--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -71,6 +71,7 @@
 	}
 	if !r.answerStarted {
 		m.observeFirstEvent(r)
+		m.observeStartingAnswer(r, false)
 	}
 	r.answerStarted, r.answeringSince = true, m.now
 	if r.carrier == (core.Carrier{}) {
@@ -217,12 +218,14 @@
 	switch e.Kind {
 	case EndOK:
 		m.recordSuccess(x.ID)
+		m.observeStartingAnswer(r, true)
 	case EndNotRun:
 		m.recordFailure(x.ID, weightNotRun)
 		m.observeRejection(x)
 		m.avoidRejecting(x)
 	case EndAdapterMissing:
 		m.replicas.MarkNotLoaded(x.ID, r.arrival.Adapter)
+		m.limits.permits.Return(m.now, r.permit)
 	case EndBroken:
 		if e.ConnectionClosed || r.carrier == (core.Carrier{}) && !m.paths.Blocked(x.ID) {
 			m.recordFailure(x.ID, weightBroken)
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -39,6 +39,7 @@
 	crashes         map[uint64]*crashRecord
 	parts           promptParts
 	limits          limits
+	cold            coldState
 	paths           pathState
 	windows         *window.Windows
 	failures        map[core.UpstreamID]*core.Decaying
@@ -98,6 +99,7 @@
 		crashes:         map[uint64]*crashRecord{},
 		parts:           newPromptParts(),
 		limits:          newLimits(),
+		cold:            newColdState(),
 		paths:           newPathState(core.NewRand(s.Seed)),
 		windows:         window.New(core.NewRand(s.Seed)),
 		origins:         newOrigins(s.FirstStart),
@@ -238,7 +240,9 @@
 	m.endAvoided()
 	m.sendPartReports()
 	m.expireLimits()
+	m.updateCold()
 	m.sendLimitNews()
+	m.sendColdNews()
 	m.finishLeaving()
 }
 
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -208,7 +208,7 @@
 	r.answerStarted, r.moving = false, false
 	r.awaitsPermit, r.awaitsRoom = false, false
 	x.OwnRequests++
-	m.usePermit(x)
+	m.usePermit(r, x)
 	m.countPrompt(r, x)
 	m.countUse(r, x)
 	if r.attempt == 1 {
--- a/internal/core/relaynode/score.go
+++ b/internal/core/relaynode/score.go
@@ -64,6 +64,7 @@
 	}
 	cost := occupancyCost(x, p) + firstEventCost(p, s.r.route.LatencyTarget) + pauseCost(x, p, s.gap)
 	cost *= 1 + failureWeight*s.m.failureScore(x.ID)
+	cost /= s.m.startShare(x)
 	return cost + s.m.errorCost(s.r, x) + s.domainCost(x) + s.pathCost(x) + s.triedCost(x) + s.versionCost(x)
 }
 
