Workspace rates: hosts admit at their own pace over the rate

Cause: every host admitted while its copy of the fleet's bucket was above zero. Between two heartbeats (0.3 s) all admitted what came, then all refused until the debt was paid back.

Change: heartbeats carry what a host was asked for (field 22, Asked; for a host of the previous build what it spent). While the bucket is below half and demand is over the rate, a host admits at the rate times its share of the demand, corrected by the bucket's level in proportion (2 s). Routes are ranked: the more urgent go first, less urgent ones keep a quarter of the pace, or are served 0.8 times as often as all where that is less. From a debt of 0.5 s of the rate on, all hosts refuse, as before. Retry-After is the time until the pace has room, spread by a hash of the request's id.

--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -22,15 +22,15 @@
 	m := New(false)
 	m.Configure(0, workspaces(100, 200))
 	for range 2 {
-		ok, _ := m.Admit(0, "w", 100)
+		ok, _ := m.Admit(0, Request{Workspace: "w", Cost: 100})
 		is.True(ok)
 	}
-	ok, retry := m.Admit(0, "w", 100)
+	ok, retry := m.Admit(0, Request{Workspace: "w", Cost: 100})
 	is.True(!ok)
 	is.Equal(retry, time.Second)
-	ok, _ = m.Admit(second, "w", 100)
+	ok, _ = m.Admit(second, Request{Workspace: "w", Cost: 100})
 	is.True(ok)
-	ok, _ = m.Admit(0, "unlimited", 1e6)
+	ok, _ = m.Admit(0, Request{Workspace: "unlimited", Cost: 1e6})
 	is.True(ok)
 }
 
@@ -38,9 +38,9 @@
 	is := is.New(t)
 	m := New(true)
 	m.Configure(0, workspaces(100, 200))
-	ok, _ := m.Admit(0, "w", 30)
+	ok, _ := m.Admit(0, Request{Workspace: "w", Cost: 30})
 	is.True(ok)
-	ok, _ = m.Admit(0, "w", 1)
+	ok, _ = m.Admit(0, Request{Workspace: "w", Cost: 1})
 	is.True(!ok)
 }
 
@@ -71,7 +71,7 @@
 			if step >= 95 && step < 100 {
 				break
 			}
-			if ok, _ := fleet[i%hosts].Admit(now, "w", cost); ok {
+			if ok, _ := fleet[i%hosts].Admit(now, Request{Workspace: "w", Cost: cost}); ok {
 				total += cost
 			}
 		}
@@ -98,10 +98,10 @@
 	is := is.New(t)
 	m := New(false)
 	m.Configure(0, workspaces(100, 100))
-	ok, _ := m.Admit(0, "w", 100)
+	ok, _ := m.Admit(0, Request{Workspace: "w", Cost: 100})
 	is.True(ok)
-	m.Refund(0, "w", 100)
-	ok, _ = m.Admit(0, "w", 100)
+	m.Refund(0, Request{Workspace: "w", Cost: 100})
+	ok, _ = m.Admit(0, Request{Workspace: "w", Cost: 100})
 	is.True(ok)
 	is.Equal(m.Admitted()["w"], int64(100))
 }
@@ -139,7 +139,7 @@
 			total := 0.0
 			for range rapid.IntRange(0, 16).Draw(rt, "requests") {
 				m := fleet[rapid.IntRange(0, hosts-1).Draw(rt, "host")]
-				if ok, _ := m.Admit(now, "w", cost); ok {
+				if ok, _ := m.Admit(now, Request{Workspace: "w", Cost: cost}); ok {
 					total += cost
 				}
 			}
@@ -182,7 +182,7 @@
 	level, _ = m.Level(0, "w")
 	is.Equal(level, int64(600))
 
-	_, _ = old.Admit(0, "w", 1500)
+	_, _ = old.Admit(0, Request{Workspace: "w", Cost: 1500})
 	m = New(true)
 	m.Configure(0, workspaces(100, 1000))
 	m.Restore(old.Levels(0))
--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/quota"
 	"gentiancroft/internal/core/table"
 )
 
@@ -115,14 +116,28 @@
 		return nil
 	}
 	r.cost = cost(r.workspace, r.arrival.Tokens)
-	ok, retryAfter := m.quota.Admit(m.now, r.workspace.ID, r.cost)
+	ok, retryAfter := m.quota.Admit(m.now, r.quotaRequest())
 	if !ok {
 		level, reachable := m.quota.Level(m.now, r.workspace.ID)
-		return core.Refuse(core.CodeRateLimited, retryAfter, fmt.Sprintf("workspace %s is over its rate: %d tokens left, %.2f of the fleet heard", r.workspace.ID, level, reachable))
+		text := fmt.Sprintf("workspace %s is over its rate: %d tokens left, %.2f of the fleet heard", r.workspace.ID, level, reachable)
+		if pace, share, paced := m.quota.Pace(m.now, r.workspace.ID); paced {
+			text += fmt.Sprintf(", %.0f tokens/s here for %.2f of the demand", pace, share)
+		}
+		return core.Refuse(core.CodeRateLimited, retryAfter, text)
 	}
 	return nil
 }
 
+// quotaRequest returns the request as its workspace's rate is charged for it.
+func (r *request) quotaRequest() quota.Request {
+	return quota.Request{
+		Workspace: r.workspace.ID,
+		Cost:      r.cost,
+		Rank:      r.priorityAtReplica(),
+		Hash:      core.ShortHash(string(r.id())),
+	}
+}
+
 func cost(w *table.Workspace, declared core.Tokens) core.Tokens {
 	if declared > 0 {
 		return declared
@@ -133,7 +148,7 @@
 // refund returns the tokens of a request that has not run.
 func (m *Machine) refund(r *request) {
 	if r.workspace != nil && r.cost > 0 {
-		m.quota.Refund(m.now, r.workspace.ID, r.cost)
+		m.quota.Refund(m.now, r.quotaRequest())
 		r.cost = 0
 	}
 }
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -32,7 +32,7 @@
 	{Name: string(core.CodeUnknownRoute), Meaning: "no route for host and path in the configuration in force"},
 	{Name: string(core.CodeInvalidKey), Meaning: "the key is missing or not in the configuration in force"},
 	{Name: string(core.CodeKeyWithdrawn), Meaning: "the key was withdrawn while the request waited"},
-	{Name: string(core.CodeRateLimited), Meaning: "the workspace's bucket, which all hosts share, is in debt"},
+	{Name: string(core.CodeRateLimited), Meaning: "the workspace's bucket, which all hosts share, is in debt, or this host's part of the rate has no room"},
 	{Name: string(core.CodeNoUpstream), Meaning: "no replica could run it in time"},
 	{Name: string(core.CodeOverloaded), Meaning: "all replicas are saturated or rejected it, or the request is suspected of crashing replicas"},
 	{Name: string(core.CodeDeadlineExceeded), Meaning: "the deadline or the route's timeout has passed"},
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -113,7 +113,8 @@
 		Ready:             m.Ready(),
 		Leaving:           m.leavingSince != 0,
 		Uptime:            time.Duration(m.now),
-		Spent:             m.ownSpending(),
+		Spent:             byShortHash(m.quota.Admitted()),
+		Asked:             byShortHash(m.quota.Asked()),
 		Loads:             load.requests,
 		Prompts:           load.prompts,
 		Crashes:           m.ownCrashes(),
@@ -131,21 +132,20 @@
 	}
 }
 
-// ownSpending returns the tokens that this host has admitted, by core.ShortHash of the
-// workspace.
-func (m *Machine) ownSpending() map[uint32]int64 {
-	spent := make(map[uint32]int64, len(m.quota.Admitted()))
-	for id, tokens := range m.quota.Admitted() {
-		spent[core.ShortHash(string(id))] = tokens
+// byShortHash returns totals by core.ShortHash of the workspace.
+func byShortHash(totals quota.Totals) map[uint32]int64 {
+	short := make(map[uint32]int64, len(totals))
+	for id, tokens := range totals {
+		short[core.ShortHash(string(id))] = tokens
 	}
-	return spent
+	return short
 }
 
-// spendingByWorkspace returns the tokens that another host has admitted for the
-// workspaces of the configuration in force.
-func (m *Machine) spendingByWorkspace(spent map[uint32]int64) quota.Totals {
+// totalsByWorkspace returns another host's totals for the workspaces of the configuration in
+// force.
+func (m *Machine) totalsByWorkspace(byShort map[uint32]int64) quota.Totals {
 	totals := quota.Totals{}
-	for short, tokens := range spent {
+	for short, tokens := range byShort {
 		if id, ok := m.workspaces[short]; ok {
 			totals[id] = tokens
 		}
@@ -153,6 +153,28 @@
 	return totals
 }
 
+// applyTotals applies what another host has admitted and was asked for.
+func (m *Machine) applyTotals(b *Heartbeat) {
+	spent := m.totalsByWorkspace(b.Spent)
+	if !m.quota.HasTotals(b.Host) && b.Uptime > time.Duration(m.now)+time.Second {
+		m.quota.SetTotals(b.Host, spent) // spent before this host started
+	}
+	m.quota.ApplyTotals(m.now, b.Host, spent)
+	asked := spent // of a host of a former build
+	if b.Asked != nil {
+		asked = m.totalsByWorkspace(b.Asked)
+	}
+	m.quota.ApplyAsked(m.now, b.Host, b.Uptime, asked)
+}
+
+// servingHosts returns the number of hosts that serve callers, this one included.
+func (m *Machine) servingHosts() int {
+	if m.fleet.HasStandbys() {
+		return m.fleet.ActiveHosts()
+	}
+	return m.fleet.Size(m.now)
+}
+
 // takeStandbyHeartbeats returns and clears the heartbeats of the standby hosts that
 // have had work since the last call.
 func (m *Machine) takeStandbyHeartbeats() []Heartbeat {
@@ -170,7 +192,7 @@
 
 // hadWork reports whether a host has had work between two of its heartbeats.
 func hadWork(before, after *Heartbeat) bool {
-	return len(before.Loads)+len(after.Loads)+len(after.Crashes) > 0 || !maps.Equal(before.Spent, after.Spent)
+	return len(before.Loads)+len(after.Loads)+len(after.Crashes) > 0 || !maps.Equal(before.Spent, after.Spent) || !maps.Equal(before.Asked, after.Asked)
 }
 
 // receiveHeartbeat applies a heartbeat, received from its host or relayed by another
@@ -195,10 +217,7 @@
 	if m.fleet.Active() && !m.fleet.IsActive(b.Host) && hadWork(&known, b) {
 		m.gossip.busyStandbys = append(m.gossip.busyStandbys, b.Host)
 	}
-	if !m.quota.HasTotals(b.Host) && b.Uptime > time.Duration(m.now)+time.Second {
-		m.quota.SetTotals(b.Host, m.spendingByWorkspace(b.Spent)) // spent before this host started
-	}
-	m.quota.ApplyTotals(m.now, b.Host, m.spendingByWorkspace(b.Spent))
+	m.applyTotals(b)
 	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts})
 	m.applyPeerCrashes(b.Host, b.Crashes)
 	m.compareState(b)
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -216,6 +216,7 @@
 		m.dropIfGone(id)
 	}
 	m.quota.SetReachableFraction(m.now, m.fleet.ReachableFraction(m.now))
+	m.quota.SetHosts(m.now, m.servingHosts())
 	if m.watch.rereadPending {
 		m.requestReread("store_back", "")
 	}
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -69,6 +69,7 @@
 	Paths             *reach.Report    `cbor:"18,keyasint,omitempty"` // replicas that it doesn't reach; nil: no change
 	Software          uint64           `cbor:"19,keyasint,omitempty"` // digest of the replicas' software versions that ran lately; 0: it doesn't know all
 	ReplicaDigest     uint64           `cbor:"20,keyasint,omitempty"` // of its list of replicas alone; 0: a former build, which sends ListDigest only
+	Asked             map[uint32]int64 `cbor:"22,keyasint,omitempty"` // tokens that it was asked for since the start, by core.ShortHash of the workspace; nil: a former build, or none
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
 }
 
--- a/internal/core/relaynode/state.go
+++ b/internal/core/relaynode/state.go
@@ -37,8 +37,10 @@
 // WorkspaceState is the state of one workspace's bucket on this host.
 type WorkspaceState struct {
 	ID      core.WorkspaceID
-	Level   int64 // tokens left; below zero: in debt
-	Granted int64 // tokens that this host has admitted since its start
+	Level   int64   // tokens left; below zero: in debt
+	Granted int64   // tokens that this host has admitted since its start
+	Pace    int64   // tokens per second that this host admits while hosts pace themselves; 0: they don't
+	Share   float64 // this host's share of the recent demand
 }
 
 // State returns the machine's state.
@@ -78,7 +80,11 @@
 	}
 	for id, granted := range m.quota.Admitted() {
 		level, _ := m.quota.Level(m.now, id)
-		s.Workspaces = append(s.Workspaces, WorkspaceState{ID: id, Level: level, Granted: granted})
+		pace, share, paced := m.quota.Pace(m.now, id)
+		if !paced {
+			pace = 0
+		}
+		s.Workspaces = append(s.Workspaces, WorkspaceState{ID: id, Level: level, Granted: granted, Pace: int64(pace), Share: share})
 	}
 	for id, b := range m.retries {
 		s.Retries[id] = b.Available(m.now)
--- a/internal/gateway/former_build_test.go
+++ b/internal/gateway/former_build_test.go
@@ -151,7 +151,7 @@
 	var m relaynode.Message
 	is.NoErr(cbor.Unmarshal(former(t, "message.cbor"), &m))
 	wantMessage := filled[relaynode.Message]()
-	wantMessage.Heartbeats[0].Software, wantMessage.Heartbeats[0].ReplicaDigest = 0, 0
+	wantMessage.Heartbeats[0].Software, wantMessage.Heartbeats[0].ReplicaDigest, wantMessage.Heartbeats[0].Asked = 0, 0, nil
 	is.Equal(m, wantMessage)
 	var r shard.Record
 	is.NoErr(json.Unmarshal(former(t, "lease.json"), &r))
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -91,6 +91,8 @@
 		present[prefix] = true
 		g.setGauge(prefix+".tokens_left", w.Level)
 		g.setGauge(prefix+".tokens_granted", w.Granted)
+		g.setGauge(prefix+".pace", w.Pace)
+		metrics.GetOrRegisterGaugeFloat64(prefix+".demand_share", g.registry).Update(w.Share)
 	}
 	for id, left := range s.Retries {
 		prefix := prefixService + string(id)
