Workspace rates: a host that has just started refuses nothing in calm

Cause: a host whose bucket was below a quarter paced itself also where demand was within the rate.

Change: the rule is dropped. The demand with the shorter half-life shows a rise in time.

--- a/internal/core/quota/pace.go
+++ b/internal/core/quota/pace.go
@@ -47,10 +47,6 @@
 	// correctionTime is the time in which a pace corrects the level. The level is known about
 	// 0.45 s late; a proportional correction in less than e times the delay, 1.2 s, swings.
 	correctionTime = 2 * time.Second
-	// calmLevelTime is the level, as time at the rate, above which a workspace whose known
-	// demand is within its rate isn't paced: on few requests a pace refuses by chance. Below
-	// it a rise of demand may not be known yet.
-	calmLevelTime = 250 * time.Millisecond
 	// minCorrection and maxCorrection bound the correction as a factor of the pace.
 	minCorrection = 0.2
 	maxCorrection = 1.5
@@ -192,11 +188,6 @@
 	return before
 }
 
-// calmLevel returns the level above which demand within the rate isn't paced.
-func calmLevel(rate, burst float64) float64 {
-	return min(targetLevel*burst, rate*calmLevelTime.Seconds())
-}
-
 // demandShare returns a host's share of the demand of all hosts.
 func demandShare(own, all, rate float64, hosts int) float64 {
 	prior := rate * priorDemandTime.Seconds()
--- a/internal/core/quota/pace_test.go
+++ b/internal/core/quota/pace_test.go
@@ -374,6 +374,28 @@
 	}
 }
 
+// Guards against a host that has just started, whose bucket is low and who knows no other host's
+// demand, and that refuses a workspace within its rate.
+func TestRestartsInCalmRefuseNothing(t *testing.T) {
+	for _, hosts := range []int{8, 20, 70} {
+		for _, cost := range []int64{1100, 11_000} {
+			t.Run(fmt.Sprintf("%d hosts, %d tokens", hosts, cost), func(t *testing.T) {
+				x := fourfold(hosts)
+				x.cost, x.demand, x.event = cost, constant(0.8), restartInTurn
+				is.New(t).Equal(x.run().refused, 0)
+			})
+		}
+	}
+}
+
+// restartInTurn restarts a host every half second.
+func restartInTurn(tr *trialRun, now time.Duration) {
+	const every = 500 * time.Millisecond
+	if now >= 4*time.Second && now%every == 0 {
+		tr.startHost(int(now/every)%tr.hosts, true, now)
+	}
+}
+
 // Guards against a workspace that is refused after its overload has ended, and against waves when
 // it begins in a running fleet.
 func TestOverloadBeginsAndEnds(t *testing.T) {
@@ -431,12 +453,7 @@
 				}
 			}
 		},
-		"hosts restart in turn": func(tr *trialRun, now time.Duration) {
-			const every = 500 * time.Millisecond
-			if now >= 4*time.Second && now%every == 0 {
-				tr.startHost(int(now/every)%tr.hosts, true, now)
-			}
-		},
+		"hosts restart in turn": restartInTurn,
 		"all restart": func(tr *trialRun, now time.Duration) {
 			if now == 8*time.Second {
 				for i := range tr.all {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -216,7 +216,7 @@
 	m.advancePace(now, b)
 	demand := b.demand.level(now)
 	rate := b.rate * m.reachableFraction
-	if b.pace.paced && (demand > rate || b.level > 0 && b.level < calmLevel(rate, b.burst*m.reachableFraction)) {
+	if b.pace.paced && demand > rate {
 		ok, retryAfter = b.admitPaced(r, rate, demand)
 	} else {
 		ok, retryAfter = b.admitUnpaced(r, rate)
