measure limits: hosts that admit alone, by their own pace and by the level, beside baselines

Cause: the pacing of workspaces' rates had figures from its unit tests only.

A replica without a batch size counts as one of 1 where a probe of its error share is due.

--- a/internal/core/relaynode/errorshares.go
+++ b/internal/core/relaynode/errorshares.go
@@ -111,7 +111,7 @@
 		return nil
 	}
 	for _, x := range from {
-		if x.Load() >= x.Batch || !m.errors.Assess(m.now, errorKey(x)).Avoid {
+		if x.Load() >= max(x.Batch, 1) || !m.errors.Assess(m.now, errorKey(x)).Avoid {
 			continue
 		}
 		if m.errors.ProbeDue(r.service.ID, r.route.Repeatable()) {
--- a/internal/measure/limits/measure.go
+++ b/internal/measure/limits/measure.go
@@ -67,7 +67,9 @@
 		}
 		rep.Tables = append(rep.Tables, table)
 	}
-	rep.Targets = worst.targets()
+	tables, targets := measurePace(seed)
+	rep.Tables = append(rep.Tables, tables...)
+	rep.Targets = append(worst.targets(), targets...)
 	return rep, nil
 }
 
