--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -221,6 +221,7 @@
 		m.dropIfGone(id)
 	}
 	m.updateQuotaFraction()
+	m.quota.SetHosts(m.now, m.servingHosts())
 	if m.watch.rereadPending {
 		m.requestReread("store_back", "")
 	}
