A host expects the other active hosts to choose as it does

Cause: between two heartbeats all hosts know the same loads and send their requests to the same replica. Change: a host's own dispatches to a replica of the last 100 ms count for the other active hosts, too (three tenths of each). A host alone chooses as before.

--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -204,6 +204,7 @@
 	r.answerStarted, r.moving = false, false
 	r.awaitsPermit, r.awaitsRoom = false, false
 	x.OwnRequests++
+	x.Recent.Add(m.now, 1, recentHalfLife)
 	m.usePermit(x)
 	m.countPrompt(r, x)
 	m.countUse(r, x)
--- a/internal/core/relaynode/score.go
+++ b/internal/core/relaynode/score.go
@@ -19,6 +19,12 @@
 	remoteDomainWeight = 0.08 // added for a replica in a remote failure domain
 	triedWeight        = 10.0 // added where the request has already failed
 	olderVersionWeight = 1.0  // added where the adapter is of an older version
+	// recentHalfLife is that of the requests sent to a replica by which those of the other hosts are
+	// estimated: about the time from a dispatch until the other hosts have heard of it.
+	recentHalfLife = 100 * time.Millisecond
+	// unseenFraction is the part of its own recent requests to a replica that a host expects of each
+	// other host.
+	unseenFraction = 0.3
 	// latenessWeight is added for each objective by which the first event is late: a late one
 	// loses a part of its benefit, an earlier one gains none.
 	latenessWeight = 2.0
@@ -33,12 +39,14 @@
 	r      *request
 	model  *replicamodel.Service // nil: a plain service
 	gap    time.Duration         // that the streams of the service may have; 0: any
+	peers  float64               // active hosts besides this one
 	newest int                   // version of the adapter
 }
 
 func (m *Machine) newScorer(r *request) scorer {
 	s := scorer{m: m, r: r, newest: m.versions[r.arrival.Adapter].newest()}
 	if r.service.Engine != nil {
+		s.peers = float64(max(m.fleet.ActiveHosts()-1, 0))
 		s.model, s.gap = m.model(r.service.ID), m.gapOf(r.service.ID)
 	}
 	return s
@@ -62,7 +70,7 @@
 	if s.model != nil {
 		p = s.model.Predict(s.m.now, &x.Pace, loadWith(x, s.r.arrival.Prompt))
 	}
-	cost := occupancyCost(x, p) + firstEventCost(p, s.r.route.LatencyTarget) + pauseCost(x, p, s.gap)
+	cost := occupancyCost(x, p) + s.unseenCost(x) + firstEventCost(p, s.r.route.LatencyTarget) + pauseCost(x, p, s.gap)
 	cost *= 1 + failureWeight*s.m.failureScore(x.ID)
 	return cost + s.domainCost(x) + s.pathCost(x) + s.triedCost(x) + s.versionCost(x)
 }
@@ -73,6 +81,17 @@
 	return float64(x.Load()+1) / float64(max(x.Batch, 1)) * p.Factor
 }
 
+// unseenCost is the part of a replica's places that the other hosts are taken to have used since
+// their last reports. They know the same and choose alike: without it, all hosts send their requests
+// to the replica that was the emptiest at the last heartbeats.
+func (s *scorer) unseenCost(x *replicas.Replica) float64 {
+	if s.peers == 0 || x.Recent.Value == 0 {
+		return 0
+	}
+	unseen := x.Recent.Now(s.m.now, recentHalfLife) * s.peers * unseenFraction
+	return unseen / float64(max(x.Batch, 1))
+}
+
 // firstEventCost is the predicted time of the first event against the route's objective.
 func firstEventCost(p replicamodel.Prediction, objective time.Duration) float64 {
 	if objective <= 0 {
--- a/internal/core/relaynode/score_test.go
+++ b/internal/core/relaynode/score_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/replicas"
 )
@@ -88,6 +89,27 @@
 	h.is.Equal(h.m.replicas.Get("e1").Pace.Factor(core.Instant(h.now)), 1.0)
 }
 
+// Guards against herds: all hosts have heard the same, and each sent its requests to the replica that
+// was the emptiest at the last heartbeats.
+func TestHostExpectsOtherHostsToChooseAlike(t *testing.T) {
+	for _, hosts := range []int{0, 11} {
+		h := newHostWithLargeBatches(t)
+		for i := range hosts {
+			id := core.HostID("p" + utoa(uint64(i)) + "/1")
+			h.step(HostListed{Host: fleet.Registration{Name: "p" + utoa(uint64(i)), Host: id}})
+			h.step(MessageReceived{From: id, Message: Message{Heartbeats: []Heartbeat{{Host: id, Number: 1, Ready: true}}}})
+		}
+		h.m.replicas.Get("e2").OtherRequests = 2
+		h.is.Equal(h.prompt(600).Upstream, core.UpstreamID("e1"))
+		h.m.replicas.Get("e1").OwnPrompts = 0 // so that places decide
+		want := core.UpstreamID("e1")
+		if hosts > 0 {
+			want = "e2"
+		}
+		h.is.Equal(h.prompt(600).Upstream, want)
+	}
+}
+
 const read1000 = 100 * time.Millisecond // of 1,000 tokens
 
 // BenchmarkChoose measures one choice among 112 replicas that are known by their answers.
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -58,6 +58,7 @@
 	OwnPrompts     core.Tokens            // prompts of this host's requests that have had no event yet
 	OtherPrompts   core.Tokens            // the same of other hosts, as last reported
 	Pace           replicamodel.Replica   // of this incarnation against its service
+	Recent         core.Decaying          // requests that this host has sent there just now
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
 	pausedUntil    core.Instant           // it has asked this host to send it nothing until then
