A request waits for a copy of its adapter that answers well before the replicas that have it

Cause: in the half second until the first copies of a newly popular adapter were loaded, its requests queued for seconds at the first replica. Change: a request whose best replica is predicted to be later than the objective by more than a load takes waits for another copy, once and for at most 600 ms.

--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -34,6 +34,9 @@
 	// copyTargetOccupancy is the occupancy below which a replica takes a copy. A fuller one would
 	// soon be short of places itself.
 	copyTargetOccupancy = 0.8
+	// copyWait is how long a request waits for another copy of its adapter before it is sent to a
+	// replica where it will be late: a load, the order before it and the news of it.
+	copyWait = 600 * time.Millisecond
 	// copyPlacesFraction is the part of a replica's places that one of its adapters can count on: it
 	// shares them with the others.
 	copyPlacesFraction = 0.4
@@ -245,6 +248,23 @@
 	return max(n, 1), int(math.Ceil(running / max(perCopy, 1)))
 }
 
+// awaitBetterCopy lets a request wait for another copy of its adapter where a copy would be loaded
+// and have sent the first event well before the best replica that has the adapter now. A request
+// waits so once, for no longer than a load takes.
+func (m *Machine) awaitBetterCopy(r *request, best *replicas.Replica) bool {
+	waited := r.copyAwaitedSince != 0 && m.now.Sub(r.copyAwaitedSince) >= copyWait
+	if waited || r.arrival.Adapter == "" || r.service.Engine == nil || r.attempt > 0 || r.route.LatencyTarget <= 0 {
+		return false
+	}
+	if m.promptDelay(best, r.arrival.Prompt) < r.route.LatencyTarget+copyWait || !m.awaitCopy(r) {
+		return false
+	}
+	if r.copyAwaitedSince == 0 {
+		r.copyAwaitedSince = m.now
+	}
+	return true
+}
+
 // awaitCopy lets a request wait for another copy of its adapter where all replicas that have it are
 // saturated. It returns false where none can load it that would run it in time.
 func (m *Machine) awaitCopy(r *request) bool {
@@ -260,7 +280,7 @@
 		return false
 	}
 	m.beginAdapterWait(r)
-	r.lastDemand = m.now
+	r.awaitsCopy, r.lastDemand = true, m.now
 	m.demandCopies(r, &s)
 	return true
 }
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -290,7 +290,7 @@
 			m.refuse(r, &core.Refusal{Code: core.CodeDeadlineExceeded, Message: "no whole answer before the request's deadline", Ran: r.ranState()})
 		case r.stage == stageWaiting && m.now.Sub(r.stageSince) >= r.maxAdapterWait():
 			m.refuseNoReplica(r)
-		case r.stage == stageWaiting && r.awaitsRoom:
+		case r.stage == stageWaiting && (r.awaitsRoom || r.awaitsCopy):
 			m.place(r)
 		case r.stage == stageWaiting && r.awaitsPermit:
 			m.place(r)
--- a/internal/core/relaynode/loads_test.go
+++ b/internal/core/relaynode/loads_test.go
@@ -162,3 +162,88 @@
 	h.is.Equal(reported(), []residency.Use{use})
 	h.is.Equal(len(reported()), 0)
 }
+
+// demandedAt returns the replicas that the last step demanded adapters at.
+func (h *host) demandedAt() (all []core.UpstreamID) {
+	for _, e := range h.out {
+		if p, ok := e.(SendToPeers); ok {
+			for _, d := range p.Message.Demands {
+				all = append(all, d.Replica)
+			}
+		}
+	}
+	return all
+}
+
+// newHostWithOwner is newHostWithLargeBatches where another host orders the replicas.
+func newHostWithOwner(t *testing.T) *host {
+	h := newHostWithLargeBatches(t)
+	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
+	h.step(MessageReceived{From: "b/1", Message: Message{Heartbeats: []Heartbeat{{Host: "b/1", Number: 1, Ready: true}}}})
+	h.lease("b")
+	return h
+}
+
+// reportCopy applies the owner's report that adapter x is loaded on e3.
+func (h *host) reportCopy() {
+	loaded := []replicas.Model{{Name: model, Adapters: []core.AdapterRef{{ID: "x", Version: 1}}}}
+	h.step(MessageReceived{From: "b/1", Message: Message{Residencies: []replicas.Residency{{Replica: "e3", Started: 1, Orders: 1, Models: loaded}}}})
+}
+
+// Guards against refusals while a copy can be loaded: where every replica with the adapter was
+// saturated, its requests were refused and nobody demanded a copy.
+func TestRequestWaitsForACopyWhereAllReplicasAreSaturated(t *testing.T) {
+	h := newHostWithOwner(t)
+	h.m.replicas.Get("e1").OtherRequests = 110
+	h.m.replicas.Get("e2").OtherRequests = 110
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x", Prompt: 600})
+	h.is.Equal(len(h.sent()), 0)
+	h.is.Equal(h.demandedAt(), []core.UpstreamID{"e3"})
+	h.reportCopy()
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e3"))
+	h.m.replicas.Get("e3").OtherRequests = 110
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x", Prompt: 600})
+	h.is.Equal(h.refusal().Code, core.CodeOverloaded) // no replica is left for another copy
+}
+
+// Guards against queues of seconds at the first replicas of a newly popular adapter: a copy would
+// have been loaded and have answered long before.
+func TestRequestWaitsForACopyThatAnswersSooner(t *testing.T) {
+	h := newHostWithOwner(t)
+	h.m.replicas.Get("e1").OtherPrompts = 30000 // read in 3 s
+	h.m.replicas.Get("e2").OtherPrompts = 30000
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x", Prompt: 600})
+	h.is.Equal(len(h.sent()), 0)
+	h.is.Equal(h.demandedAt(), []core.UpstreamID{"e3"})
+	h.advance(100 * time.Millisecond)
+	h.is.Equal(len(h.sent()), 0)
+	h.reportCopy()
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e3"))
+}
+
+// A copy that doesn't come must not keep a request for longer than a load takes.
+func TestRequestIsSentWhereTheCopyDoesNotCome(t *testing.T) {
+	h := newHostWithOwner(t)
+	h.m.replicas.Get("e1").OtherPrompts = 30000
+	h.m.replicas.Get("e2").OtherPrompts = 40000
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "x", Prompt: 600})
+	h.is.Equal(len(h.sent()), 0)
+	h.now += copyWait - time.Millisecond
+	h.step(MessageReceived{From: "b/1", Message: Message{Heartbeats: []Heartbeat{{Host: "b/1", Number: 2, Ready: true}}}})
+	h.advance(time.Millisecond)
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e1"))
+}
+
+// A demand may be lost, and a copy take longer than expected.
+func TestCopyIsDemandedAgainWhileTheTargetIsMissed(t *testing.T) {
+	h := newHostWithOwner(t)
+	h.m.replicas.Get("e1").OtherPrompts = 8000 // read in 0.8 s of an objective of 0.5 s
+	h.m.replicas.Get("e2").OtherPrompts = 8000
+	h.prompt(600)
+	h.is.Equal(h.demandedAt(), []core.UpstreamID{"e3"})
+	h.prompt(600)
+	h.is.Equal(len(h.demandedAt()), 0)
+	h.now += copyInterval
+	h.prompt(600)
+	h.is.Equal(h.demandedAt(), []core.UpstreamID{"e3"})
+}
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -30,9 +30,13 @@
 	if m.refuseBlocked(r) {
 		return
 	}
+	r.awaitsCopy = false
 	c := m.candidates(r)
 	if len(c.usable) > 0 {
 		best := m.choose(r, c.usable)
+		if m.awaitBetterCopy(r, best) {
+			return
+		}
 		m.demandNewerVersion(r, best)
 		m.demandCopy(r, best)
 		m.beginTrial(r)
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -55,6 +55,7 @@
 	retryTaken       bool         // its next retry has been taken from the budget
 	withdrawn        bool         // it is being cancelled because a part of its prompt was blocked
 	awaitsRoom       bool         // it waits for room at a brittle replica
+	awaitsCopy       bool         // it waits for another copy of its adapter
 	awaitsPermit     bool         // it waits for a permit for a limited replica
 	trial            bool         // it has blocked parts and is tried all the same
 	closed           bool         // the caller has its final answer or has hung up
@@ -62,6 +63,7 @@
 	answerStartedAt  core.Instant // 0: no answer yet
 	lastEvent        string
 	roomAwaitedSince core.Instant // when it first waited for room at a brittle replica; 0: it hasn't
+	copyAwaitedSince core.Instant // when it first waited for another copy of its adapter; 0: it hasn't
 	lastDemand       core.Instant // when its adapter was last demanded
 	nextCheck        core.Instant // when its timeouts are next checked
 }
