--- a/internal/measure/adapters/adapters.go
+++ b/internal/measure/adapters/adapters.go
@@ -62,6 +62,7 @@
 		r.Tables = append(r.Tables, table(s.String(), results[i]))
 		r.Targets = append(r.Targets, targets(s.String(), results[i])...)
 	}
+	r.Tables = append(r.Tables, measureShift(seed))
 	bytes, err := messageSizes()
 	r.Tables = append(r.Tables, bytes)
 	return r, err
--- a/internal/measure/adapters/relayfleet.go
+++ b/internal/measure/adapters/relayfleet.go
@@ -45,7 +45,7 @@
 // runRelayFleet runs a trace through relaying hosts.
 func runRelayFleet(calls []streamCall, seed uint64) *shiftScore {
 	f := &relayFleet{calls: slices.Clone(calls), runs: map[core.RequestID]*streamRun{}, leases: map[string]core.Object{}, score: &shiftScore{}}
-	f.addEngines()
+	f.engines = newStreamEngines(&f.clock, f.calls)
 	for i := range shiftHosts {
 		f.addHost(i, seed)
 	}
@@ -66,25 +66,6 @@
 	return f.score
 }
 
-// addEngines adds the engines, which have adapters loaded as the first requests ask for them.
-func (f *relayFleet) addEngines() {
-	for i := range shiftReplicas {
-		e := newStreamEngine(&f.clock, 1+float64(i%2)*(slowHardware-1))
-		f.engines = append(f.engines, e)
-	}
-	next := 0
-	for _, c := range f.calls {
-		e := f.engines[next%shiftReplicas]
-		if next >= shiftReplicas*streamSlots {
-			return
-		}
-		if !e.loaded[c.adapter] {
-			e.loaded[c.adapter], e.copies[c.adapter] = true, true
-			next++
-		}
-	}
-}
-
 func (f *relayFleet) addHost(i int, seed uint64) {
 	m := relaynode.New(relaynode.Settings{
 		Self: registration(i), Seed: seed + uint64(i), FirstStart: true,
--- a/internal/measure/adapters/shift.go
+++ b/internal/measure/adapters/shift.go
@@ -151,6 +151,20 @@
 	}
 }
 
+// measureShift runs the trace of a seed through the hosts and the baselines.
+func measureShift(seed uint64) measure.Table {
+	calls := shiftTrace(seed)
+	return shiftTable(
+		[]string{"relaying hosts", "choice of 48aacaf, full knowledge", "least occupied", "two random choices", "hash with bounded load"},
+		[]*shiftScore{
+			runRelayFleet(calls, seed),
+			runStreamBaseline(calls, formerChoice{}, seed),
+			runStreamBaseline(calls, leastOccupied{}, seed),
+			runStreamBaseline(calls, twoChoices{}, seed),
+			runStreamBaseline(calls, boundedHash{}, seed),
+		})
+}
+
 // shiftTable lists the results of the policies.
 func shiftTable(labels []string, scores []*shiftScore) measure.Table {
 	t := measure.Table{Title: "popular adapters change, " + strconv.Itoa(shiftReplicas) + " replicas"}
--- a/internal/measure/adapters/streams.go
+++ b/internal/measure/adapters/streams.go
@@ -130,3 +130,24 @@
 	r.lastEvent = now
 	r.events.Lasted = now - r.firstEvent
 }
+
+// newStreamEngines returns the engines of the shift, which have adapters loaded as the first
+// requests ask for them.
+func newStreamEngines(c *clock, calls []streamCall) []*streamEngine {
+	var engines []*streamEngine
+	for i := range shiftReplicas {
+		engines = append(engines, newStreamEngine(c, 1+float64(i%2)*(slowHardware-1)))
+	}
+	next := 0
+	for _, call := range calls {
+		if next >= shiftReplicas*streamSlots {
+			break
+		}
+		e := engines[next%shiftReplicas]
+		if !e.loaded[call.adapter] {
+			e.loaded[call.adapter], e.copies[call.adapter] = true, true
+			next++
+		}
+	}
+	return engines
+}
