Copies are demanded for adapters that make their replicas busy, not for all that run there

Cause: at a mean occupancy of 0.6 half of all rare adapters' requests found their replica busy and demanded a copy, which cost the place of another adapter. Change: a busy replica causes a copy only if the fleet's requests for the adapter need more copies, or its prompts queue.

--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -174,11 +174,19 @@
 	switch {
 	case s.missesTarget(best):
 		m.demandCopies(r, &s)
-	case busy >= copyUtilizationThreshold && m.extraDemandDue(r, copyInterval):
+	case busy >= copyUtilizationThreshold && m.moreCopiesHelp(r, best) && m.extraDemandDue(r, copyInterval):
 		m.demandCopiesAt(r, 1, func(x *replicas.Replica) bool { return m.utilization(r, x) <= busy/2 })
 	}
 }
 
+// moreCopiesHelp reports whether a replica is busy because of a request's adapter or its queued
+// prompts. An adapter with few requests is best kept where it is, however many others run there: a
+// copy would cost the place of another adapter.
+func (m *Machine) moreCopiesHelp(r *request, x *replicas.Replica) bool {
+	copies, needed := m.copies(r)
+	return needed > copies || m.promptPressure(r, x, 0) >= copyUtilizationThreshold
+}
+
 // extraDemandDue reports whether the last demand for a copy of a request's adapter is so long ago,
 // and if so, remembers one now.
 func (m *Machine) extraDemandDue(r *request, interval time.Duration) bool {
@@ -195,7 +203,7 @@
 // replicas, so that all hosts together demand no more than one of them does.
 func (m *Machine) demandCopies(r *request, s *scorer) {
 	copies, needed := m.copies(r)
-	interval, wanted := shortageInterval, min(copies, needed-copies, maxCopiesAtOnce)
+	interval, wanted := shortageInterval, min(needed-copies, maxCopiesAtOnce)
 	if wanted <= 0 {
 		interval, wanted = copyInterval, 1
 	}
@@ -243,7 +251,8 @@
 			same++
 		}
 	}
-	running := float64(same) * float64(max(all, 1)) / float64(max(own, 1))
+	// The request itself says nothing of the other hosts: most are the only ones for their adapter.
+	running := 1 + float64(max(same-1, 0))*float64(max(all, 1))/float64(max(own, 1))
 	perCopy := float64(places) / float64(max(len(replicas), 1)) * copyPlacesFraction
 	return max(n, 1), int(math.Ceil(running / max(perCopy, 1)))
 }
