--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -34,6 +34,9 @@
 	// copyTargetOccupancy is the occupancy below which a replica takes a copy. A fuller one would
 	// soon be short of places itself.
 	copyTargetOccupancy = 0.8
+	// copyWait is how long a request waits for another copy of its adapter before it is sent to a
+	// replica where it will be late: a load, the order before it and the news of it.
+	copyWait = 600 * time.Millisecond
 	// copyPlacesFraction is the part of a replica's places that one of its adapters can count on: it
 	// shares them with the others.
 	copyPlacesFraction = 0.4
@@ -171,11 +174,19 @@
 	switch {
 	case s.missesTarget(best):
 		m.demandCopies(r, &s)
-	case busy >= copyUtilizationThreshold && m.extraDemandDue(r, copyInterval):
+	case busy >= copyUtilizationThreshold && m.moreCopiesHelp(r, best) && m.extraDemandDue(r, copyInterval):
 		m.demandCopiesAt(r, 1, func(x *replicas.Replica) bool { return m.utilization(r, x) <= busy/2 })
 	}
 }
 
+// moreCopiesHelp reports whether a replica is busy because of a request's adapter or its queued
+// prompts. An adapter with few requests is best kept where it is, however many others run there: a
+// copy would cost the place of another adapter.
+func (m *Machine) moreCopiesHelp(r *request, x *replicas.Replica) bool {
+	copies, needed := m.copies(r)
+	return needed > copies || m.promptPressure(r, x, 0) >= copyUtilizationThreshold
+}
+
 // extraDemandDue reports whether the last demand for a copy of a request's adapter is so long ago,
 // and if so, remembers one now.
 func (m *Machine) extraDemandDue(r *request, interval time.Duration) bool {
@@ -192,7 +203,7 @@
 // replicas, so that all hosts together demand no more than one of them does.
 func (m *Machine) demandCopies(r *request, s *scorer) {
 	copies, needed := m.copies(r)
-	interval, wanted := shortageInterval, min(copies, needed-copies, maxCopiesAtOnce)
+	interval, wanted := shortageInterval, min(needed-copies, maxCopiesAtOnce)
 	if wanted <= 0 {
 		interval, wanted = copyInterval, 1
 	}
@@ -240,11 +251,29 @@
 			same++
 		}
 	}
-	running := float64(same) * float64(max(all, 1)) / float64(max(own, 1))
+	// The request itself says nothing of the other hosts: most are the only ones for their adapter.
+	running := 1 + float64(max(same-1, 0))*float64(max(all, 1))/float64(max(own, 1))
 	perCopy := float64(places) / float64(max(len(replicas), 1)) * copyPlacesFraction
 	return max(n, 1), int(math.Ceil(running / max(perCopy, 1)))
 }
 
+// awaitBetterCopy lets a request wait for another copy of its adapter where a copy would be loaded
+// and have sent the first event well before the best replica that has the adapter now. A request
+// waits so once, for no longer than a load takes.
+func (m *Machine) awaitBetterCopy(r *request, best *replicas.Replica) bool {
+	waited := r.copyAwaitedSince != 0 && m.now.Sub(r.copyAwaitedSince) >= copyWait
+	if waited || r.arrival.Adapter == "" || r.service.Engine == nil || r.attempt > 0 || r.route.LatencyTarget <= 0 {
+		return false
+	}
+	if m.promptDelay(best, r.arrival.Prompt) < r.route.LatencyTarget+copyWait || !m.awaitCopy(r) {
+		return false
+	}
+	if r.copyAwaitedSince == 0 {
+		r.copyAwaitedSince = m.now
+	}
+	return true
+}
+
 // awaitCopy lets a request wait for another copy of its adapter where all replicas that have it are
 // saturated. It returns false where none can load it that would run it in time.
 func (m *Machine) awaitCopy(r *request) bool {
@@ -260,7 +289,7 @@
 		return false
 	}
 	m.beginAdapterWait(r)
-	r.lastDemand = m.now
+	r.awaitsCopy, r.lastDemand = true, m.now
 	m.demandCopies(r, &s)
 	return true
 }
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -30,9 +30,13 @@
 	if m.refuseBlocked(r) {
 		return
 	}
+	r.awaitsCopy = false
 	c := m.candidates(r)
 	if len(c.usable) > 0 {
 		best := m.choose(r, c.usable)
+		if m.awaitBetterCopy(r, best) {
+			return
+		}
 		m.demandNewerVersion(r, best)
 		m.demandCopy(r, best)
 		m.beginTrial(r)
@@ -208,6 +212,7 @@
 	r.answerStarted, r.moving = false, false
 	r.awaitsPermit, r.awaitsRoom = false, false
 	x.OwnRequests++
+	x.Recent.Add(m.now, 1, recentHalfLife)
 	m.usePermit(r, x)
 	m.countPrompt(r, x)
 	m.countUse(r, x)
