--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -52,6 +52,7 @@
 type Machine struct {
 	read      State        // as this host's own watch has read it; its changes apply to it
 	hasRead   bool         // read has been read
+	reads     uint64       // changes of the domains of read after the first list
 	current   State        // the newest one known
 	known     bool         // there is one
 	adoptedAt core.Instant // when it became known
@@ -70,10 +71,18 @@
 	if at.Version == 0 && len(domains) == 0 {
 		at = m.revisionOfNone(sent, at.Era)
 	}
-	m.read, m.hasRead = newState(at, domains), true
+	m.setRead(newState(at, domains))
 	return m.adopt(now, m.read)
 }
 
+// setRead sets what this host's own watch has read.
+func (m *Machine) setRead(s State) {
+	if m.hasRead && !slices.Equal(s.Domains, m.read.Domains) {
+		m.reads++
+	}
+	m.read, m.hasRead = s, true
+}
+
 // revisionOfNone returns a revision for the absence of any object, which the store gives none for.
 // Within the known state's era it is that of the known state where that is empty too. Else it is the
 // next one, if the call was sent after that state became known: the store has changed since.
@@ -106,7 +115,7 @@
 			delete(m.holds, c.Domain)
 		}
 	}
-	m.read = newState(at, domains)
+	m.setRead(newState(at, domains))
 	m.replace(now, m.read)
 	return m.update(before)
 }
@@ -196,8 +205,9 @@
 // Known reports whether this host knows a state, read by itself or by another host.
 func (m *Machine) Known() bool { return m.known }
 
-// Read returns the domains that this host has read itself, and false where it has read none.
-func (m *Machine) Read() ([]core.Domain, bool) { return m.read.Domains, m.hasRead }
+// Reads returns how many times the domains that this host reads itself have changed since its first
+// list.
+func (m *Machine) Reads() uint64 { return m.reads }
 
 // ToSend returns the state to be sent to other hosts; nil: none is known, or it has too many
 // domains, so that they have to read it.
--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -113,6 +113,10 @@
 			{Name: "let_in", Meaning: "an answer on it came to a certain end; requests with it are sent to replicas again"},
 			{Name: "forgotten", Meaning: "nothing has been heard of it for long; it is no longer blocked"},
 			{Name: "malformed", Meaning: "its identifier in a lease can't be read"}}},
+		{Name: "evacuation", Subject: "a failure domain that the operator evacuates", Detail: "the domain", Age: "the evacuation, as this host learned of it", Reasons: []Reason{
+			{Name: "begun", Meaning: "no request and no order goes to its replicas any more"},
+			{Name: "ended", Meaning: "its replicas are used again"},
+			{Name: "unknown_domain", Meaning: "no replica and no host is in it; it begins once one is"}}},
 		{Name: "store", Subject: "the platform's store", Detail: "its era", Reasons: []Reason{
 			{Name: "restored", Meaning: "it has come back from an older copy"}}},
 		{Name: "configuration", Subject: "a version of the configuration", Detail: "the version", Reasons: []Reason{
--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -41,7 +41,7 @@
 	var all []scored
 	reachable := m.reachable()
 	for _, x := range m.replicas.ByService(r.service.ID) {
-		if !x.Unavailable() && !x.Down(m.now) && x.Pause(m.now) == 0 && x.HasModel(r.arrival.Model) && r.mayGoOnAt(x) && m.mayBeginAt(r, x) && reachable(x.ID) && m.ownerReaches(x.ID) {
+		if !x.Unavailable() && !x.Down(m.now) && x.Pause(m.now) == 0 && !m.evacuated(x) && x.HasModel(r.arrival.Model) && r.mayGoOnAt(x) && m.mayBeginAt(r, x) && reachable(x.ID) && m.ownerReaches(x.ID) {
 			all = append(all, scored{x, core.Score(core.HostID(x.ID), preferenceKind, name)})
 		}
 	}
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -301,6 +301,9 @@
 				m.refuseUnreached(r)
 				continue
 			}
+			if m.refuseEvacuated(r) {
+				continue
+			}
 			m.demandAdapter(r)
 			if r.lastDemand == 0 && m.now.Sub(r.stageSince) >= noOwnerTimeout {
 				m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterUnowned, "nobody can have its adapter loaded now"))
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -128,6 +128,7 @@
 		BlockedParts:      m.parts.tracker.Digest(),
 		Paths:             m.paths.Report(m.now),
 		Software:          m.softwareDigest(),
+		Evacuations:       m.evacuationsForHeartbeat(),
 	}
 }
 
@@ -203,6 +204,7 @@
 	m.applyPeerCrashes(b.Host, b.Crashes)
 	m.compareState(b)
 	m.compareSoftware(b.Software)
+	m.receiveEvacuations(b.Evacuations, b.IsWatcher)
 	if b.Host == from {
 		m.compareVerdicts(from, b.BlockedParts)
 	}
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -30,6 +30,7 @@
 	quota           *quota.Machine
 	shards          *shard.Machine
 	residency       *residency.Machine
+	evacuations     evacuations
 	versions        map[core.AdapterID]versionHistory
 	origins         origins
 	retries         map[table.ServiceID]*retry.Budget
@@ -87,6 +88,7 @@
 		quota:           quota.New(!s.FirstStart),
 		shards:          shard.New(s.Shard),
 		residency:       residency.New(s.Residency),
+		evacuations:     newEvacuations(),
 		versions:        map[core.AdapterID]versionHistory{},
 		retries:         map[table.ServiceID]*retry.Budget{},
 		crashes:         map[uint64]*crashRecord{},
@@ -152,6 +154,10 @@
 		}
 	case VersionsRead:
 		m.versionsRead = true
+	case EvacuationsListed:
+		m.handleEvacuationsListed(e)
+	case EvacuationsChanged:
+		m.handleEvacuationsChanged(e)
 	case HostListed:
 		if m.fleet.UpdateRegistration(m.now, e.Host, m.watch.era) {
 			m.changes.hosts = append(m.changes.hosts, e.Host)
@@ -216,6 +222,7 @@
 	}
 	m.applyRewrite()
 	m.endPauses()
+	m.tickEvacuations()
 	m.register()
 	m.probePaths()
 	m.yieldShards()
@@ -245,10 +252,12 @@
 // Ready reports whether the host can serve callers.
 func (m *Machine) Ready() bool { return m.initialized() && m.leavingSince == 0 }
 
-// initialized reports whether the configuration, the replicas and the adapters'
-// versions have been read. Invariant: a host that has just started runs nothing on a
+// initialized reports whether the configuration, the replicas, the adapters' versions and
+// the evacuations have been read. Invariant: a host that has just started runs nothing on a
 // version that was replaced before.
-func (m *Machine) initialized() bool { return m.table != nil && m.replicasRead && m.versionsRead }
+func (m *Machine) initialized() bool {
+	return m.table != nil && m.replicasRead && m.versionsRead && m.evacuationsInitialized()
+}
 
 // Addresses returns the addresses that are advertised to callers.
 func (m *Machine) Addresses() []string { return m.fleet.Addresses(m.now, m.Ready()) }
@@ -263,9 +272,10 @@
 	return m.shards.OrderFence(m.now, m.shards.Of(id))
 }
 
-// orderFenceUnlessPaused is orderFence for a replica that accepts calls of this host now.
+// orderFenceUnlessPaused is orderFence for a replica that accepts calls of this host now and
+// isn't evacuated.
 func (m *Machine) orderFenceUnlessPaused(id core.UpstreamID) (core.Fence, bool) {
-	if x := m.replicas.Get(id); x != nil && x.Pause(m.now) > 0 {
+	if x := m.replicas.Get(id); x != nil && (x.Pause(m.now) > 0 || m.evacuated(x)) {
 		return 0, false
 	}
 	return m.orderFence(id)
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/evacuation"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/intake"
 	"gentiancroft/internal/core/origin"
@@ -38,6 +39,8 @@
 	PermitGrants []intake.Grant    `cbor:"18,keyasint,omitempty"`
 
 	Pauses []Pause `cbor:"19,keyasint,omitempty"` // that replicas have asked of the receiver, in answers to requests that it carried
+
+	Evacuations *evacuation.State `cbor:"20,keyasint,omitempty"` // evacuated domains, where they have changed
 }
 
 // Pause is a pause that an incarnation of a replica has asked for.
@@ -70,6 +73,8 @@
 	Software          uint64           `cbor:"19,keyasint,omitempty"` // digest of the replicas' software versions that ran lately; 0: it doesn't know all
 	ReplicaDigest     uint64           `cbor:"20,keyasint,omitempty"` // of its list of replicas alone; 0: a former build, which sends ListDigest only
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
+
+	Evacuations *evacuation.State `cbor:"21,keyasint,omitempty"` // evacuated domains; nil: the host doesn't watch them
 }
 
 // Load is how many requests, or prompt tokens of them, a host has at a replica.
--- a/internal/core/relaynode/notices.go
+++ b/internal/core/relaynode/notices.go
@@ -97,10 +97,10 @@
 }
 
 // servicePause returns the shortest time until a replica of a service takes requests of
-// this host again, and false unless every one that is not leaving is paused.
+// this host again, and false unless every one that is neither leaving nor evacuated is paused.
 func (m *Machine) servicePause(service table.ServiceID) (shortest time.Duration, all bool) {
 	for _, x := range m.replicas.ByService(service) {
-		if x.Unavailable() {
+		if x.Unavailable() || m.evacuated(x) {
 			continue
 		}
 		pause := x.Pause(m.now)
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -140,6 +140,7 @@
 	}
 	m.applyListChanges(e.Message)
 	m.applyDocuments(e)
+	m.receiveEvacuations(e.Message.Evacuations, false)
 	for _, d := range e.Message.Demands {
 		m.residency.AddDemand(m.now, d)
 		m.waiters.add(d.Replica, e.From)
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -55,6 +55,9 @@
 		m.refusePaused(r, pause)
 		return
 	}
+	if m.refuseEvacuated(r) {
+		return
+	}
 	if c.roomless && !m.canLoadElsewhere(r) {
 		if !m.awaitRoom(r) {
 			m.refuseRoomless(r)
@@ -102,14 +105,14 @@
 }
 
 // candidates returns the replicas that could run a request: those that the platform's list
-// confirms or, if there are none, the others. None of them is down.
+// confirms or, if there are none, the others. None of them is down or evacuated.
 func (m *Machine) candidates(r *request) candidates {
 	var c candidates
 	var unconfirmed []*replicas.Replica
 	reachable := m.reachable()
 	for _, x := range m.replicas.ByService(r.service.ID) {
 		switch {
-		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !m.canRun(r, x) || !reachable(x.ID):
+		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || m.evacuated(x) || !m.canRun(r, x) || !reachable(x.ID):
 		case r.service.Engine != nil && x.Occupancy() >= saturationThreshold && r.software == 0:
 			c.saturated = true
 		case !m.hasRoom(x):
@@ -232,6 +235,7 @@
 	r.awaitsPermit, r.awaitsRoom = false, false
 	x.OwnRequests++
 	m.usePermit(x)
+	m.recordEvacuatedSend(x)
 	m.countPrompt(r, x)
 	m.countUse(r, x)
 	if r.attempt == 1 {
--- a/internal/core/relaynode/settings.go
+++ b/internal/core/relaynode/settings.go
@@ -25,6 +25,7 @@
 	VersionGrace        time.Duration // how long requests are sent to an older version after a newer one was announced
 	VersionExpiry       time.Duration // how long after that announcement they may begin on the older one
 	HeartbeatInterval   time.Duration // heartbeat interval of an active host, before the addition per receiver
+	Evacuation          time.Duration // after an evacuation was written, no requests may reach its domain; 0: evacuations are ignored
 	StreamRefusalDelay  time.Duration // from Leave to the refusal of new streams
 	RequestRefusalDelay time.Duration // from Leave to the refusal of new requests
 	LeaveTimeout        time.Duration // from Leave to the end, even with requests in flight
--- a/internal/core/relaynode/software.go
+++ b/internal/core/relaynode/software.go
@@ -130,7 +130,7 @@
 	has, ok := known.byService[s]
 	if !ok {
 		has = slices.ContainsFunc(m.replicas.ByService(s), func(x *replicas.Replica) bool {
-			return !x.Unavailable() && !x.Down(m.now) && m.settled(x)
+			return !x.Unavailable() && !x.Down(m.now) && !m.evacuated(x) && m.settled(x)
 		})
 		known.byService[s] = has
 	}
--- a/internal/core/relaynode/state.go
+++ b/internal/core/relaynode/state.go
@@ -21,6 +21,7 @@
 	Replicas           []ReplicaState
 	Workspaces         []WorkspaceState
 	Retries            map[table.ServiceID]float64 // available retries, by service
+	Evacuation         *EvacuationState            // nil: evacuations are ignored
 	Routes             map[string]bool             // names of the configured routes
 }
 
@@ -49,6 +50,7 @@
 		ReachableFraction: m.fleet.ReachableFraction(m.now),
 		Retries:           map[table.ServiceID]float64{},
 		Routes:            map[string]bool{},
+		Evacuation:        m.evacuationState(),
 	}
 	if m.table != nil {
 		s.ConfigurationAge = m.now.Sub(m.configuration.since)
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -40,11 +40,12 @@
 
 // ReadPlan is how the store is to be read.
 type ReadPlan struct {
-	Watch   bool   // watch the objects, instead of relying on a watcher's messages
-	Reread  uint64 // rises each time that the configuration and versions are to be read again
-	Relist  uint64 // rises each time that all objects are to be listed again
-	Standby bool   // this host is a standby host
-	Forming bool   // the whole deployment starts, and its hosts are finding each other
+	Watch       bool   // watch the objects, instead of relying on a watcher's messages
+	Reread      uint64 // rises each time that the configuration and versions are to be read again
+	Relist      uint64 // rises each time that all objects are to be listed again
+	Standby     bool   // this host is a standby host
+	Evacuations bool   // the same as Watch for the evacuations, which watchers of the former build don't watch
+	Forming     bool   // the whole deployment starts, and its hosts are finding each other
 }
 
 // formingTime is how long after the start of a whole deployment its hosts may still have
@@ -64,6 +65,8 @@
 		Relist:  m.relists,
 		Standby: !m.fleet.Active(),
 		Forming: m.forming(),
+
+		Evacuations: m.watchesEvacuations(),
 	}
 }
 
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -48,9 +48,11 @@
 	ConfigurationKind string // kind of the object that holds the configuration
 	ReplicasKind      string // kind of the objects that register replicas
 	VersionsKind      string // kind of the objects that announce the adapters' newest versions
+	EvacuationsKind   string // kind of the objects that evacuate failure domains
 	DecodeTable       func([]byte) (*table.Table, error)
 	DecodeReplica     func(id string, value []byte) (replicas.Entry, error)
 	DecodeVersion     func([]byte) (core.BaseModel, core.AdapterRef, error)
+	DecodeEvacuation  func(name string) (core.Domain, error)
 }
 
 // Executors are the executors of a gateway: they carry out the machine's effects
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,7 +179,7 @@
 	if next.reading.Relist != last.reading.Relist {
 		g.relist.interruptAll()
 	}
-	if next.reading.Watch && !last.reading.Watch || next.reading.Relist != last.reading.Relist {
+	if next.reading.Watch && !last.reading.Watch || next.reading.Evacuations && !last.reading.Evacuations || next.reading.Relist != last.reading.Relist {
 		g.wake.interruptAll()
 	}
 }
--- a/internal/gateway/objects.go
+++ b/internal/gateway/objects.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/evacuation"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/core/replicas"
@@ -97,6 +98,27 @@
 	g.Notify(relaynode.VersionAnnounced{Model: model, Adapter: ref, Listed: late})
 }
 
+// evacuationsListed sends the whole list of evacuated domains to the machine.
+func (g *Gateway) evacuationsListed(all []core.Object, at core.Revision, sent core.Instant) {
+	var domains []core.Domain
+	for _, o := range all {
+		for _, c := range g.appendEvacuationChange(nil, o) {
+			domains = append(domains, c.Domain)
+		}
+	}
+	g.Notify(relaynode.EvacuationsListed{At: at, Sent: sent, Domains: domains})
+}
+
+// appendEvacuationChange appends what an object says, if it can be decoded.
+func (g *Gateway) appendEvacuationChange(changes []evacuation.ObjectChange, o core.Object) []evacuation.ObjectChange {
+	d, err := g.executors.Documents.DecodeEvacuation(objectName(o))
+	if err != nil {
+		logSkipped(o, err)
+		return changes
+	}
+	return append(changes, evacuation.ObjectChange{Domain: d, Removed: o.Deleted})
+}
+
 func (g *Gateway) hostChanged(o core.Object) {
 	if o.Deleted {
 		g.Notify(relaynode.HostUnlisted{Name: objectName(o)})
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -76,6 +76,10 @@
 	metrics.GetOrRegisterGaugeFloat64("fleet.part", g.registry).Update(s.ReachableFraction)
 	g.setGauge("fleet.shards", int64(s.Shards))
 	g.setGauge("gateway.waiting", int64(s.Waiting))
+	if s.Evacuation != nil {
+		g.setGauge("evacuation.domains", int64(s.Evacuation.Domains))
+		milliseconds("evacuation.last_send_ms", s.Evacuation.LastSend)
+	}
 	present := map[string]bool{prefixRoute + unrouted: true}
 	for _, x := range s.Replicas {
 		prefix := prefixUpstream + string(x.ID)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/evacuation"
 	"gentiancroft/internal/core/relaynode"
 )
 
@@ -32,6 +33,7 @@
 	minReplicasInterval      = 800 * time.Millisecond
 	minVersionsInterval      = 400 * time.Millisecond
 	minHostsInterval         = 400 * time.Millisecond
+	minEvacuationsInterval   = 100 * time.Millisecond
 )
 
 // watch reads the objects of one kind: it lists them, waits for changes from that
@@ -47,13 +49,18 @@
 	onList      func([]core.Object)
 	onChange    func(core.Object)
 	onAnswer    func() // nil, or called after the changes of an answer
+	mayBeAbsent bool   // objects of the kind may never have been written: their absence is a list like any other
 
-	sent       core.Instant // when the last call was sent
-	listedOnce bool         // the first list is complete
-	late       bool         // a call has failed since the last answer: changes may have been made long ago
-	era        uint64       // of the store at the last list
-	lastReread uint64       // the machine's count of reread requests at the last list
-	lastRelist uint64       // the same of its requests to list all kinds again
+	watches func(relaynode.ReadPlan) bool // whether this host is to watch the kind
+
+	sent       core.Instant  // when the last call was sent
+	at         core.Revision // of the store at the last answer; version 0: it had no object of the kind
+	listedOnce bool          // the first list is complete
+	absent     bool          // the last list found that the store has no object of the kind
+	late       bool          // a call has failed since the last answer: changes may have been made long ago
+	era        uint64        // of the store at the last list
+	lastReread uint64        // the machine's count of reread requests at the last list
+	lastRelist uint64        // the same of its requests to list all kinds again
 }
 
 // watches returns the watches of all kinds of objects that the machine reads.
@@ -64,12 +71,40 @@
 	list := &watch{gateway: g, kind: d.ReplicasKind, minInterval: minReplicasInterval, onChange: g.replicaChanged}
 	list.onList = func(all []core.Object) { g.replicasListed(all, list.sent) }
 	list.onAnswer = func() { g.Notify(relaynode.ReplicasCompared{Sent: list.sent}) }
-	return []*watch{
+	all := []*watch{
 		{gateway: g, kind: d.ConfigurationKind, minInterval: minConfigurationInterval, reread: true, onList: forEach(g.configurationChanged), onChange: g.configurationChanged},
 		list,
 		versions,
 		{gateway: g, kind: strings.TrimSuffix(relaynode.HostsPrefix, "/"), minInterval: minHostsInterval, startAtOnce: true, onList: forEach(g.hostChanged), onChange: g.hostChanged},
 	}
+	if g.machine.ReadsEvacuations() {
+		all = append(all, g.evacuationsWatch())
+	}
+	return all
+}
+
+// evacuationsWatch returns the watch of the evacuated domains.
+func (g *Gateway) evacuationsWatch() *watch {
+	w := &watch{gateway: g, kind: g.executors.Documents.EvacuationsKind, minInterval: minEvacuationsInterval, mayBeAbsent: true}
+	w.watches = func(p relaynode.ReadPlan) bool { return p.Evacuations }
+	var changes []evacuation.ObjectChange
+	w.onList = func(all []core.Object) { g.evacuationsListed(all, w.at, w.sent) }
+	w.onChange = func(o core.Object) { changes = g.appendEvacuationChange(changes, o) }
+	w.onAnswer = func() {
+		g.Notify(relaynode.EvacuationsChanged{At: w.at, Sent: w.sent, Changes: changes})
+		changes = nil
+	}
+	return w
+}
+
+// watching reports whether this host is to watch the kind, instead of relying on another one's
+// messages.
+func (w *watch) watching() bool {
+	reading := w.gateway.status.Load().reading
+	if w.watches != nil {
+		return w.watches(reading)
+	}
+	return reading.Watch
 }
 
 // forEach returns a function that calls f for each object of a list.
@@ -86,9 +121,9 @@
 	version := uint64(0)
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if version != 0 && !w.gateway.status.Load().reading.Watch {
+		if (version != 0 || w.absent) && !w.watching() {
 			w.idle(ctx)
-			version = 0
+			version, w.absent = 0, false
 			continue
 		}
 		began := time.Now()
@@ -133,7 +168,7 @@
 		defer endReread()
 	}
 	reading := w.gateway.status.Load().reading
-	if reading.Watch || reading.Relist != w.lastRelist || w.reread && reading.Reread != w.lastReread {
+	if w.watching() || reading.Relist != w.lastRelist || w.reread && reading.Reread != w.lastReread {
 		return
 	}
 	pause(waitCtx, listInterval)
@@ -167,6 +202,7 @@
 	case result.Status == core.ObjectOK && version != 0 && result.Era != w.era:
 		return 0, true // its changes are not those since the list, which another era gave
 	case result.Status == core.ObjectNotFound && version == 0:
+		w.at, w.absent, w.late = core.Revision{Era: result.Era}, w.mayBeAbsent, false
 		w.onList(nil) // no object of this kind was ever written
 		return 0, false
 	case result.Status != core.ObjectOK:
@@ -175,9 +211,11 @@
 	case version == 0:
 		w.late = false
 		w.era = result.Era
+		w.at = core.Revision{Era: result.Era, Version: result.Version}
 		w.onList(result.Objects)
 		return result.Version, true
 	}
+	w.at = core.Revision{Era: result.Era, Version: result.Version}
 	for _, o := range result.Objects {
 		w.onChange(o)
 	}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -35,6 +35,9 @@
 		_, ok := parseDuration(l.Field().String())
 		return ok
 	}))
+	must(v.RegisterValidation("duration_or_zero", func(l validator.FieldLevel) bool {
+		return isDurationOrZero(l.Field().String())
+	}))
 	must(v.RegisterValidation("size", func(l validator.FieldLevel) bool {
 		_, ok := parseSize(l.Field().String())
 		return ok
@@ -128,6 +131,8 @@
 		return "is missing"
 	case "duration":
 		return fmt.Sprintf("%q is not a duration such as 250ms, 10s or 1h", f.Value())
+	case "duration_or_zero":
+		return fmt.Sprintf("%q is neither 0 nor a duration such as 250ms, 10s or 1h", f.Value())
 	case "size":
 		return fmt.Sprintf("%q is not a size such as 512B, 16KiB or 1MiB", f.Value())
 	case "ip_port":
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -16,6 +16,7 @@
 	Limits     RelayLimits `yaml:"limits" doc:"limits for callers"`
 	Retry      Retry       `yaml:"retry" doc:"limit on the extra work of retries, over all hosts"`
 	Version    Duration    `yaml:"version" validate:"duration" default:"5s" doc:"how long an adapter's version may still be used after a newer one is announced"`
+	Evacuation Duration    `yaml:"evacuation" validate:"duration_or_zero" default:"0" doc:"how long after the evacuation of a failure domain requests may still reach its replicas; 0: evacuations are not observed"`
 	Keep       Duration    `yaml:"keep" validate:"duration" default:"2s" doc:"how long callers may cache the addresses that they are given"`
 	Shutdown   Duration    `yaml:"shutdown" validate:"duration" default:"8s" doc:"time limit of a graceful shutdown, from the signal to the exit"`
 	Log        string      `yaml:"log" validate:"omitempty,oneof=debug info warn error" default:"info" doc:"minimum level of log lines"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -156,3 +156,23 @@
 		is.True(Invalid.Has(err))
 	}
 }
+
+// The platform's settings may say 0, which is no error: evacuations are not observed.
+func TestEvacuationIsADurationOrZero(t *testing.T) {
+	is := is.New(t)
+	const text = `host: {name: a, domain: d, region: r}
+listen: {callers: "127.0.0.1:1", ready: "127.0.0.1:2", directory: "127.0.0.1:3", links: "127.0.0.1:4"}
+store: 127.0.0.1:6
+%s
+`
+	for line, want := range map[string]time.Duration{"": 0, "evacuation: 0": 0, "evacuation: 0ms": 0, "evacuation: 5000ms": 5 * time.Second} {
+		s, err := Decode[Relay]("relay.yaml", fmt.Appendf(nil, text, line))
+		is.NoErr(err)
+		is.Equal(s.Evacuation.Value(), want)
+	}
+	for _, line := range []string{"evacuation: -1s", "evacuation: 5", "evacuation: soon"} {
+		_, err := Decode[Relay]("relay.yaml", fmt.Appendf(nil, text, line))
+		is.True(Invalid.Has(err))
+		is.True(strings.Contains(err.Error(), "relay.yaml:4: evacuation: "))
+	}
+}
--- a/internal/settings/units.go
+++ b/internal/settings/units.go
@@ -25,6 +25,12 @@
 	return v, err == nil && v > 0
 }
 
+// isDurationOrZero reports whether text is a duration or 0, with or without a unit.
+func isDurationOrZero(text string) bool {
+	v, err := time.ParseDuration(text)
+	return text == "" || err == nil && v >= 0
+}
+
 // Size is a positive number of bytes with its unit (B, KiB, MiB or GiB), or "".
 type Size string
 
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -154,6 +154,7 @@
 		RetryWindow:         s.Retry.Window.Value(),
 		VersionGrace:        versionGrace(s),
 		VersionExpiry:       versionExpiry(s),
+		Evacuation:          s.Evacuation.Value(),
 		StreamRefusalDelay:  shutdown - streamRefusalLead,
 		RequestRefusalDelay: shutdown - requestRefusalLead,
 		LeaveTimeout:        shutdown,
--- a/internal/wiring/reload.go
+++ b/internal/wiring/reload.go
@@ -31,6 +31,8 @@
 		"store":    s.Store != old.Store,
 		"limits":   s.Limits != old.Limits,
 		"shutdown": s.Shutdown != old.Shutdown,
+
+		"evacuation": s.Evacuation.Value() != old.Evacuation.Value(),
 	} {
 		if changed {
 			afterRestart = append(afterRestart, field)
