--- a/internal/core/relaynode/evacuation.go
+++ b/internal/core/relaynode/evacuation.go
@@ -27,8 +27,8 @@
 	// unknownDomainInterval is the time between two checks whether an evacuated domain that
 	// nothing was in has a replica or a host now.
 	unknownDomainInterval = time.Second
-	// retryAfterEvacuated is the Retry-After time of a request whose service has evacuated replicas
-	// only.
+	// retryAfterEvacuated is the Retry-After time of a request whose service has no replicas but
+	// evacuated and unavailable ones.
 	retryAfterEvacuated = time.Second
 )
 
@@ -219,26 +219,26 @@
 		return false
 	}
 	reachable := m.reachable()
-	any := false
+	found := false
 	for _, x := range m.replicas.ByService(service) {
 		switch {
-		case x.Unavailable() || x.Down(m.now) || x.Pause(m.now) > 0 || !reachable(x.ID):
+		case x.Unavailable():
 		case m.evacuated(x):
-			any = true
-		default:
+			found = true
+		case !x.Down(m.now) && x.Pause(m.now) == 0 && reachable(x.ID):
 			return false
 		}
 	}
-	return any
+	return found
 }
 
-// refuseEvacuated refuses a request whose service has evacuated replicas only, and returns whether
-// it has.
+// refuseEvacuated refuses a request whose service has evacuated replicas and none that could take it,
+// and returns whether it has.
 func (m *Machine) refuseEvacuated(r *request) bool {
 	if !m.serviceEvacuated(r.service.ID) {
 		return false
 	}
-	m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterEvacuated, "the replicas of the service are in evacuated domains"))
+	m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterEvacuated, "every replica of the service is in an evacuated domain or unavailable"))
 	return true
 }
 
--- a/internal/core/relaynode/evacuation_test.go
+++ b/internal/core/relaynode/evacuation_test.go
@@ -178,6 +178,34 @@
 	h.is.Equal(h.refusal().Code, core.CodeNoUpstream)
 }
 
+// All replicas are evacuated, and no host reaches them.
+func TestUnreachedReplicasThatAreEvacuatedAreRefusedAtOnce(t *testing.T) {
+	h := newZonedHost(t)
+	h.read(1, 5, "a", "b")
+	for _, id := range []core.UpstreamID{"e1", "e2", "s1", "s2"} {
+		h.step(PathProbed{Replica: id, Begun: core.Instant(h.now)})
+	}
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "new"})
+	h.is.Equal(h.refusal().Ran, core.RanNo)
+}
+
+// A request waits for an adapter that is loaded in the evacuated domain only.
+func TestWaitingRequestsAreSentWhenTheDomainIsTakenBack(t *testing.T) {
+	h := newZonedHost(t)
+	h.step(HostListed{Host: fleet.Registration{Name: "b", Host: "b/1"}})
+	h.reportPaths("b", nil)
+	h.lease("b")
+	y := replica("e2", engines, core.AdapterRef{ID: "y", Version: 1})
+	y.Domain, y.Sequence = "b", 1
+	h.step(ReplicaListed{Entry: y})
+	h.read(1, 5, "b")
+	h.arrive(RequestArrived{Path: "/stream/x", Model: model, Adapter: "y"})
+	_, sent := get[Dispatch](h)
+	h.is.True(!sent)
+	h.read(1, 6)
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e2"))
+}
+
 // A new software version gets streams once no settled replica is left to take them.
 func TestAnEvacuatedReplicaDoesNotKeepStreamsFromANewVersion(t *testing.T) {
 	h := newZonedHost(t)
@@ -433,6 +461,8 @@
 	h.is.True(!h.watchersSend(watch, evacuationStateTimeout-200*time.Millisecond, nil))
 	h.is.True(h.watchersSend(watch, 300*time.Millisecond, nil))
 	h.is.True(!h.m.ReadPlan().Watch) // what they do send is relied on
+	watcher := newZonedHostInLargeFleet(t, watch[0])
+	h.is.True(watcher.watchersSend(watch[1:], time.Second, state)) // it is one of those that the others rely on
 	h.is.True(!h.watchersSend(watch[:1], 100*time.Millisecond, state))
 	h.advance(evacuationStateTimeout) // none is heard
 	h.is.True(h.m.ReadPlan().Evacuations)
--- a/internal/core/relaynode/paths.go
+++ b/internal/core/relaynode/paths.go
@@ -143,13 +143,12 @@
 	}
 }
 
-// serviceUnreached reports whether a service has replicas that aren't evacuated, and no host reaches any
-// of them.
+// serviceUnreached reports whether a service has replicas, and no host reaches any of them.
 func (m *Machine) serviceUnreached(service table.ServiceID) bool {
 	reachable := m.reachable()
 	known := false
 	for _, x := range m.replicas.ByService(service) {
-		if x.Unavailable() || m.evacuated(x) {
+		if x.Unavailable() {
 			continue
 		}
 		if reachable(x.ID) {
