A kind whose last object is removed; docs of evacuations for operators

Cause: a store may answer 404 to a watch of a kind whose last object was removed; the watch went on from its version and never saw the end of the evacuation.

Change: such a watch lists again, which shows that there is none.

Figures: the new test of internal/gateway fails without the change (the next call is a watch) and passes with it; race tests of internal/gateway pass.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -27,7 +27,7 @@
 
 // refusalReasons are the codes that a request can be refused with.
 var refusalReasons = []Reason{
-	{Name: string(core.CodeHostCutOff), Meaning: "the host has not read its configuration, replicas or adapter versions yet"},
+	{Name: string(core.CodeHostCutOff), Meaning: "the host has not read its configuration, replicas, adapter versions or evacuations yet"},
 	{Name: string(core.CodeHostLeaving), Meaning: "the host is shutting down"},
 	{Name: string(core.CodeUnknownRoute), Meaning: "no route for host and path in the configuration in force"},
 	{Name: string(core.CodeInvalidKey), Meaning: "the key is missing or not in the configuration in force"},
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// A store that no longer knows the kind once its last object is removed gives no change that says so.
+func TestAWatchOfAKindThatNoLongerExistsListsAgain(t *testing.T) {
+	is := is.New(t)
+	store, g, w := evacuationsGateway(relaynode.ReadPlan{Evacuations: true},
+		core.ObjectResult{Status: core.ObjectOK, Version: 7, Era: 3, Objects: []core.Object{{Key: "evacuations/a", Version: 6, Era: 3}}},
+		core.ObjectResult{Status: core.ObjectNotFound, Era: 3})
+	w.startAtOnce = true
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.run(ctx) }()
+	<-store.calls
+	is.Equal(nextEvacuations(g), relaynode.EvacuationsListed{At: core.Revision{Era: 3, Version: 7}, Domains: []core.Domain{"a"}})
+	is.Equal((<-store.calls).Op, core.ObjectWatch)
+	is.Equal((<-store.calls).Op, core.ObjectList)
+	is.Equal(nextEvacuations(g), relaynode.EvacuationsListed{At: core.Revision{Era: 3}})
+	cancel()
+	is.True(<-done != nil)
+}
+
 func calledWithin(s *scriptedStore, d time.Duration) bool {
 	select {
 	case <-s.calls:
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -201,6 +201,8 @@
 		return 0, true
 	case result.Status == core.ObjectOK && version != 0 && result.Era != w.era:
 		return 0, true // its changes are not those since the list, which another era gave
+	case result.Status == core.ObjectNotFound && version != 0 && w.mayBeAbsent:
+		return 0, true // the last object was removed: a list shows that
 	case result.Status == core.ObjectNotFound && version == 0:
 		w.at, w.absent, w.late = core.Revision{Era: result.Era}, w.mayBeAbsent, false
 		w.onList(nil) // no object of this kind was ever written
