A host waits after its first list of a kind without objects, too

Cause: where the store answers 404 for the kind, each starting host called it again after 0.1, 0.2, 0.4, 0.6 s until it knew who watches.

Change: the pause after the first list applies to a list without objects.

--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -91,6 +91,7 @@
 	is := is.New(t)
 	for _, watches := range []bool{true, false} {
 		store, g, w := evacuationsGateway(relaynode.ReadPlan{Evacuations: watches}, core.ObjectResult{Status: core.ObjectNotFound, Era: 2})
+		w.startAtOnce = true
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- w.run(ctx) }()
@@ -109,6 +110,21 @@
 	}
 }
 
+// Guards against several calls of each host while a whole deployment starts.
+func TestAHostWaitsAfterItsFirstListOfAKindWithoutObjects(t *testing.T) {
+	is := is.New(t)
+	store, g, w := evacuationsGateway(relaynode.ReadPlan{Evacuations: true}, core.ObjectResult{Status: core.ObjectNotFound})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.run(ctx) }()
+	<-store.calls
+	nextEvacuations(g)
+	is.True(!calledWithin(store, watchStartDelay-maxRetryDelay))
+	is.Equal((<-store.calls).Op, core.ObjectList)
+	cancel()
+	is.True(<-done != nil)
+}
+
 // A store that no longer knows the kind once its last object is removed gives no change that says so.
 func TestAWatchOfAKindThatNoLongerExistsListsAgain(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -131,16 +131,16 @@
 		if time.Since(began) >= maxRetryDelay {
 			delay = minRetryDelay // the call was cut off while it waited, not refused
 		}
+		if !w.startAtOnce && !w.listedOnce && (next != 0 || w.absent) { // 0: interrupted or failed, so there is no list yet
+			w.listedOnce = true
+			pause(ctx, w.startDelay())
+		}
 		if !ok {
 			pause(ctx, delay)
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
 		delay = minRetryDelay
-		if !w.startAtOnce && !w.listedOnce && next != 0 { // 0: interrupted, so there is no list yet
-			w.listedOnce = true
-			pause(ctx, w.startDelay())
-		}
 		if next != version {
 			pause(ctx, w.minInterval-time.Since(began))
 		}
