--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/evacuation"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/intake"
 	"gentiancroft/internal/core/origin"
@@ -40,6 +41,8 @@
 	Cold []intake.Cold `cbor:"21,keyasint,omitempty"` // replicas that one host has seen turn cold
 
 	Pauses []Pause `cbor:"19,keyasint,omitempty"` // that replicas have asked of the receiver, in answers to requests that it carried
+
+	Evacuations *evacuation.State `cbor:"20,keyasint,omitempty"` // evacuated domains, where they have changed
 }
 
 // Pause is a pause that an incarnation of a replica has asked for.
@@ -73,6 +76,8 @@
 	ReplicaDigest     uint64           `cbor:"20,keyasint,omitempty"` // of its list of replicas alone; 0: a former build, which sends ListDigest only
 	Asked             map[uint32]int64 `cbor:"22,keyasint,omitempty"` // tokens that it was asked for since the start, by core.ShortHash of the workspace; nil: a former build, or none
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
+
+	Evacuations *evacuation.State `cbor:"21,keyasint,omitempty"` // evacuated domains; nil: the host doesn't watch them
 }
 
 // Load is how many requests, or prompt tokens of them, a host has at a replica.
--- a/internal/gateway/former_build_test.go
+++ b/internal/gateway/former_build_test.go
@@ -154,6 +154,7 @@
 	wantMessage := filled[relaynode.Message]()
 	wantMessage.Heartbeats[0].Software, wantMessage.Heartbeats[0].ReplicaDigest, wantMessage.Heartbeats[0].Asked = 0, 0, nil
 	wantMessage.Replicas[0].Cold, wantMessage.Cold = replicas.Coldness{}, nil
+	wantMessage.Evacuations, wantMessage.Heartbeats[0].Evacuations = nil, nil
 	is.Equal(m, wantMessage)
 	var r shard.Record
 	is.NoErr(json.Unmarshal(former(t, "lease.json"), &r))
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -94,6 +94,10 @@
 	g.setGauge("fleet.shards", int64(s.Shards))
 	g.setGauge("gateway.waiting", int64(s.Waiting))
 	g.setGauge("replicas.cold", int64(s.Cold))
+	if s.Evacuation != nil {
+		g.setGauge("evacuation.domains", int64(s.Evacuation.Domains))
+		milliseconds("evacuation.last_send_ms", s.Evacuation.LastSend)
+	}
 	present := map[string]bool{prefixRoute + unrouted: true}
 	for _, x := range s.Replicas {
 		prefix := prefixUpstream + string(x.ID)
