Bounded memory and connections for callers of a relaying host

Cause: each connection could hold a whole body, and parsed fields many times the size of a head, before anything decided; connections could take all descriptors; a long body was copied for each attempt and for its fingerprint.

Change: the HTTP server gets heads only, one request at a time (hangup, framing); the handler reads the body within the budget (held, core/heldbytes), after a refusal by route or key (Screen) for bodies over 16 KiB or in chunks. A body that was not read whole closes the connection. Connections, header lines, chunk overhead, least rates of reading and writing and whole answers are bounded. The readiness, directory and metrics pages take no bodies. Limits follow memory and RLIMIT_NOFILE. Bodies aren't copied for attempts any more. New settings limits.fields, connections, peer_connections; metrics held.*.

--- a/internal/core/hash.go
+++ b/internal/core/hash.go
@@ -66,14 +66,31 @@
 // Fingerprint hashes the parts of a request that decide what an upstream runs,
 // mixed with a deployment-wide key.
 func Fingerprint(key uint64, parts ...string) uint64 {
+	return newFingerprint(key, parts).Sum64()
+}
+
+// FingerprintWithBody is Fingerprint with a last part that is too large to be copied.
+func FingerprintWithBody(key uint64, body []byte, parts ...string) uint64 {
+	d := newFingerprint(key, parts)
+	writeLength(d, len(body))
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+func newFingerprint(key uint64, parts []string) *xxhash.Digest {
 	d := xxhash.New()
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], key)
 	_, _ = d.Write(b[:])
 	for _, p := range parts {
-		binary.LittleEndian.PutUint64(b[:], uint64(len(p)))
-		_, _ = d.Write(b[:])
+		writeLength(d, len(p))
 		_, _ = d.WriteString(p)
 	}
-	return d.Sum64()
+	return d
+}
+
+func writeLength(d *xxhash.Digest, length int) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(length))
+	_, _ = d.Write(b[:])
 }
--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -43,7 +43,7 @@
 	}
 	route := m.table.Route(e.Host, e.Path)
 	if route == nil {
-		return nil, core.Refuse(core.CodeUnknownRoute, 0, "no route for this host and path")
+		return nil, refuseRoute()
 	}
 	if m.rejectsRoute(route) {
 		return nil, core.Refuse(core.CodeHostLeaving, retryAfterLeaving, "this host is leaving; ask for addresses again")
@@ -66,6 +66,31 @@
 	return r, m.charge(r)
 }
 
+// Screen returns the refusal of a request that no configuration like t would admit: it has no route,
+// or no valid key. It returns nil for any other request. It needs no machine, so that it can decide
+// before the request's body is received.
+func Screen(t *table.Table, e RequestArrived) *core.Refusal {
+	if t == nil {
+		return nil // the machine refuses it
+	}
+	route := t.Route(e.Host, e.Path)
+	if route == nil {
+		return refuseRoute()
+	}
+	if t.KeysRequired && !route.KeyOptional && (!e.HasKey || t.Keys[e.Key] == nil) {
+		return refuseKey()
+	}
+	return nil
+}
+
+func refuseRoute() *core.Refusal {
+	return core.Refuse(core.CodeUnknownRoute, 0, "no route for this host and path")
+}
+
+func refuseKey() *core.Refusal {
+	return core.Refuse(core.CodeInvalidKey, 0, "the key is missing or not valid")
+}
+
 // rejectsRoute reports whether a leaving host takes no more requests of a route.
 // Streams are rejected earlier than other requests: they must end before the host
 // does.
@@ -104,7 +129,7 @@
 		r.workspace = m.table.Keys[r.arrival.Key]
 	}
 	if r.workspace == nil {
-		return core.Refuse(core.CodeInvalidKey, 0, "the key is missing or not valid")
+		return refuseKey()
 	}
 	return nil
 }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -245,6 +245,9 @@
 // Ready reports whether the host can serve callers.
 func (m *Machine) Ready() bool { return m.initialized() && m.leavingSince == 0 }
 
+// Table returns the configuration in force, nil before the first. It doesn't change.
+func (m *Machine) Table() *table.Table { return m.table }
+
 // initialized reports whether the configuration, the replicas and the adapters'
 // versions have been read. Invariant: a host that has just started runs nothing on a
 // version that was replaced before.
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -37,6 +37,7 @@
 	framing  int    // fields so far that give the body's length
 	bodyLen  int64  // Chunked, or the body's length
 	prevSize bool   // the line before gave the body's length
+	expects  bool   // the caller waits for an interim answer before it sends the body
 	done     bool
 }
 
@@ -52,6 +53,9 @@
 // BodyLength returns the body's length, or Chunked. It is valid once the head has ended.
 func (h *Head) BodyLength() int64 { return h.bodyLen }
 
+// ExpectsContinue reports whether the caller waits for "100 Continue" before it sends the body.
+func (h *Head) ExpectsContinue() bool { return h.expects }
+
 // Scan reads on in a head. It returns how many of the bytes belong to it.
 func (h *Head) Scan(b []byte) (n int, err error) {
 	for n < len(b) && !h.done {
@@ -104,6 +108,7 @@
 	name, value = bytes.TrimSpace(name), bytes.TrimSpace(value)
 	isLength, isEncoding := bytes.EqualFold(name, []byte("Content-Length")), bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	h.prevSize = isLength || isEncoding
+	h.expects = h.expects || bytes.EqualFold(name, []byte("Expect")) && bytes.EqualFold(value, []byte("100-continue"))
 	if !h.prevSize {
 		return nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/relaynode"
+	"gentiancroft/internal/core/table"
 	"gentiancroft/internal/supervise"
 )
 
@@ -58,6 +59,7 @@
 	ready     bool
 	leaving   bool
 	addresses []string
+	table     *table.Table       // the configuration in force; nil: none yet
 	reading   relaynode.ReadPlan // how the store is to be read
 }
 
@@ -100,6 +102,11 @@
 // Leaving implements relay.Node.
 func (g *Gateway) Leaving() bool { return g.status.Load().leaving }
 
+// Screen implements relay.Screener. It doesn't wait for the machine.
+func (g *Gateway) Screen(a relaynode.RequestArrived) *core.Refusal {
+	return relaynode.Screen(g.status.Load().table, a)
+}
+
 // Addresses returns the addresses that are advertised to callers.
 func (g *Gateway) Addresses() []string { return g.status.Load().addresses }
 
@@ -170,6 +177,7 @@
 		ready:     g.machine.Ready(),
 		leaving:   g.machine.Leaving(),
 		addresses: g.machine.Addresses(),
+		table:     g.machine.Table(),
 		reading:   g.machine.ReadPlan(),
 	}
 	last := g.status.Swap(next)
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -1,5 +1,8 @@
 // Package hangup wraps callers' connections to detect immediately that a caller hangs up
 // while its request is served. Reacting to a hang-up is left to the callback.
+//
+// With framing, it also bounds what a connection holds: the HTTP server gets the heads of requests
+// only, one at a time, and the request's handler reads the body with ReceiveBody.
 package hangup
 
 import (
@@ -7,7 +10,12 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"gentiancroft/internal/framing"
+	"gentiancroft/internal/held"
 )
 
 const (
@@ -18,24 +26,58 @@
 	readChunkBytes = 512
 	// sendBufferBytes bounds the kernel's send buffer for a slow caller.
 	sendBufferBytes = 64 << 10
+	// minWriteRate is the least rate in bytes a second at which a caller must take an answer, apart
+	// from the stall timeout, which it may use up once for each request.
+	minWriteRate = 1 << 10
+	// acceptRetryDelay is the pause after an accept that failed for want of descriptors or memory.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // Listener wraps accepted connections so that they can be watched.
 type Listener struct {
 	net.Listener
 	StallTimeout time.Duration // a write that takes longer fails
+	MaxLines     int           // of a request's head; 0: no framing
+	Budget       *held.Budget  // of the connections; nil: no bounds
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections that are too many.
 func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if outOfResources(err) {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if w := l.admit(c); w != nil {
+			return w, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// outOfResources reports whether an accept failed for want of something that may be free again
+// soon. The HTTP server would end.
+func outOfResources(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// admit wraps a connection. It returns nil if the budget has no place for it.
+func (l Listener) admit(c net.Conn) *Conn {
+	w := New(c, l.StallTimeout)
+	w.head.MaxLines = l.MaxLines
+	if l.Budget != nil {
+		if w.account = l.Budget.Open(c.RemoteAddr(), w.evict); w.account == nil {
+			return nil
+		}
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendBufferBytes)
 	}
-	return New(c, l.StallTimeout), nil
+	return w
 }
 
 // Conn is a caller's connection that detects a hang-up while a request is served. The HTTP
@@ -56,6 +98,18 @@
 	onHangup   func() // of the request being served
 
 	scratch [readChunkBytes]byte // used by readAhead only
+
+	account   *held.Account // nil: no bounds
+	head      framing.Head  // of the current request; no framing where its MaxLines is 0
+	body      body
+	state     atomic.Int32 // a requestState
+	receiving atomic.Bool  // ReceiveBody runs
+
+	// Of the current answer:
+	written int           // bytes
+	blocked time.Duration // spent in writes
+	// answerHeld is set where the answer counts in the budget.
+	answerHeld bool
 }
 
 // New wraps a connection. A write that takes longer than stall fails.
@@ -137,8 +191,16 @@
 	return callback, false
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. With framing, it returns the head of one request only.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.head.MaxLines > 0 {
+		return c.readHead(p)
+	}
+	return c.read(p)
+}
+
+// read reads what comes next on the connection.
+func (c *Conn) read(p []byte) (int, error) {
 	c.mu.Lock()
 	for c.reading && len(c.buffered) == 0 {
 		c.changed.Wait()
@@ -164,10 +226,23 @@
 }
 
 // Write implements net.Conn. It fails if the caller reads too slowly for it to end within
-// the stall timeout.
+// the stall timeout, or has read the answer too slowly so far.
 func (c *Conn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(c.stallTimeout))
-	return c.Conn.Write(p)
+	began := time.Now()
+	allowed := min(c.stallTimeout, writeTimeLeft(c.stallTimeout, c.blocked, c.written+len(p)))
+	_ = c.SetWriteDeadline(began.Add(allowed))
+	n, err := c.Conn.Write(p)
+	c.blocked += time.Since(began)
+	c.written += n
+	if c.answerHeld {
+		c.account.Progress(n)
+	}
+	return n, err
+}
+
+// writeTimeLeft returns how much longer writes of an answer may block once it has written bytes.
+func writeTimeLeft(stall, blocked time.Duration, written int) time.Duration {
+	return stall - blocked + time.Duration(written)*time.Second/minWriteRate
 }
 
 // Values of TCP's linger option, in seconds.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,12 @@
 	Leaving() bool
 }
 
+// Screener is a Node that can refuse a request by its head, without starting it.
+type Screener interface {
+	// Screen returns the refusal of a request that has no route or no valid key, nil for others.
+	Screen(relaynode.RequestArrived) *core.Refusal
+}
+
 // Exchange is the node's side of one request.
 type Exchange interface {
 	// Decisions returns the channel of the node's decisions: dispatch to a replica,
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/core/table"
 	"gentiancroft/internal/hangup"
+	"gentiancroft/internal/held"
 	"gentiancroft/internal/upstream"
 )
 
@@ -28,6 +30,7 @@
 	ReadTimeout    time.Duration // for a whole request to arrive
 	IdleTimeout    time.Duration // between two requests on a connection
 	StallTimeout   time.Duration // for a caller to read what is written to it
+	MaxFields      int           // lines of a request header
 }
 
 // DefaultLimits are the limits that apply where the settings give none.
@@ -37,10 +40,18 @@
 	ReadTimeout:    5 * time.Second,
 	IdleTimeout:    30 * time.Second,
 	StallTimeout:   10 * time.Second,
+	MaxFields:      256,
 }
 
-// maxConnections is the maximum number of open connections of callers.
-const maxConnections = 4096
+const (
+	// bodyGrace is how long a caller may take for a body before it must have come at minBodyRate.
+	bodyGrace = 3 * time.Second
+	// minBodyRate is the least rate of a body, in bytes a second.
+	minBodyRate = 16 << 10
+	// maxUnscreenedBytes is the longest body that is received before its request is decided. Shorter
+	// ones are read in any case, so that the caller's connection can be kept.
+	maxUnscreenedBytes = 16 << 10
+)
 
 // Server is the HTTP server for callers.
 type Server struct {
@@ -52,8 +63,12 @@
 	requestCount atomic.Uint64 // requests so far; numbers them
 	http         *fasthttp.Server
 	maxConnIdle  time.Duration // see defaultMaxConnIdle
+	budget       *held.Budget  // of the callers; nil: no bounds
 }
 
+// SetBudget bounds what callers hold. It must be called before Serve.
+func (s *Server) SetBudget(b *held.Budget) { s.budget = b }
+
 // New returns a server that has requests decided by n and sends attempts with c. Its
 // metrics go to r.
 func New(n Node, c *upstream.Client, d Dialect, l Limits, r metrics.Registry) *Server {
@@ -61,9 +76,9 @@
 	s.http = &fasthttp.Server{
 		Handler:                      s.serve,
 		ErrorHandler:                 s.handleReadError,
-		MaxRequestBodySize:           l.MaxBodyBytes,
+		HeaderReceived:               hangup.HideBody,
 		ReadBufferSize:               l.MaxHeaderBytes,
-		Concurrency:                  maxConnections,
+		Concurrency:                  math.MaxInt32, // the budget bounds connections
 		ReadTimeout:                  l.ReadTimeout,
 		IdleTimeout:                  l.IdleTimeout,
 		ReduceMemoryUsage:            true,
@@ -86,7 +101,12 @@
 
 // Serve accepts connections from l until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(hangup.Listener{Listener: l, StallTimeout: s.limits.StallTimeout})
+	return s.http.Serve(hangup.Listener{
+		Listener:     l,
+		StallTimeout: s.limits.StallTimeout,
+		MaxLines:     s.limits.MaxFields,
+		Budget:       s.budget,
+	})
 }
 
 // arrival makes the event of a new request. Its id is this host's request number and
@@ -111,10 +131,49 @@
 	if a.HasKey {
 		a.Key = table.HashKey(d.Key)
 	}
-	a.Fingerprint = core.Fingerprint(0, string(a.Key[:]), string(ctx.Request.Header.RequestURI()), string(ctx.Request.Body()))
 	return a
 }
 
+// receiveBody reads the request's body, unless the request is refused by its head. It returns false
+// where the request has been answered. Invariant: the connection is closed unless the whole body was
+// read.
+func (s *Server) receiveBody(ctx *fasthttp.RequestCtx, conn *hangup.Conn, arrival relaynode.RequestArrived) bool {
+	if !conn.HeadEnded() {
+		ctx.SetConnectionClose()
+		s.refuse(ctx, arrival.CallerID, core.Refuse(core.CodeBadRequest, 0, "the request is not well-formed HTTP"))
+		return false
+	}
+	if length := conn.BodyLength(); length < 0 || length > maxUnscreenedBytes {
+		if refusal := s.screen(arrival); refusal != nil {
+			ctx.SetConnectionClose()
+			s.refuse(ctx, arrival.CallerID, refusal)
+			return false
+		}
+	}
+	body, err := conn.ReceiveBody(hangup.BodyLimits{
+		MaxBytes: s.limits.MaxBodyBytes,
+		Timeout:  s.limits.ReadTimeout,
+		Grace:    bodyGrace,
+		MinRate:  minBodyRate,
+		Continue: ctx.Request.Header.IsHTTP11(),
+	})
+	if err != nil {
+		ctx.SetConnectionClose()
+		s.refuseUnread(ctx, arrival.CallerID, err)
+		return false
+	}
+	ctx.Request.SetBodyRaw(body)
+	return true
+}
+
+// screen returns the refusal of a request by its head, nil if there is none.
+func (s *Server) screen(arrival relaynode.RequestArrived) *core.Refusal {
+	if n, ok := s.node.(Screener); ok {
+		return n.Screen(arrival)
+	}
+	return nil
+}
+
 // path returns a request URI without the query, not normalized.
 func path(uri []byte) string {
 	for i, b := range uri {
@@ -136,6 +195,10 @@
 	declared := s.dialect.ParseRequest(&ctx.Request.Header)
 	t := &task{server: s, requestID: declared.RequestID, started: time.Now(), request: &ctx.Request}
 	arrival := s.arrival(ctx, declared)
+	if conn := hangup.Of(ctx.Conn()); conn != nil && !s.receiveBody(ctx, conn, arrival) {
+		return
+	}
+	arrival.Fingerprint = core.FingerprintWithBody(0, ctx.Request.Body(), string(arrival.Key[:]), string(ctx.Request.Header.RequestURI()))
 	t.id = arrival.ID
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.exchange = s.node.StartRequest(arrival)
@@ -205,8 +268,13 @@
 
 // handleReadError answers a request that could not be read.
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	s.refuseUnread(ctx, "", err)
+}
+
+// refuseUnread refuses a request that was not read, or not whole.
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, requestID string, err error) {
 	refusal, status := badrequest.Classify(err)
-	s.refuse(ctx, "", refusal)
+	s.refuse(ctx, requestID, refusal)
 	if status != 0 {
 		ctx.SetStatusCode(status)
 	}
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -129,6 +129,7 @@
 			return t.server.dialect.MatchAnswer(h, t.requestID)
 		},
 		NewConnection: slices.Contains(t.sentTo, d.Address),
+		StableBody:    t.conn != nil, // receiveBody has read it into memory of its own
 	}
 	t.sentTo = append(t.sentTo, d.Address)
 	if d.NonRepeatable {
@@ -208,6 +209,14 @@
 	}
 	t.server.metrics.firstByte.Update(time.Since(t.started).Microseconds())
 	t.server.dialect.CopyAnswerHeader(&ctx.Response.Header, answer.Header())
+	if err := t.conn.HoldAnswer(len(body)); err != nil {
+		// The request has run, and its answer can't be held until the caller has taken it.
+		t.attemptEnded(d, end)
+		ctx.SetConnectionClose()
+		t.server.refuse(ctx, t.requestID, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "no room for the answer", Ran: core.RanYes})
+		t.finish()
+		return true
+	}
 	setBody(ctx, body, answer.Framing)
 	answer.Close() // before finish, whose end of the context would close its connection
 	t.attemptEnded(d, end)
@@ -271,6 +280,11 @@
 		t.server.refuse(ctx, t.requestID, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "the replica failed", Ran: core.RanUnknown})
 		return
 	}
+	if t.conn.HoldAnswer(len(f.body)) != nil {
+		ctx.SetConnectionClose()
+		t.server.refuse(ctx, t.requestID, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "the replica failed", Ran: core.RanUnknown})
+		return
+	}
 	t.server.dialect.CopyAnswerHeader(&ctx.Response.Header, &f.header)
 	setBody(ctx, f.body, f.framing)
 }
@@ -282,7 +296,7 @@
 		untilclose.SendBytes(ctx, body)
 		return
 	}
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(body)
 }
 
 // impliesNotRun reports whether callers take a status to mean that the request has
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -49,9 +49,13 @@
 type RelayLimits struct {
 	Body   Size     `yaml:"body" validate:"size" default:"4MiB" doc:"maximum size of a request body"`
 	Header Size     `yaml:"header" validate:"size" default:"16KiB" doc:"maximum size of a request header"`
+	Fields int      `yaml:"fields" validate:"gte=0,lte=10000" default:"256" doc:"maximum number of lines of a request header"`
 	Read   Duration `yaml:"read" validate:"duration" default:"5s" doc:"time limit for receiving a whole request"`
 	Idle   Duration `yaml:"idle" validate:"duration" default:"30s" doc:"maximum time between two requests on a connection"`
 	Stall  Duration `yaml:"stall" validate:"duration" default:"10s" doc:"time limit of a write to a caller"`
+
+	Connections     int `yaml:"connections" validate:"gte=0,lte=1000000" default:"4096" doc:"maximum number of open connections of callers; fewer where memory or descriptors don't suffice"`
+	PeerConnections int `yaml:"peer_connections" validate:"gte=0,lte=1000000" doc:"maximum number of open connections of one address; no bound of its own if it is not set"`
 }
 
 // Retry bounds the attempts after the first of each request.
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -25,6 +25,12 @@
 
 func newBodyBudget() *bodyBudget { return &bodyBudget{limit: maxBufferedBytes} }
 
+// SetBufferBytes sets the bytes of all bodies that the client buffers at the same time, at least one
+// of MaxAnswerBytes. It must be called before the first call.
+func (c *Client) SetBufferBytes(bytes int64) {
+	c.bodies.limit = max(bytes, 2*MaxAnswerBytes)
+}
+
 // reserve takes bytes from the budget. It returns false, and takes none, where too few are left.
 func (b *bodyBudget) reserve(bytes int64) bool {
 	if b.reserved.Add(bytes) <= b.limit {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,6 +66,9 @@
 	// Prepared is the complete request, to be sent unchanged. If it is set, Method,
 	// Path, Headers, Body and the header fields derived from the others are not used.
 	Prepared *fasthttp.Request
+	// StableBody is set where the body of Prepared doesn't change after the call. It is not copied
+	// then: its write may still run for a moment when the call has ended.
+	StableBody bool
 	// Matches tells by an answer's header whether it belongs to this call. Nil compares
 	// the answer's X-Request-Id, if it has one, with Request.
 	Matches func(*fasthttp.ResponseHeader) Match
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,7 +33,7 @@
 		writeHeader(request, call)
 		request.SetBodyRaw(call.Body)
 	}
-	sent, err := send(conn, request)
+	sent, err := send(conn, request, call.StableBody)
 	if err != nil {
 		return nil, err
 	}
@@ -50,14 +50,19 @@
 const maxInlineBodyBytes = 8 << 10
 
 // send writes a request. The returned function reports whether all of it has been
-// written.
-func send(conn *conn, request *fasthttp.Request) (sent func() bool, err error) {
+// written. stableBody is as in Call.
+func send(conn *conn, request *fasthttp.Request, stableBody bool) (sent func() bool, err error) {
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if len(request.Body()) <= maxInlineBodyBytes {
 		return func() bool { return true }, writeRequest(conn, request)
 	}
-	copied := &fasthttp.Request{}
-	request.CopyTo(copied) // the write may still run when the call has ended
+	copied := &fasthttp.Request{} // the write may still run when the call has ended
+	if stableBody {
+		request.Header.CopyTo(&copied.Header)
+		copied.SetBodyRaw(request.Body())
+	} else {
+		request.CopyTo(copied)
+	}
 	done := make(chan error, 1)
 	go func() { done <- writeRequest(conn, copied) }()
 	return func() bool {
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -1,13 +1,13 @@
 package wiring
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fasthttp/router"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
@@ -18,6 +18,7 @@
 	"gentiancroft/internal/core/relaynode"
 	"gentiancroft/internal/exposition"
 	"gentiancroft/internal/gateway"
+	"gentiancroft/internal/held"
 	"gentiancroft/internal/peer"
 	"gentiancroft/internal/relay"
 	"gentiancroft/internal/settings"
@@ -44,6 +45,7 @@
 	gateway  *gateway.Gateway
 	links    *peer.Links
 	server   *relay.Server
+	pages    pageBudgets
 }
 
 // Times of a relaying host.
@@ -205,18 +207,27 @@
 
 func newRelayServer(s *settings.Relay, a PlatformAdapter, g *gateway.Gateway, client *upstream.Client, r metrics.Registry) *relay.Server {
 	d := relay.DefaultLimits
+	memory := s.Memory.BytesOr(defaultMemory)
 	limits := relay.Limits{
+		MaxFields:      cmp.Or(s.Limits.Fields, d.MaxFields),
 		MaxBodyBytes:   s.Limits.Body.BytesOr(d.MaxBodyBytes),
 		MaxHeaderBytes: s.Limits.Header.BytesOr(d.MaxHeaderBytes),
 		ReadTimeout:    s.Limits.Read.ValueOr(d.ReadTimeout),
 		IdleTimeout:    s.Limits.Idle.ValueOr(d.IdleTimeout),
 		StallTimeout:   s.Limits.Stall.ValueOr(d.StallTimeout),
 	}
-	return relay.New(g, client, a.Dialect, limits, r)
+	server := relay.New(g, client, a.Dialect, limits, r)
+	bounds := callerLimits(memory, limits.MaxBodyBytes, descriptors(), cmp.Or(s.Limits.Connections, maxCallerConnections))
+	if s.Limits.PeerConnections > 0 {
+		bounds.PeerConnections = min(bounds.PeerConnections, s.Limits.PeerConnections)
+	}
+	server.SetBudget(held.New("callers", bounds, r))
+	client.SetBufferBytes(int64(answerFraction * float64(memory)))
+	return server
 }
 
 func newRelayHost(s *settings.Relay, a PlatformAdapter, r metrics.Registry, t *supervise.Tree, g *gateway.Gateway, l *peer.Links, server *relay.Server) *RelayHost {
-	running := &RelayHost{adapter: a, registry: r, tree: t, gateway: g, links: l, server: server}
+	running := &RelayHost{adapter: a, registry: r, tree: t, gateway: g, links: l, server: server, pages: newPageBudgets(r)}
 	running.settings.Store(s)
 	return running
 }
@@ -233,10 +244,10 @@
 	r.gateway.Register(r.tree)
 	r.tree.Add("links", r.links.Serve)
 	r.tree.Add("callers", func(context.Context) error { return r.server.Serve(listeners.callers) })
-	r.tree.Add("ready", pageServer(listeners.ready, r.adapter.PathReady, r.ready))
-	r.tree.Add("directory", pageServer(listeners.directory, r.adapter.PathResolve, r.resolve))
+	r.tree.Add("ready", pageServer(listeners.ready, r.pages.ready, r.adapter.PathReady, r.ready))
+	r.tree.Add("directory", pageServer(listeners.directory, r.pages.directory, r.adapter.PathResolve, r.resolve))
 	if listeners.metrics != nil {
-		r.tree.Add("metrics", pageServer(listeners.metrics, "/metrics", r.metrics))
+		r.tree.Add("metrics", pageServer(listeners.metrics, r.pages.metrics, "/metrics", r.metrics))
 	}
 	ended := r.tree.ServeBackground(ctx)
 	select {
@@ -281,21 +292,6 @@
 	}
 }
 
-// pageServer returns a worker that serves GET requests of one path.
-func pageServer(l net.Listener, path string, handler fasthttp.RequestHandler) supervise.Worker {
-	const header, idle = 4 << 10, 30 * time.Second // bytes; between two requests
-	routes := router.New()
-	routes.GET(path, handler)
-	server := &fasthttp.Server{
-		Handler:               routes.Handler,
-		ReadBufferSize:        header,
-		IdleTimeout:           idle,
-		ReduceMemoryUsage:     true,
-		NoDefaultServerHeader: true,
-	}
-	return func(context.Context) error { return server.Serve(l) }
-}
-
 func (r *RelayHost) ready(ctx *fasthttp.RequestCtx) {
 	if !r.gateway.Ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
