--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -100,3 +100,12 @@
 		is.NoErr(theirs.Close())
 	}
 }
+
+// Guards against a caller that takes each piece of an answer just within the stall timeout.
+func TestWritesHaveALeastRate(t *testing.T) {
+	is := is.New(t)
+	const stall = 10 * time.Second
+	is.Equal(writeTimeLeft(stall, 0, 0), stall)
+	is.True(writeTimeLeft(stall, 11*time.Second, 512) < 0)
+	is.True(writeTimeLeft(stall, 11*time.Second, 4*minWriteRate) > 0)
+}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -42,7 +42,11 @@
 	minBackoff         = 50 * time.Millisecond
 	maxBackoff         = 2 * time.Second
 	maxInbound         = 2048 // open connections that were accepted
-	maxStreams         = 16   // streams that a peer may have open on a connection
+	maxHandshakes      = 256  // incoming connections whose peer has not proved that it has a key
+	// From so many handshakes on, a peer must first show that it receives at its address, so that
+	// forged addresses cost no memory.
+	maxUnverifiedHandshakes = 64
+	maxStreams              = 16 // streams that a peer may have open on a connection
 )
 
 // Settings of a host's links.
@@ -81,6 +85,7 @@
 	counters    counters
 	socket      *net.UDPConn
 	transport   *quic.Transport
+	handshakes  *handshakes
 
 	mu            sync.Mutex
 	closed        bool
@@ -121,13 +126,15 @@
 	}
 	watchCertificate(s.Registry, s.Material.Certificate.Leaf)
 	ctx, cancel := context.WithCancel(context.Background())
+	pending := &handshakes{refused: metrics.GetOrRegisterCounter("link.handshakes_refused", s.Registry)}
 	return &Links{
 		settings:      s,
 		handler:       handler,
 		idleTimeout:   s.IdleTimeout,
 		counters:      newCounters(s.Registry),
 		socket:        socket,
-		transport:     &quic.Transport{Conn: socket},
+		transport:     &quic.Transport{Conn: socket, VerifySourceAddress: pending.verifySource, ConnContext: pending.admit},
+		handshakes:    pending,
 		outboundLinks: map[core.HostID]*outbound{},
 		verified:      map[core.HostID]*quic.Conn{},
 		ctx:           ctx,
@@ -157,6 +164,7 @@
 			}
 			return LinkError.Wrap(err)
 		}
+		l.handshakes.completed(conn.Context())
 		if !l.reserveInbound() {
 			_ = conn.CloseWithError(closeBusy, "too many links")
 			continue
