Bodies of serve's callers within a budget; stalled connections make room for new ones

Cause: serve's door had no bound for all bodies together; a request without a body counted as an idle connection and could have been closed for a new one; slow senders kept every place of a listener; each waiting connection checked the whole ledger.

Change: serve receives bodies as relay does, under the new setting memory (1GiB) and limits.fields. Requests without a body count as running. A connection that lags behind the least rate for 1 s makes room for a new one (the unit test of the longest idle connection lets the others run, as they would have stalled). One check of the ledger each 20 ms serves all that wait.

--- a/internal/core/heldbytes/heldbytes.go
+++ b/internal/core/heldbytes/heldbytes.go
@@ -29,7 +29,7 @@
 	Connections     int           // open at the same time
 	PeerConnections int           // of one peer address
 	StallAge        time.Duration // lag behind MinRate from which a connection may be closed for others
-	IdleAge         time.Duration // time without a request from which a connection may be closed for others
+	IdleAge         time.Duration // time without a request, or lag, from which a connection may be closed for a new one
 	MaxWait         time.Duration // for bytes
 	MinRate         int64         // bytes a second that a connection should transfer
 }
@@ -116,8 +116,8 @@
 // Waiting returns the number of connections that wait for bytes.
 func (l *Ledger) Waiting() int { return len(l.waiting) }
 
-// Open adds a connection. Where there are too many, the one that has been idle longest is closed
-// for it; if none has been idle for long enough, the new one is refused.
+// Open adds a connection. Where there are too many, the one that has been idle or has stalled longest is
+// closed for it; if none has for long enough, the new one is refused.
 func (l *Ledger) Open(now core.Instant, id ID, address string) []Effect {
 	p := l.peer(address)
 	var effects []Effect
@@ -146,21 +146,31 @@
 	return "", false
 }
 
-// longestIdle returns the connection that has been idle longest, nil if none has been for IdleAge.
+// longestIdle returns the connection that has been unused longest, nil if none has been for IdleAge.
 func (l *Ledger) longestIdle(now core.Instant, address string, ofPeer bool) *connection {
 	var found *connection
+	longest := l.limits.IdleAge
 	for _, c := range l.connections {
-		eligible := c.phase == Idle && now.Sub(c.phaseBegan) >= l.limits.IdleAge && (!ofPeer || c.peer == address)
-		if eligible && (found == nil || before(c, found)) {
-			found = c
+		unused := l.unused(now, c)
+		if unused < longest || ofPeer && c.peer != address {
+			continue
+		}
+		if found == nil || unused > longest || c.id < found.id {
+			found, longest = c, unused
 		}
 	}
 	return found
 }
 
-// before orders connections by the time in their phase; ids make the order definite.
-func before(a, b *connection) bool {
-	return a.phaseBegan < b.phaseBegan || a.phaseBegan == b.phaseBegan && a.id < b.id
+// unused returns how long a connection has been idle or has stalled; -1 for one whose request runs.
+func (l *Ledger) unused(now core.Instant, c *connection) time.Duration {
+	switch {
+	case c.phase == Idle:
+		return now.Sub(c.phaseBegan)
+	case c.phase == Running || c.wanted > 0:
+		return -1
+	}
+	return l.lag(now, c)
 }
 
 // Take asks for bytes. The effects grant or refuse them; where they do neither, the connection
--- a/internal/core/heldbytes/heldbytes_test.go
+++ b/internal/core/heldbytes/heldbytes_test.go
@@ -94,12 +94,28 @@
 func TestTheLongestIdleConnectionMakesRoomForANewOne(t *testing.T) {
 	is := is.New(t)
 	l := opened(is, 5)
+	for _, id := range []ID{1, 4, 5} {
+		l.SetPhase(0, id, Running)
+	}
 	l.SetPhase(100*ms, 2, Idle)
 	l.SetPhase(200*ms, 3, Idle)
 	is.Equal(l.Open(1000*ms, 7, "x"), []Effect{{Kind: Refuse, ID: 7, Reason: TooManyConnections}})
 	is.Equal(l.Open(1300*ms, 8, "x"), []Effect{{Kind: Close, ID: 2, Reason: IdleTooLong}, {Kind: Grant, ID: 8}})
 }
 
+// Guards against slow senders that keep every place.
+func TestAStalledBodyMakesRoomForANewConnection(t *testing.T) {
+	is := is.New(t)
+	l := opened(is, 5)
+	for id := ID(1); id <= 5; id++ {
+		l.Progress(900*ms, id, 1000)
+	}
+	l.SetPhase(900*ms, 1, Running)
+	is.Equal(l.Open(1500*ms, 7, "x"), []Effect{{Kind: Refuse, ID: 7, Reason: TooManyConnections}})
+	l.Progress(1500*ms, 2, 1000)
+	is.Equal(l.Open(2000*ms, 8, "x"), []Effect{{Kind: Close, ID: 3, Reason: IdleTooLong}, {Kind: Grant, ID: 8}})
+}
+
 func TestOneConnectionIsBounded(t *testing.T) {
 	is := is.New(t)
 	l := opened(is, 1)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -20,6 +21,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/hangup"
+	"gentiancroft/internal/held"
 	"gentiancroft/internal/host"
 	"gentiancroft/internal/upstream"
 )
@@ -29,7 +31,8 @@
 type Limits struct {
 	MaxBodyBytes   int           // bytes
 	MaxHeaderBytes int           // bytes
-	MaxConnections int           // open at the same time
+	MaxConnections int           // open at the same time; a budget may allow fewer
+	MaxFields      int           // lines of a request header; 0: maxFields
 	ReadTimeout    time.Duration // for receiving a request
 	IdleTimeout    time.Duration // between two requests on a connection
 	StallTimeout   time.Duration // for a caller to accept written data
@@ -45,6 +48,15 @@
 	StallTimeout:   10 * time.Second,
 }
 
+const (
+	// maxFields is the largest number of lines of a request header where the limits give none.
+	maxFields = 256
+	// bodyGrace is how long a caller may take for a body before it must have come at minBodyRate.
+	bodyGrace = 5 * time.Second
+	// minBodyRate is the least rate of a body, in bytes a second.
+	minBodyRate = 4 << 10
+)
+
 // Server is the HTTP server for callers.
 type Server struct {
 	node      Node
@@ -57,6 +69,7 @@
 	limits    Limits
 	metrics   counters
 	routes    []func(*router.Router)
+	budget    *held.Budget // of the callers; nil: no bounds
 	http      *fasthttp.Server
 }
 
@@ -88,6 +101,9 @@
 // WithClient sets the client for attempts; without it the server creates one.
 func WithClient(c *upstream.Client) Option { return func(s *Server) { s.client = c } }
 
+// WithBudget bounds what callers hold.
+func WithBudget(b *held.Budget) Option { return func(s *Server) { s.budget = b } }
+
 // New returns a server that passes requests to a host.
 func New(h *host.Host, keySecret []byte, options ...Option) *Server {
 	return NewWithNode(hostNode{h}, keySecret, options...)
@@ -110,15 +126,15 @@
 		s.client = upstream.NewClient(s.metrics.registry, nil)
 	}
 	s.http = &fasthttp.Server{
-		Handler:            s.router().Handler,
-		ErrorHandler:       s.handleReadError,
-		Name:               "gentiancroft",
-		MaxRequestBodySize: s.limits.MaxBodyBytes,
-		ReadBufferSize:     s.limits.MaxHeaderBytes,
-		Concurrency:        s.limits.MaxConnections,
-		ReadTimeout:        s.limits.ReadTimeout,
-		IdleTimeout:        s.limits.IdleTimeout,
-		CloseOnShutdown:    true,
+		Handler:         s.receiveBody(s.router().Handler),
+		ErrorHandler:    s.handleReadError,
+		HeaderReceived:  hangup.HideBody,
+		Name:            "gentiancroft",
+		ReadBufferSize:  s.limits.MaxHeaderBytes,
+		Concurrency:     s.limits.MaxConnections,
+		ReadTimeout:     s.limits.ReadTimeout,
+		IdleTimeout:     s.limits.IdleTimeout,
+		CloseOnShutdown: true,
 
 		DisablePreParseMultipartForm: true,
 		SecureErrorLogMessage:        true,
@@ -147,6 +163,32 @@
 	return r
 }
 
+// receiveBody reads the request's body before it is served. Invariant: the connection is closed unless
+// the whole body was read.
+func (s *Server) receiveBody(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		conn := hangup.Of(ctx.Conn())
+		if conn == nil {
+			next(ctx)
+			return
+		}
+		body, err := conn.ReceiveBody(hangup.BodyLimits{
+			MaxBytes: s.limits.MaxBodyBytes,
+			Timeout:  s.limits.ReadTimeout,
+			Grace:    bodyGrace,
+			MinRate:  minBodyRate,
+			Continue: ctx.Request.Header.IsHTTP11(),
+		})
+		if err != nil {
+			ctx.SetConnectionClose()
+			s.handleReadError(ctx, err)
+			return
+		}
+		ctx.Request.SetBodyRaw(body)
+		next(ctx)
+	}
+}
+
 // discardLogger drops fasthttp's own log lines, which may contain parts of a request.
 type discardLogger struct{}
 
@@ -158,7 +200,12 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	drained := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() { drained <- s.http.Shutdown() })
-	err := s.http.Serve(hangup.Listener{Listener: l, StallTimeout: s.limits.StallTimeout})
+	err := s.http.Serve(hangup.Listener{
+		Listener:     l,
+		StallTimeout: s.limits.StallTimeout,
+		MaxLines:     cmp.Or(s.limits.MaxFields, maxFields),
+		Budget:       s.budget,
+	})
 	if stop() {
 		return err
 	}
--- a/internal/hangup/body.go
+++ b/internal/hangup/body.go
@@ -165,7 +165,11 @@
 // ReceiveBody reads the request's body within the connection's budget. Invariant: after an error, the
 // connection is closed, so that nothing of the body is taken for another request.
 func (c *Conn) ReceiveBody(l BodyLimits) ([]byte, error) {
+	if !c.HeadEnded() {
+		return nil, framing.Malformed.New("the head has another end for the HTTP server")
+	}
 	if !c.BodyPending() {
+		c.account.SetPhase(heldbytes.Running)
 		return nil, nil
 	}
 	c.receiving.Store(true)
--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -20,7 +20,7 @@
 var Refused = errs.Class("no memory for this caller")
 
 const (
-	// tickInterval is how often a connection that waits has the ledger checked.
+	// tickInterval is how often the ledger is checked while connections wait, by one of them.
 	tickInterval = 20 * time.Millisecond
 	// logInterval is the least time between two log lines with the same reason.
 	logInterval = time.Second
@@ -38,6 +38,7 @@
 
 	mu       sync.Mutex
 	ledger   *heldbytes.Ledger
+	lastTick time.Time
 	lastID   heldbytes.ID
 	accounts map[heldbytes.ID]*Account
 	lines    map[heldbytes.Reason]*lineLimit
@@ -197,10 +198,22 @@
 			b.mu.Unlock()
 			return Refused.New("%s", a.closed)
 		}
-		b.finish(b.ledger.Tick(b.now()))
+		b.tick()
 	}
 }
 
+// tick checks the ledger unless another connection has just done so, and unlocks mu, which the caller
+// holds.
+func (b *Budget) tick() {
+	now := time.Now()
+	if now.Sub(b.lastTick) < tickInterval/2 {
+		b.mu.Unlock()
+		return
+	}
+	b.lastTick = now
+	b.finish(b.ledger.Tick(b.now()))
+}
+
 // Give returns bytes.
 func (a *Account) Give(bytes int64) {
 	if a == nil || bytes <= 0 {
--- a/internal/relay/receive_test.go
+++ b/internal/relay/receive_test.go
@@ -246,3 +246,31 @@
 	}
 	r.is.True(r.dial().closed())
 }
+
+// Guards against a request without a body that is taken for an idle connection, and closed for another.
+func TestARunningRequestIsNotClosedForANewConnection(t *testing.T) {
+	one := receivingBudget
+	one.Connections, one.IdleAge = 1, 0
+	arrived, decide := make(chan struct{}), make(chan struct{})
+	node := &fakeNode{events: make(chan relaynode.Event, 64), script: []func(relaynode.RequestArrived) relaynode.Effect{
+		func(a relaynode.RequestArrived) relaynode.Effect {
+			close(arrived)
+			<-decide
+			return relaynode.Refuse{ID: a.ID, Refusal: &core.Refusal{Code: core.CodeUpstreamFailed, Ran: core.RanUnknown}}
+		},
+	}}
+	r := &receiving{is: is.New(t), t: t}
+	server := New(screeningNode{node}, upstream.NewClient(nil, nil), fakeDialect{}, receivingLimits, metrics.NewRegistry())
+	server.SetBudget(held.New("callers", one, metrics.NewRegistry()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() { _ = server.Serve(l) }()
+	r.address = l.Addr().String()
+	c := r.dial()
+	c.send(post("/a", "", ""))
+	<-arrived
+	r.is.True(r.dial().closed())
+	close(decide)
+	r.is.Equal(c.status(), http.StatusBadGateway)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -138,11 +138,6 @@
 // where the request has been answered. Invariant: the connection is closed unless the whole body was
 // read.
 func (s *Server) receiveBody(ctx *fasthttp.RequestCtx, conn *hangup.Conn, arrival relaynode.RequestArrived) bool {
-	if !conn.HeadEnded() {
-		ctx.SetConnectionClose()
-		s.refuse(ctx, arrival.CallerID, core.Refuse(core.CodeBadRequest, 0, "the request is not well-formed HTTP"))
-		return false
-	}
 	if length := conn.BodyLength(); length < 0 || length > maxUnscreenedBytes {
 		if refusal := s.screen(arrival); refusal != nil {
 			ctx.SetConnectionClose()
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -20,6 +20,7 @@
 	Platform  string     `yaml:"platform" validate:"required,ip_port" doc:"ip:port of the platform's object API"`
 	Secrets   Secrets    `yaml:"secrets" validate:"required" doc:"files with secrets"`
 	TLS       TLS        `yaml:"tls" validate:"required" doc:"key material of the links between hosts"`
+	Memory    Size       `yaml:"memory" validate:"size" default:"1GiB" doc:"memory that the process may use; bounds what it holds for callers"`
 	Limits    Limits     `yaml:"limits" doc:"limits for callers"`
 	Timings   Timings    `yaml:"timings" doc:"timings of the protocols between hosts; the same on every host of a deployment"`
 	Shutdown  Shutdown   `yaml:"shutdown" doc:"graceful shutdown"`
@@ -59,6 +60,7 @@
 type Limits struct {
 	Body        Size     `yaml:"body" validate:"size" default:"1MiB" doc:"maximum size of a request body"`
 	Header      Size     `yaml:"header" validate:"size" default:"16KiB" doc:"maximum size of a request header"`
+	Fields      int      `yaml:"fields" validate:"omitempty,min=1,max=10000" default:"256" doc:"maximum number of lines of a request header"`
 	Connections int      `yaml:"connections" validate:"omitempty,min=1,max=1000000" default:"16384" doc:"maximum number of open connections of callers"`
 	InFlight    int      `yaml:"in_flight" validate:"omitempty,min=1,max=1000000" default:"512" doc:"number of requests in flight from which callers are sent to other hosts"`
 	Read        Duration `yaml:"read" validate:"duration" default:"30s" doc:"time limit for receiving a whole request"`
--- a/internal/wiring/budgets.go
+++ b/internal/wiring/budgets.go
@@ -25,6 +25,8 @@
 const (
 	// defaultMemory is the setting memory where none is given, in bytes.
 	defaultMemory = 256 << 20
+	// defaultServeMemory is the same for a host that serves.
+	defaultServeMemory = 1 << 30
 	// connectionBytes is what a connection needs beside bodies: 28 KiB with its buffers and stacks.
 	connectionBytes = 28 << 10
 	// smallBytes is what a connection may hold from the reserve.
--- a/internal/wiring/convert.go
+++ b/internal/wiring/convert.go
@@ -35,6 +35,7 @@
 		KeySecret: secret,
 		Material:  material,
 		Limits:    entryLimits(h.Limits),
+		Memory:    h.Memory.BytesOr(defaultServeMemory),
 		Node:      nodeSettings(h),
 	}
 	s.Routes = append(s.Routes, consoleRoutes(s, h.OperatorsByHash()))
@@ -47,6 +48,7 @@
 		MaxBodyBytes:   l.Body.BytesOr(d.MaxBodyBytes),
 		MaxHeaderBytes: l.Header.BytesOr(d.MaxHeaderBytes),
 		MaxConnections: l.Connections,
+		MaxFields:      l.Fields,
 		ReadTimeout:    l.Read.ValueOr(d.ReadTimeout),
 		IdleTimeout:    l.Idle.ValueOr(d.IdleTimeout),
 		StallTimeout:   l.Stall.ValueOr(d.StallTimeout),
--- a/internal/wiring/host.go
+++ b/internal/wiring/host.go
@@ -1,6 +1,7 @@
 package wiring
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -15,6 +16,7 @@
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/node"
 	"gentiancroft/internal/entry"
+	"gentiancroft/internal/held"
 	"gentiancroft/internal/host"
 	"gentiancroft/internal/peer"
 	"gentiancroft/internal/platform"
@@ -153,9 +155,13 @@
 		entry.WithHost(id.host),
 		entry.WithClient(u),
 	}
+	limits := entry.DefaultLimits
 	if s.Limits != (entry.Limits{}) {
+		limits = s.Limits
 		options = append(options, entry.WithLimits(s.Limits))
 	}
+	bounds := callerLimits(cmp.Or(s.Memory, defaultServeMemory), limits.MaxBodyBytes, descriptors(), limits.MaxConnections)
+	options = append(options, entry.WithBudget(held.New("callers", bounds, r)))
 	for _, add := range s.Routes {
 		options = append(options, entry.WithRoutes(add))
 	}
--- a/internal/wiring/settings.go
+++ b/internal/wiring/settings.go
@@ -31,6 +31,7 @@
 	KeySecret []byte // hashes callers' keys
 	Material  peer.Material
 	Limits    entry.Limits
+	Memory    int           // bytes that the process may use; 0: defaultServeMemory
 	Node      node.Settings // New sets its Self and Seed
 	Routes    []func(*router.Router)
 }
