Answers count in the callers' budget

Cause: an event up to 64 KiB for each stream, and whole answers of serve, were held for slow callers beside the budget; requests that run could have waited for each other's bodies to get room for their answers.

Requests that run may use the reserve.

Measured: race tests of relay, entry and heldbytes without a failure.

--- a/internal/core/heldbytes/heldbytes.go
+++ b/internal/core/heldbytes/heldbytes.go
@@ -22,7 +22,7 @@
 // bounded by their number.
 type Limits struct {
 	Total           int64         // bytes of all connections
-	Reserve         int64         // bytes of Total that only connections holding at most Small may use
+	Reserve         int64         // bytes of Total for connections that hold at most Small, and for answers to requests that run
 	Small           int64         // bytes
 	Connection      int64         // bytes of one connection
 	Peer            int64         // bytes of all connections of one peer address
@@ -267,7 +267,8 @@
 
 // fits reports whether a waiting connection can have what it wants.
 func (l *Ledger) fits(c *connection) bool {
-	if c.held+c.wanted <= l.limits.Small {
+	// Requests that run can't be closed: if their answers waited for each other's bodies, none would end.
+	if c.held+c.wanted <= l.limits.Small || c.phase == Running {
 		return l.held+c.wanted <= l.limits.Total
 	}
 	return l.held+c.wanted <= l.limits.Total-l.limits.Reserve && l.peer(c.peer).held+c.wanted <= l.limits.Peer
--- a/internal/core/heldbytes/heldbytes_test.go
+++ b/internal/core/heldbytes/heldbytes_test.go
@@ -76,6 +76,18 @@
 	is.True(granted(l.Take(0, 4, 50), 4))
 }
 
+// Guards against bodies at replicas whose answers wait for each other.
+func TestAnswersOfRunningRequestsMayUseTheReserve(t *testing.T) {
+	is := is.New(t)
+	l := opened(is, 3)
+	for id := ID(1); id <= 2; id++ {
+		is.True(granted(l.Take(0, id, 390), id))
+		l.SetPhase(0, id, Running)
+	}
+	is.Equal(len(l.Take(0, 3, 100)), 0) // receiving: waits
+	is.Equal(l.Take(0, 1, 10), []Effect{{Kind: Grant, ID: 1}})
+}
+
 func TestAPeerHasABoundOfItsOwn(t *testing.T) {
 	is := is.New(t)
 	l := New(testLimits)
--- a/internal/hangup/body.go
+++ b/internal/hangup/body.go
@@ -353,6 +353,15 @@
 	return nil
 }
 
+// Hold waits until the budget has room for more bytes of an answer that is being written. They are
+// given back with the request's end.
+func (c *Conn) Hold(bytes int) error {
+	if c == nil {
+		return nil
+	}
+	return c.account.Take(int64(bytes))
+}
+
 // evict ends the connection for others: the receiving of a body, so that the request can be refused,
 // or the whole connection.
 func (c *Conn) evict() {
--- a/internal/relay/receive_test.go
+++ b/internal/relay/receive_test.go
@@ -274,3 +274,38 @@
 	close(decide)
 	r.is.Equal(c.status(), http.StatusBadGateway)
 }
+
+// Guards against answers without a bound: an event, or a whole answer, that there is no room for is not
+// delivered, and the caller isn't told that the request has not run.
+func TestAnswersWithoutRoomAreNotDelivered(t *testing.T) {
+	tiny := receivingBudget
+	tiny.Total, tiny.Reserve, tiny.MaxWait = 24<<10, 0, 20*time.Millisecond
+	for name, head := range map[string]string{
+		"event":        streamHeaders,
+		"whole answer": madeHeader + "Transfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &harness{t: t, is: is.New(t), node: &fakeNode{events: make(chan relaynode.Event, 64)}}
+			h.replica = h.listen(func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+head+"\r\n")
+				chunk(c, "data: "+strings.Repeat("x", 60<<10)+"\n\n")
+				chunk(c, "")
+			})
+			h.script(h.dispatch(1, ""), func(a relaynode.RequestArrived) relaynode.Effect {
+				return relaynode.Refuse{ID: a.ID, Refusal: &core.Refusal{Code: core.CodeUpstreamFailed, Ran: core.RanUnknown}}
+			})
+			h.server = New(h.node, upstream.NewClient(nil, nil), fakeDialect{}, receivingLimits, metrics.NewRegistry())
+			h.server.SetBudget(held.New("callers", tiny, metrics.NewRegistry()))
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			h.is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			go func() { _ = h.server.Serve(l) }()
+			h.address = l.Addr().String()
+			r, _ := h.request(get("1"))
+			h.is.Equal(r.StatusCode, http.StatusBadGateway)
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -22,6 +22,9 @@
 const (
 	readSize      = 2 << 10  // bytes per read
 	maxEventBytes = 64 << 10 // of one event
+	// freeBufferBytes is what the buffer of a stream may have without a part of the callers' budget,
+	// and the step in which it takes from that.
+	freeBufferBytes = 16 << 10
 )
 
 // isEventStream reports whether an answer is a successful stream of server-sent
@@ -41,6 +44,7 @@
 	cancel      context.CancelFunc
 	answer      *upstream.Answer
 	buffer      []byte
+	heldBytes   int    // of the callers' budget, for the buffer
 	readyBytes  int    // length of the complete events at the buffer's start
 	lastEvent   string // id of the last complete event
 	complete    bool   // the replica has ended the answer regularly
@@ -100,6 +104,10 @@
 		s.broken = upstream.AnswerTooLong.New("an event is over %d bytes", maxEventBytes)
 		return
 	}
+	if err := s.holdBuffer(); err != nil {
+		s.broken = upstream.AnswerTooLong.Wrap(err)
+		return
+	}
 	s.buffer = slices.Grow(s.buffer, readSize)
 	n, err := s.answer.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
@@ -118,6 +126,17 @@
 	}
 }
 
+// holdBuffer takes from the callers' budget what the buffer needs for another read.
+func (s *stream) holdBuffer() error {
+	for len(s.buffer)+readSize > freeBufferBytes+s.heldBytes {
+		if err := s.task.conn.Hold(freeBufferBytes); err != nil {
+			return err
+		}
+		s.heldBytes += freeBufferBytes
+	}
+	return nil
+}
+
 // findEvents finds the complete events in the buffer and the last event id in them.
 func (s *stream) findEvents() {
 	for {
