--- a/cmd/gentiancroft/edge_test.go
+++ b/cmd/gentiancroft/edge_test.go
@@ -8,6 +8,7 @@
 
 	"gentiancroft/internal/load"
 	"gentiancroft/internal/settings"
+	"gentiancroft/platform/platformtest/soak"
 )
 
 func TestCommandsShowAnExampleAndTypeTheirErrors(t *testing.T) {
@@ -20,6 +21,7 @@
 		{standinCommand(), []string{"--settings", "missing.yaml"}, settings.Invalid.Has},
 		{loadCommand(), []string{"--target", "10.0.0.1:1", "--key", "k", "--adapter", "a"}, load.Invalid.Has},
 		{loadCommand(), []string{"--output", "xml"}, load.Invalid.Has},
+		{soakCommand(), []string{"--former", "no-such-commit"}, soak.FormerError.Has},
 	} {
 		is.True(test.command.Example != "")
 		test.command.SilenceErrors, test.command.SilenceUsage = true, true
