--- a/cmd/gentiancroft/edge_test.go
+++ b/cmd/gentiancroft/edge_test.go
@@ -22,6 +22,7 @@
 		{loadCommand(), []string{"--target", "10.0.0.1:1", "--key", "k", "--adapter", "a"}, load.Invalid.Has},
 		{loadCommand(), []string{"--output", "xml"}, load.Invalid.Has},
 		{soakCommand(), []string{"--former", "no-such-commit"}, soak.FormerError.Has},
+		{soakCommand(), []string{"--former", "no-such-commit", "--length", "10s"}, errUsage.Has},
 	} {
 		is.True(test.command.Example != "")
 		test.command.SilenceErrors, test.command.SilenceUsage = true, true
--- a/cmd/gentiancroft/soak.go
+++ b/cmd/gentiancroft/soak.go
@@ -38,6 +38,12 @@
 			}
 			settings := soak.Settings{Program: program, Duration: length}
 			if former != "" {
+				if !c.Flags().Changed("length") {
+					settings.Duration = soak.UpgradeLength
+				}
+				if _, err := soak.NewUpgradePlan(seed, settings.Duration); err != nil {
+					return errUsage.Wrap(err)
+				}
 				dir, err := os.MkdirTemp("", "gentiancroft-former-")
 				if err != nil {
 					return errSoak.Wrap(err)
@@ -46,9 +52,6 @@
 				if settings.Former, err = soak.BuildFormer(former, dir); err != nil {
 					return errSoak.Wrap(err)
 				}
-				if !c.Flags().Changed("length") {
-					settings.Duration = soak.UpgradeLength
-				}
 			}
 			failed := 0
 			for i := range seeds {
