No copy for the pauses of a single request

Change: where only a pause is predicted, a copy is demanded if this host has another request for the adapter.

--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -173,7 +173,7 @@
 	busy := m.utilization(r, best)
 	switch {
 	case s.missesTarget(best):
-		m.demandCopies(r, &s)
+		m.demandCopies(r, &s, s.late(best))
 	case busy >= copyUtilizationThreshold && m.moreCopiesHelp(r, best) && m.extraDemandDue(r, copyInterval):
 		m.demandCopiesAt(r, 1, func(x *replicas.Replica) bool { return m.utilization(r, x) <= busy/2 })
 	}
@@ -198,11 +198,15 @@
 	return true
 }
 
-// demandCopies demands copies of the adapter of a request that no replica with it can run in time.
+// demandCopies demands copies of the adapter of a request that no replica with it can run in time, or
+// only without pauses.
 // They may double in each interval: every host demands the first ones in the same order of
 // replicas, so that all hosts together demand no more than one of them does.
-func (m *Machine) demandCopies(r *request, s *scorer) {
+func (m *Machine) demandCopies(r *request, s *scorer, late bool) {
 	copies, needed := m.copies(r)
+	if needed <= copies && !late && m.sameAdapter(r) < 2 {
+		return // no other request would use the copy
+	}
 	interval, wanted := shortageInterval, min(needed-copies, maxCopiesAtOnce)
 	if wanted <= 0 {
 		interval, wanted = copyInterval, 1
@@ -245,18 +249,24 @@
 			n++
 		}
 	}
-	same := 0
-	for _, other := range m.requests.byID {
-		if other.arrival.Adapter == r.arrival.Adapter && !other.closed {
-			same++
-		}
-	}
+	same := m.sameAdapter(r)
 	// The request itself says nothing of the other hosts: most are the only ones for their adapter.
 	running := 1 + float64(max(same-1, 0))*float64(max(all, 1))/float64(max(own, 1))
 	perCopy := float64(places) / float64(max(len(replicas), 1)) * copyPlacesFraction
 	return max(n, 1), int(math.Ceil(running / max(perCopy, 1)))
 }
 
+// sameAdapter returns how many requests of this host are for a request's adapter, itself included.
+func (m *Machine) sameAdapter(r *request) int {
+	n := 0
+	for _, other := range m.requests.byID {
+		if other.arrival.Adapter == r.arrival.Adapter && !other.closed {
+			n++
+		}
+	}
+	return n
+}
+
 // awaitBetterCopy lets a request wait for another copy of its adapter where a copy would be loaded
 // and have sent the first event well before the best replica that has the adapter now. A request
 // waits so once, for no longer than a load takes.
@@ -290,6 +300,6 @@
 	}
 	m.beginAdapterWait(r)
 	r.awaitsCopy, r.lastDemand = true, m.now
-	m.demandCopies(r, &s)
+	m.demandCopies(r, &s, true)
 	return true
 }
--- a/internal/core/relaynode/score.go
+++ b/internal/core/relaynode/score.go
@@ -115,8 +115,13 @@
 // streams there miss their gap.
 func (s *scorer) missesTarget(x *replicas.Replica) bool {
 	p := s.model.Predict(s.m.now, &x.Pace, loadWith(x, s.r.arrival.Prompt))
+	return s.late(x) || s.gap > 0 && p.Pause > s.gap
+}
+
+// late reports whether a request's first event is predicted to be late at a replica.
+func (s *scorer) late(x *replicas.Replica) bool {
 	objective := s.r.route.LatencyTarget
-	return objective > 0 && p.FirstEvent > objective || s.gap > 0 && p.Pause > s.gap
+	return objective > 0 && s.m.promptDelay(x, s.r.arrival.Prompt) > objective
 }
 
 func (s *scorer) domainCost(x *replicas.Replica) float64 {
