Estimated cost of requests; memory that hosts have promised at a replica

Change: core/cost learns the output of requests against their declaration and X-Length-Hint, by route and service. Heartbeats tell what a host's requests will generate and hold (fields 23 and 24); those of a former build count as the mean. A replica whose memory (kvCapacity) would be exceeded is chosen only if no other one fits. Measured: by tests only.

--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -114,7 +114,7 @@
 	if r.workspace == nil {
 		return nil
 	}
-	r.cost = cost(r.workspace, r.arrival.Tokens)
+	r.cost = charged(r.workspace, r.arrival.Tokens)
 	ok, retryAfter := m.quota.Admit(m.now, r.workspace.ID, r.cost)
 	if !ok {
 		level, reachable := m.quota.Level(m.now, r.workspace.ID)
@@ -123,7 +123,7 @@
 	return nil
 }
 
-func cost(w *table.Workspace, declared core.Tokens) core.Tokens {
+func charged(w *table.Workspace, declared core.Tokens) core.Tokens {
 	if declared > 0 {
 		return declared
 	}
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -38,6 +38,7 @@
 	Adapter     core.AdapterID  // "" for the base model itself
 	Tokens      core.Tokens     // prompt and maximum output, declared by the caller; 0: none
 	Prompt      core.Tokens     // of these, the prompt
+	OutputHint  core.Tokens     // the caller's estimate of the output; 0: none
 	Timeout     time.Duration   // the caller's timeout; 0: none given
 	Fingerprint uint64          // hash of what a replica would run
 	TargetHash  uint64          // uniform over all requests: selects one of the route's services by weight
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -205,6 +205,7 @@
 // replica's failure score by its result.
 func (m *Machine) releaseAttempt(r *request, e AttemptEnded) {
 	m.endPrompt(r)
+	m.endPromise(r)
 	m.observePath(r, &e)
 	m.observeEnd(r, &e)
 	m.observeEvents(r, &e)
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -86,7 +86,7 @@
 
 // summary returns the fields of a heartbeat that standby hosts need.
 func (b Heartbeat) summary() Heartbeat {
-	b.Loads, b.Prompts, b.Crashes, b.ReachableStandbys = nil, nil, nil, nil
+	b.Loads, b.Prompts, b.Outputs, b.Promised, b.Crashes, b.ReachableStandbys = nil, nil, nil, nil, nil, nil
 	return b
 }
 
@@ -116,6 +116,8 @@
 		Spent:             m.ownSpending(),
 		Loads:             load.requests,
 		Prompts:           load.prompts,
+		Outputs:           load.outputs,
+		Promised:          load.promised,
 		Crashes:           m.ownCrashes(),
 		ConfigVersion:     m.configVersion(),
 		VersionSum:        m.versionSum,
@@ -199,7 +201,7 @@
 		m.quota.SetTotals(b.Host, m.spendingByWorkspace(b.Spent)) // spent before this host started
 	}
 	m.quota.ApplyTotals(m.now, b.Host, m.spendingByWorkspace(b.Spent))
-	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts})
+	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts, outputs: b.Outputs, promised: b.Promised})
 	m.applyPeerCrashes(b.Host, b.Crashes)
 	m.compareState(b)
 	m.compareSoftware(b.Software)
--- a/internal/core/relaynode/loads.go
+++ b/internal/core/relaynode/loads.go
@@ -17,17 +17,22 @@
 type hostLoad struct {
 	requests []Load
 	prompts  []Load
+	outputs  []Load
+	promised []Load
 }
 
 func (m *Machine) ownLoads() (own hostLoad) {
-	for _, x := range m.replicas.All() {
-		if x.OwnRequests > 0 {
-			own.requests = append(own.requests, Load{Replica: core.ShortHash(string(x.ID)), Running: x.OwnRequests})
-		}
-		if x.OwnPrompts > 0 {
-			own.prompts = append(own.prompts, Load{Replica: core.ShortHash(string(x.ID)), Running: int(x.OwnPrompts)})
+	add := func(to *[]Load, x *replicas.Replica, n int) {
+		if n > 0 {
+			*to = append(*to, Load{Replica: core.ShortHash(string(x.ID)), Running: n})
 		}
 	}
+	for _, x := range m.replicas.All() {
+		add(&own.requests, x, x.OwnRequests)
+		add(&own.prompts, x, int(x.OwnPrompts))
+		add(&own.outputs, x, int(x.OwnOutputs))
+		add(&own.promised, x, int(x.OwnPromised))
+	}
 	return own
 }
 
@@ -43,11 +48,16 @@
 
 // applyLoads replaces the load that a host has at the replicas.
 func (m *Machine) applyLoads(from core.HostID, load hostLoad) {
+	load.promised = m.promisedOrMean(load)
 	before := m.loads[from]
 	m.eachLoad(before.requests, func(x *replicas.Replica, n int) { x.OtherRequests = max(x.OtherRequests-n, 0) })
 	m.eachLoad(before.prompts, func(x *replicas.Replica, n int) { x.OtherPrompts = max(x.OtherPrompts-core.Tokens(n), 0) })
+	m.eachLoad(before.outputs, func(x *replicas.Replica, n int) { x.OtherOutputs = max(x.OtherOutputs-core.Tokens(n), 0) })
+	m.eachLoad(before.promised, func(x *replicas.Replica, n int) { x.OtherPromised = max(x.OtherPromised-core.Tokens(n), 0) })
 	m.eachLoad(load.requests, func(x *replicas.Replica, n int) { x.OtherRequests += n })
 	m.eachLoad(load.prompts, func(x *replicas.Replica, n int) { x.OtherPrompts += core.Tokens(n) })
+	m.eachLoad(load.outputs, func(x *replicas.Replica, n int) { x.OtherOutputs += core.Tokens(n) })
+	m.eachLoad(load.promised, func(x *replicas.Replica, n int) { x.OtherPromised += core.Tokens(n) })
 	m.loads[from] = load
 }
 
@@ -65,6 +75,7 @@
 func (m *Machine) countPrompt(r *request, x *replicas.Replica) {
 	r.promptCounted = true
 	x.OwnPrompts += r.arrival.Prompt
+	m.promise(r, x)
 	r.sentTo = loadOf(x)
 	if r.service.Engine == nil {
 		r.expected, r.predicted = 0, replicamodel.Prediction{}
@@ -140,7 +151,8 @@
 		return
 	}
 	m.model(r.service.ID).ObserveStream(e.Stream)
-	if e.Kind == EndOK && r.answerStarted {
+	if e.Kind == EndOK && r.answerStarted && r.attempt == 1 && r.arrival.LastEvent == "" {
+		m.costs.Observe(r.declared(), e.Stream.Events)
 		m.model(r.service.ID).ObservePlace(m.now.Sub(r.answeringSince))
 	}
 }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/cost"
 	"gentiancroft/internal/core/dispatch/retry"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/quota"
@@ -46,6 +47,8 @@
 	writes        writes
 	loads         map[core.HostID]hostLoad
 	models        map[table.ServiceID]*replicamodel.Service
+	costs         *cost.Estimator
+	meanPromises  map[table.ServiceID]float64 // memory that a request of this host was promised, in tokens
 	gossip        gossip
 	changes       changes
 	watch         watchState
@@ -101,6 +104,8 @@
 		writes:          writes{pending: map[uint64]func(core.ObjectResult){}},
 		loads:           map[core.HostID]hostLoad{},
 		models:          map[table.ServiceID]*replicamodel.Service{},
+		costs:           cost.NewEstimator(),
+		meanPromises:    map[table.ServiceID]float64{},
 		gossip:          gossip{latest: map[core.HostID]Heartbeat{}},
 		waiters:         residencyWaiters{},
 		watch:           watchState{differSince: map[core.HostID]core.Instant{}},
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/cost"
 	"gentiancroft/internal/core/origin"
 	"gentiancroft/internal/core/replicamodel"
 	"gentiancroft/internal/core/table"
@@ -37,6 +38,7 @@
 	sentTo           replicamodel.Load       // at the replica when the latest attempt was sent, the request included
 	expected         time.Duration           // from its dispatch to its first event, at an average replica
 	predicted        replicamodel.Prediction // of the latest attempt
+	promised         cost.Estimate           // at its replica; zero: nothing is
 	nextPaceCheck    core.Instant            // when the wait for its first event is next held against that
 	promptCounted    bool                    // its prompt counts as queued at the replica
 	possibleRuns     int                     // ended attempts that may have run
--- a/internal/core/relaynode/score.go
+++ b/internal/core/relaynode/score.go
@@ -17,6 +17,9 @@
 const (
 	failureWeight      = 3.0  // factor of the failure score
 	remoteDomainWeight = 0.08 // added for a replica in a remote failure domain
+	// memoryWeight is added where the replica's promised memory would be exceeded: it would preempt
+	// requests, which then start again. More than a late first event, less than a failed attempt.
+	memoryWeight       = 5.0
 	triedWeight        = 10.0 // added where the request has already failed
 	olderVersionWeight = 1.0  // added where the adapter is of an older version
 	// recentHalfLife is that of the requests sent to a replica by which those of the other hosts are
@@ -35,18 +38,20 @@
 
 // scorer computes the costs of replicas for one request.
 type scorer struct {
-	m      *Machine
-	r      *request
-	model  *replicamodel.Service // nil: a plain service
-	gap    time.Duration         // that the streams of the service may have; 0: any
-	peers  float64               // active hosts besides this one
-	newest int                   // version of the adapter
+	m              *Machine
+	r              *request
+	model          *replicamodel.Service // nil: a plain service
+	gap            time.Duration         // that the streams of the service may have; 0: any
+	peers          float64               // active hosts besides this one
+	capacity, peak core.Tokens           // of an engine's memory, and that the request will hold; 0: not known
+	newest         int                   // version of the adapter
 }
 
 func (m *Machine) newScorer(r *request) scorer {
 	s := scorer{m: m, r: r, newest: m.versions[r.arrival.Adapter].newest()}
 	if r.service.Engine != nil {
 		s.peers = float64(max(m.fleet.ActiveHosts()-1, 0))
+		s.capacity, s.peak = r.service.Engine.KVCapacity, m.estimate(r).Peak
 		s.model, s.gap = m.model(r.service.ID), m.gapOf(r.service.ID)
 	}
 	return s
@@ -72,7 +77,7 @@
 	}
 	cost := occupancyCost(x, p) + s.unseenCost(x) + firstEventCost(p, s.r.route.LatencyTarget) + pauseCost(x, p, s.gap)
 	cost *= 1 + failureWeight*s.m.failureScore(x.ID)
-	return cost + s.domainCost(x) + s.pathCost(x) + s.triedCost(x) + s.versionCost(x)
+	return cost + s.memoryCost(x) + s.domainCost(x) + s.pathCost(x) + s.triedCost(x) + s.versionCost(x)
 }
 
 // occupancyCost is the part of the replica's places that are taken with the request. Those of a
@@ -124,6 +129,14 @@
 	return objective > 0 && s.m.promptDelay(x, s.r.arrival.Prompt) > objective
 }
 
+// memoryCost is that of a request which doesn't fit into what the replica's memory has left.
+func (s *scorer) memoryCost(x *replicas.Replica) float64 {
+	if s.capacity > 0 && x.Promised()+s.peak > s.capacity {
+		return memoryWeight
+	}
+	return 0
+}
+
 func (s *scorer) domainCost(x *replicas.Replica) float64 {
 	if x.Domain != s.m.settings.Self.Domain {
 		return remoteDomainWeight
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -58,6 +58,10 @@
 	OwnPrompts     core.Tokens            // prompts of this host's requests that have had no event yet
 	OtherPrompts   core.Tokens            // the same of other hosts, as last reported
 	Pace           replicamodel.Replica   // of this incarnation against its service
+	OwnOutputs     core.Tokens            // that this host's requests there will generate, as estimated
+	OtherOutputs   core.Tokens            // the same of other hosts, as last reported
+	OwnPromised    core.Tokens            // memory that this host's requests there will hold at their ends
+	OtherPromised  core.Tokens            // the same of other hosts, as last reported
 	Recent         core.Decaying          // requests that this host has sent there just now
 	missing        bool                   // not in the platform's list, perhaps only because of a store outage
 	saysLeaving    bool                   // it has said in an answer that it is leaving, which its entry may not show yet
@@ -77,6 +81,10 @@
 // this host.
 func (r *Replica) QueuedPrompts() core.Tokens { return r.OwnPrompts + r.OtherPrompts }
 
+// Promised is the memory that the requests at the replica will hold at their ends, in tokens, as
+// known to this host.
+func (r *Replica) Promised() core.Tokens { return r.OwnPromised + r.OtherPromised }
+
 // Occupancy is the load divided by the batch size.
 func (r *Replica) Occupancy() float64 { return float64(r.Load()) / float64(max(r.Batch, 1)) }
 
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -99,7 +99,8 @@
 type Engine struct {
 	Batch        int // requests that run concurrently
 	AdapterSlots int
-	Memory       Megabytes // for weights and adapters together; 0: not given
+	Memory       Megabytes   // for weights and adapters together; 0: not given
+	KVCapacity   core.Tokens // that its running requests can hold together, prompts and outputs; 0: not given
 	Models       []Model
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	Adapter     core.AdapterID
 	Tokens      core.Tokens     // prompt and maximum output together; 0: not declared
 	Prompt      core.Tokens     // of these, the prompt
+	OutputHint  core.Tokens     // the caller's estimate of the output; 0: none
 	Timeout     time.Duration   // how long the caller waits; 0: not declared
 	LastEventID string          // id of the event after which the stream continues; empty: from the start
 	Resumes     string          // id of the request of the same caller that brought the stream's first event; empty: not given
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -102,6 +102,7 @@
 		Adapter:    d.Adapter,
 		Tokens:     d.Tokens,
 		Prompt:     d.Prompt,
+		OutputHint: d.OutputHint,
 		Timeout:    d.Timeout,
 		TargetHash: xxhash.Sum64String(d.RequestID),
 		LastEvent:  d.LastEventID,
