A request that can't begin before its deadline is refused at once

Cause: requests were sent whose first event could only come after their deadlines; they delayed the others. A request doesn't wait for a copy that nobody can load. Measured: by tests only.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -34,7 +34,7 @@
 	{Name: string(core.CodeKeyWithdrawn), Meaning: "the key was withdrawn while the request waited"},
 	{Name: string(core.CodeRateLimited), Meaning: "the workspace's bucket, which all hosts share, is in debt"},
 	{Name: string(core.CodeNoUpstream), Meaning: "no replica could run it in time"},
-	{Name: string(core.CodeOverloaded), Meaning: "all replicas are saturated or rejected it, or the request is suspected of crashing replicas"},
+	{Name: string(core.CodeOverloaded), Meaning: "all replicas are saturated or rejected it, none is expected to begin it before its deadline, or the request is suspected of crashing replicas"},
 	{Name: string(core.CodeDeadlineExceeded), Meaning: "the deadline or the route's timeout has passed"},
 	{Name: string(core.CodeUpstreamFailed), Meaning: "a replica may have run it and gave no complete answer"},
 }
@@ -47,7 +47,7 @@
 		{Name: "wait", Subject: "a request that no replica can run now", Detail: "the adapter", Reasons: []Reason{
 			{Name: "room", Meaning: "only brittle replicas can run it, and they have no room for requests of this host"},
 			{Name: "permit", Meaning: "only replicas that name a limit can run it; a permit is asked for"},
-			{Name: "adapter", Meaning: "no replica has its adapter loaded; its load is demanded"}}},
+			{Name: "adapter", Meaning: "no replica has its adapter loaded, or those that have it are saturated or would be late; its load is demanded"}}},
 		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; of an engine whose answers are known: the predicted time until the first event, and the predicted pause in the streams that run there; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest cost among those that can run it: predicted first event, predicted pause and occupied places"}}},
 		{Name: "stall", Subject: "whether this process has stood still", Age: "the last step before", Reasons: []Reason{
--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -267,6 +267,15 @@
 	return n
 }
 
+// hasOwner reports whether a replica has an owner that this host reaches.
+func (m *Machine) hasOwner(id core.UpstreamID) bool {
+	if _, ok := m.orderFence(id); ok {
+		return true
+	}
+	owner, ok := m.fleet.ByName(string(m.shards.Owner(m.shards.Of(id))))
+	return ok && m.fleet.Reachable(m.now, owner.Host)
+}
+
 // awaitBetterCopy lets a request wait for another copy of its adapter where a copy would be loaded
 // and have sent the first event well before the best replica that has the adapter now. A request
 // waits so once, for no longer than a load takes.
@@ -293,7 +302,7 @@
 	s := m.newScorer(r)
 	lacks := func(x *replicas.Replica) bool {
 		_, has := x.AdapterVersion(r.arrival.Adapter)
-		return !has && !m.limited(x) && m.takesCopy(r, &s, x)
+		return !has && !m.limited(x) && m.takesCopy(r, &s, x) && m.hasOwner(x.ID)
 	}
 	if !slices.ContainsFunc(m.preferredReplicas(r), lacks) {
 		return false
--- a/internal/core/relaynode/loads_test.go
+++ b/internal/core/relaynode/loads_test.go
@@ -234,6 +234,14 @@
 	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("e1"))
 }
 
+// Nobody can load a copy: to wait for one would only delay the request.
+func TestRequestDoesNotWaitForACopyThatNobodyCanLoad(t *testing.T) {
+	h := newHostWithLargeBatches(t)
+	h.m.replicas.Get("e1").OtherPrompts = 30000
+	h.m.replicas.Get("e2").OtherPrompts = 40000
+	h.is.Equal(h.prompt(600).Upstream, core.UpstreamID("e1"))
+}
+
 // A demand may be lost, and a copy take longer than expected.
 func TestCopyIsDemandedAgainWhileTheTargetIsMissed(t *testing.T) {
 	h := newHostWithOwner(t)
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -34,7 +34,7 @@
 	c := m.candidates(r)
 	if len(c.usable) > 0 {
 		best := m.choose(r, c.usable)
-		if m.awaitBetterCopy(r, best) {
+		if m.awaitBetterCopy(r, best) || m.refuseHopeless(r, c) {
 			return
 		}
 		m.demandNewerVersion(r, best)
