--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -140,7 +140,7 @@
 	if r.workspace == nil {
 		return nil
 	}
-	r.cost = cost(r.workspace, r.arrival.Tokens)
+	r.cost = charged(r.workspace, r.arrival.Tokens)
 	ok, retryAfter := m.quota.Admit(m.now, r.quotaRequest())
 	if !ok {
 		level, reachable := m.quota.Level(m.now, r.workspace.ID)
@@ -163,7 +163,7 @@
 	}
 }
 
-func cost(w *table.Workspace, declared core.Tokens) core.Tokens {
+func charged(w *table.Workspace, declared core.Tokens) core.Tokens {
 	if declared > 0 {
 		return declared
 	}
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/cost"
 	"gentiancroft/internal/core/dispatch/retry"
 	"gentiancroft/internal/core/errorshare"
 	"gentiancroft/internal/core/fleet"
@@ -53,6 +54,8 @@
 	writes        writes
 	loads         map[core.HostID]hostLoad
 	models        map[table.ServiceID]*replicamodel.Service
+	costs         *cost.Estimator
+	meanPromises  map[table.ServiceID]float64 // memory that a request of this host was promised, in tokens
 	gossip        gossip
 	changes       changes
 	watch         watchState
@@ -113,6 +116,8 @@
 		writes:          writes{pending: map[uint64]func(core.ObjectResult){}},
 		loads:           map[core.HostID]hostLoad{},
 		models:          map[table.ServiceID]*replicamodel.Service{},
+		costs:           cost.NewEstimator(),
+		meanPromises:    map[table.ServiceID]float64{},
 		gossip:          gossip{latest: map[core.HostID]Heartbeat{}},
 		waiters:         residencyWaiters{},
 		watch:           watchState{differSince: map[core.HostID]core.Instant{}},
