--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -153,16 +153,25 @@
 	return nil
 }
 
-// quotaRequest returns the request as its workspace's rate is charged for it.
+// quotaRequest returns the request as its workspace's rate is charged for it. Requests of plain services
+// are charged a small fixed amount: refusing them would leave hardly more of the rate to generations, so that
+// they go with the most urgent ones.
 func (r *request) quotaRequest() quota.Request {
 	return quota.Request{
 		Workspace: r.workspace.ID,
 		Cost:      r.cost,
-		Rank:      r.priorityAtReplica(),
+		Rank:      r.quotaRank(),
 		Hash:      core.ShortHash(string(r.id())),
 	}
 }
 
+func (r *request) quotaRank() int {
+	if r.service.Engine == nil {
+		return 0
+	}
+	return r.priorityAtReplica()
+}
+
 func charged(w *table.Workspace, declared core.Tokens) core.Tokens {
 	if declared > 0 {
 		return declared
