--- a/internal/relay/receive_test.go
+++ b/internal/relay/receive_test.go
@@ -152,7 +152,12 @@
 			r := newReceiving(t, receivingBudget)
 			c := r.dial()
 			go func() { _, _ = io.WriteString(c.conn, text.request) }()
-			r.is.Equal(c.status(), text.status)
+			answer, err := http.ReadResponse(c.reader, nil)
+			r.is.NoErr(err)
+			r.is.Equal(answer.StatusCode, text.status)
+			r.is.True(answer.Close) // the caller is told
+			_, err = io.Copy(io.Discard, answer.Body)
+			r.is.NoErr(err)
 			r.is.True(c.closed())
 			r.is.Equal(len(r.arrived), 0)
 		})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -244,7 +244,11 @@
 		status = fasthttp.StatusServiceUnavailable
 	}
 	s.metrics.refused(r.Code)
+	closing := ctx.Response.ConnectionClose()
 	ctx.Response.Reset()
+	if closing {
+		ctx.SetConnectionClose()
+	}
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
 	s.dialect.SetRefusalFields(&ctx.Response.Header, requestID)
--- a/internal/wiring/pages.go
+++ b/internal/wiring/pages.go
@@ -47,11 +47,11 @@
 // withoutBody closes the connection after a request with a body.
 func withoutBody(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		next(ctx)
 		conn := hangup.Of(ctx.Conn())
 		if conn == nil || conn.BodyPending() || !conn.HeadEnded() {
-			ctx.SetConnectionClose()
+			ctx.SetConnectionClose() // after the handler, which may have reset the answer
 		}
-		next(ctx)
 	}
 }
 
