--- a/internal/core/relaynode/errorshares_test.go
+++ b/internal/core/relaynode/errorshares_test.go
@@ -221,6 +221,45 @@
 	}
 }
 
+// newPlainHost returns a host with three replicas of the plain service, of which s1 has failed three
+// times and the others never.
+func newPlainHost(t *testing.T) *host {
+	h := newHost(t)
+	h.step(ReplicaListed{Entry: replica("s3", services)})
+	for range 3 {
+		for _, id := range []core.UpstreamID{"s1", "s2", "s3"} {
+			h.m.errors.Observe(core.Instant(h.now), errorKey(h.m.replicas.Get(id)), id == "s1")
+		}
+	}
+	return h
+}
+
+// Guards against a second attempt that goes to an idle replica that fails, in place of a sound one with
+// more load.
+func TestRetryGoesToTheReplicaWithTheLowestErrorShare(t *testing.T) {
+	h := newPlainHost(t)
+	h.m.replicas.Get("s3").OtherRequests = 5 // over its batch of 4
+	h.arrive(RequestArrived{Path: "/read/x"})
+	first := h.dispatch()
+	h.is.Equal(first.Upstream, core.UpstreamID("s2"))
+	h.step(AttemptEnded{ID: first.ID, Attempt: 1, Kind: EndError, Answer: AnswerEvidence{Status: 500}})
+	h.is.Equal(h.dispatch().Upstream, core.UpstreamID("s3"))
+}
+
+// Guards against an avoided replica that gets nothing, or more than one first attempt in 20.
+func TestAvoidedReplicaGetsOneFirstAttemptInTwenty(t *testing.T) {
+	h := newPlainHost(t)
+	sent := map[core.UpstreamID]int{}
+	for range 100 {
+		h.arrive(RequestArrived{Path: "/read/x"})
+		d := h.dispatch()
+		sent[d.Upstream]++
+		h.m.requests.remove(h.m.requests.byID[d.ID])
+		h.m.replicas.Get(d.Upstream).OwnRequests = 0
+	}
+	h.is.Equal(sent["s1"], 5)
+}
+
 // Guards against avoiding a replica where all fail alike, and after they have recovered.
 func TestNoReplicaIsAvoidedForErrorsThatAllHave(t *testing.T) {
 	is := is.New(t)
