--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -57,7 +57,7 @@
 	var all []scored
 	reachable := m.reachable()
 	for _, x := range m.replicas.ByService(r.service.ID) {
-		if !x.Unavailable() && !x.Down(m.now) && x.Pause(m.now) == 0 && x.HasModel(r.arrival.Model) && r.mayGoOnAt(x) && m.mayBeginAt(r, x) && reachable(x.ID) && m.ownerReaches(x.ID) {
+		if m.mayLoadAt(r, x, reachable) {
 			all = append(all, scored{x, core.Score(core.HostID(x.ID), preferenceKind, name)})
 		}
 	}
@@ -69,6 +69,12 @@
 	return ordered
 }
 
+// mayLoadAt reports whether a request could run at a replica once its adapter is loaded there.
+func (m *Machine) mayLoadAt(r *request, x *replicas.Replica, reachable func(core.UpstreamID) bool) bool {
+	ready := !x.Unavailable() && !x.Down(m.now) && x.Pause(m.now) == 0
+	return ready && x.HasModel(r.arrival.Model) && r.mayGoOnAt(x) && m.mayBeginAt(r, x) && reachable(x.ID) && m.ownerReaches(x.ID)
+}
+
 // demandAdapter demands the request's adapter, unless that was done within
 // demandInterval.
 func (m *Machine) demandAdapter(r *request) {
@@ -267,6 +273,12 @@
 	return n
 }
 
+// copyOverdue reports whether the copy that a request waits for is to be demanded again, or no longer
+// waited for.
+func (m *Machine) copyOverdue(r *request) bool {
+	return m.now.Sub(r.lastDemand) >= shortageInterval || r.copyAwaitedSince != 0 && m.now.Sub(r.copyAwaitedSince) >= copyWait
+}
+
 // hasOwner reports whether a replica has an owner that this host reaches.
 func (m *Machine) hasOwner(id core.UpstreamID) bool {
 	if _, ok := m.orderFence(id); ok {
@@ -300,11 +312,12 @@
 		return false
 	}
 	s := m.newScorer(r)
-	lacks := func(x *replicas.Replica) bool {
+	reachable := m.reachable()
+	loads := func(x *replicas.Replica) bool {
 		_, has := x.AdapterVersion(r.arrival.Adapter)
-		return !has && !m.limited(x) && m.takesCopy(r, &s, x) && m.hasOwner(x.ID)
+		return !has && !m.limited(x) && m.takesCopy(r, &s, x) && m.mayLoadAt(r, x, reachable) && m.hasOwner(x.ID)
 	}
-	if !slices.ContainsFunc(m.preferredReplicas(r), lacks) {
+	if !slices.ContainsFunc(m.replicas.ByService(r.service.ID), loads) {
 		return false
 	}
 	m.beginAdapterWait(r)
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -291,8 +291,12 @@
 			m.refuse(r, &core.Refusal{Code: core.CodeDeadlineExceeded, Message: "no whole answer before the request's deadline", Ran: r.ranState()})
 		case r.stage == stageWaiting && m.now.Sub(r.stageSince) >= r.maxAdapterWait():
 			m.refuseNoReplica(r)
-		case r.stage == stageWaiting && (r.awaitsRoom || r.awaitsCopy):
+		case r.stage == stageWaiting && r.awaitsRoom:
 			m.place(r)
+		case r.stage == stageWaiting && r.awaitsCopy:
+			if m.copyOverdue(r) {
+				m.place(r)
+			}
 		case r.stage == stageWaiting && r.awaitsPermit:
 			m.place(r)
 		case r.stage == stageWaiting:
