The newest version of an adapter needs no predicted begin

Cause: candidates predicted the first event at each replica only to see whether the adapter's version expires before it. Change: the newest version, which doesn't expire, is taken at once.

--- a/internal/core/relaynode/versions.go
+++ b/internal/core/relaynode/versions.go
@@ -110,8 +110,12 @@
 // beginsInTime reports whether a request that is sent to a replica now is expected to begin
 // before the adapter version there expires.
 func (m *Machine) beginsInTime(r *request, x *replicas.Replica, version int) bool {
+	history := m.versions[r.arrival.Adapter]
+	if version >= history.newest() {
+		return true // it doesn't expire: no prediction is needed
+	}
 	begin := m.now.Add(m.promptDelay(x, r.arrival.Prompt))
-	return version >= m.versions[r.arrival.Adapter].newestAt(begin.Add(-m.settings.VersionExpiry))
+	return version >= history.newestAt(begin.Add(-m.settings.VersionExpiry))
 }
 
 // versionExpired reports whether a request waits at its replica although the version of its
