--- a/internal/measure/adapters/clock.go
+++ b/internal/measure/adapters/clock.go
@@ -3,6 +3,10 @@
 // several hosts and through four baselines, two of them bounds that no real
 // policy can reach, in virtual time over one simple model of engines and weight
 // store.
+//
+// It also measures the choice among replicas on the users' platform: several relaying hosts
+// (package relaynode) run over engines that read prompts in chunks between their steps, while
+// other adapters become the popular ones, beside four baselines that know everything.
 package adapters
 
 import (
