A request that can't get its adapter before its deadline is refused at once

With less time left than a load from the weight store and a first event take, it is refused at once, as not run. Test: it waited before.

--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -7,6 +7,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/replicas"
+	"gentiancroft/internal/core/residency"
 )
 
 const (
@@ -15,6 +16,10 @@
 	maxWaitObjectives = 3
 	// minAdapterWait is the lower bound of that time.
 	minAdapterWait = 1500 * time.Millisecond
+	// minAdapterTime is the least time from the demand for an adapter that no replica has to the first event of
+	// a request that waits for it: a fetch from the weight store and the reading of the prompt. A request
+	// with less time left is refused at once.
+	minAdapterTime = residency.FetchLoadTime + dispatchToFirstEvent
 	// noOwnerTimeout is how long a request waits while no replica that could load its
 	// adapter has a reachable owner.
 	noOwnerTimeout = 300 * time.Millisecond
@@ -83,6 +88,10 @@
 		m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterSaturated, "no replica has the software version at which the stream began"))
 		return
 	}
+	if r.attempt == 0 && r.deadline.Sub(m.now) < minAdapterTime {
+		m.refuse(r, core.Refuse(core.CodeNoUpstream, retryAfterSaturated, "its adapter can't be loaded before its deadline"))
+		return
+	}
 	m.beginAdapterWait(r)
 	m.demandAdapter(r)
 }
--- a/internal/core/relaynode/place_test.go
+++ b/internal/core/relaynode/place_test.go
@@ -274,3 +274,13 @@
 	h.is.Equal(again.ID, id)
 	h.is.Equal(again.Upstream, core.UpstreamID("e1"))
 }
+
+// Guards against a request that waits to its deadline for an adapter that can't be loaded in the time it has left.
+func TestRequestThatCannotGetItsAdapterInTimeIsRefusedAtOnce(t *testing.T) {
+	h := newOwner(t)
+	h.arrive(RequestArrived{Path: "/stream/z", Model: model, Adapter: "z", Timeout: minAdapterTime - time.Millisecond})
+	h.is.Equal(h.refusal().Ran, core.RanNo)
+	h.arrive(RequestArrived{Path: "/stream/z", Model: model, Adapter: "z", Timeout: minAdapterTime})
+	_, refused := get[Refuse](h)
+	h.is.True(!refused)
+}
--- a/internal/core/residency/demand.go
+++ b/internal/core/residency/demand.go
@@ -132,7 +132,7 @@
 
 // onTime reports whether a load that starts now ends before the demand's deadline.
 func (r *replica) onTime(now core.Instant, d *demand) bool {
-	loadTime := fetchLoadTime
+	loadTime := FetchLoadTime
 	if r.copies[d.merged.Adapter.ID] {
 		loadTime = copyLoadTime
 	}
--- a/internal/core/residency/machine.go
+++ b/internal/core/residency/machine.go
@@ -19,12 +19,14 @@
 	unloadCheckInterval = 100 * time.Millisecond // between checks whether an adapter is unloaded
 	loadCheckInterval   = 25 * time.Millisecond  // between checks whether an adapter is loaded
 	copyLoadTime        = 28 * time.Millisecond  // to load an adapter that the replica has a copy of
-	fetchLoadTime       = 256 * time.Millisecond // to load one from the weight store
 	loadTimeout         = 8 * time.Second        // after which the state of a load or unload is read again
 	useTTL              = 2 * time.Second        // after which a use that is not repeated is dropped
 	minResidentTime     = 300 * time.Millisecond // between an adapter's load and its eviction
 )
 
+// FetchLoadTime is how long a replica takes to load an adapter from the weight store while few are loaded.
+const FetchLoadTime = 256 * time.Millisecond
+
 // Machine decides the residency of the replicas whose shards this host owns.
 type Machine struct {
 	settings    Settings
--- a/internal/core/residency/outcome.go
+++ b/internal/core/residency/outcome.go
@@ -84,7 +84,7 @@
 	res.nextCheck = now.Add(again)
 	if res.fromCopy {
 		res.fromCopy = false // the replica has no copy any more and loads from the weight store
-		res.nextCheck = res.since.Add(fetchLoadTime)
+		res.nextCheck = res.since.Add(FetchLoadTime)
 	}
 }
 
@@ -102,7 +102,7 @@
 			res.lastUsed = old.lastUsed
 			res.fromCopy = false // the copy is of another version
 		}
-		res.nextCheck = now.Add(fetchLoadTime)
+		res.nextCheck = now.Add(FetchLoadTime)
 		if res.fromCopy {
 			res.nextCheck = now.Add(copyLoadTime)
 		}
