core/replicas: one file per concern

replicas.go had over 400 lines and mixed the types, the set and its indexes, what replicas say of themselves, residency reports and store outages. No code changes.

--- /dev/null
+++ b/internal/core/replicas/outage.go
@@ -0,0 +1,80 @@
+package replicas
+
+import (
+	"slices"
+	"time"
+
+	"gentiancroft/internal/core"
+)
+
+// outageGracePeriod is how long after the end of a store outage the list may lack
+// running replicas: entries expire during the outage and are then written again.
+const outageGracePeriod = 2200 * time.Millisecond
+
+// Remove removes a replica that is no longer listed. Around a store outage it is only
+// marked as missing, unless it was leaving.
+func (s *Set) Remove(now core.Instant, id core.UpstreamID) {
+	r := s.byID[id]
+	if r == nil {
+		return
+	}
+	if s.duringOutage(now) && !r.Leaving {
+		r.missing = true
+		s.digest = 0
+		return
+	}
+	s.drop(now, id)
+}
+
+// RemoveUnlisted removes the replicas that the platform's whole list lacks. The listed
+// entries must have been applied before.
+func (s *Set) RemoveUnlisted(now core.Instant, entries []Entry) {
+	listed := make(map[core.UpstreamID]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+	}
+	for id := range s.byID {
+		if !listed[id] {
+			s.Remove(now, id)
+		}
+	}
+}
+
+// StoreLost records that the platform's store is unreachable.
+func (s *Set) StoreLost(now core.Instant) { s.storeLostAt = now }
+
+// StoreReached records that the store has answered.
+func (s *Set) StoreReached(now core.Instant) {
+	if s.storeReachedAt <= s.storeLostAt {
+		s.storeReachedAt = now
+	}
+}
+
+// duringOutage reports whether the store is unreachable or was within the grace period.
+func (s *Set) duringOutage(now core.Instant) bool {
+	if s.storeLostAt == 0 {
+		return false
+	}
+	return s.storeReachedAt < s.storeLostAt || now.Sub(s.storeReachedAt) < outageGracePeriod
+}
+
+// Tick removes the replicas that are still missing at the end of the grace period after
+// a store outage, and forgets old removals. It returns the removed ids, sorted.
+func (s *Set) Tick(now core.Instant) (gone []core.UpstreamID) {
+	for id, x := range s.removals {
+		if now.Sub(x.at) > removalTTL {
+			delete(s.removals, id)
+		}
+	}
+	if s.duringOutage(now) {
+		return nil
+	}
+	for id, r := range s.byID {
+		if r.missing {
+			s.drop(now, id)
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
