--- a/internal/core/replicamodel/replicamodel.go
+++ b/internal/core/replicamodel/replicamodel.go
@@ -149,44 +149,44 @@
 }
 
 const (
-	// lastingRate is the weight of one observation in the lasting factor. A larger one would
+	// persistentRate is the weight of one observation in the persistent factor. A larger one would
 	// follow single requests that waited for something else.
-	lastingRate = 0.03
-	// lastingOutlier is the deviation from which an observation shows a slowdown or a wait for
+	persistentRate = 0.03
+	// persistentOutlier is the deviation from which an observation shows a slowdown or a wait for
 	// something else rather than the hardware.
-	lastingOutlier = 0.6
-	// lastingLimit bounds the logarithm of the lasting factor: engines of one service differ
+	persistentOutlier = 0.6
+	// persistentLimit bounds the logarithm of the persistent factor: engines of one service differ
 	// by their hardware, not by more.
-	lastingLimit = 0.7
-	// passingRate is the weight of one observation in the passing factor: three in a row show
+	persistentLimit = 0.7
+	// transientRate is the weight of one observation in the transient factor: three in a row show
 	// two thirds of a slowdown.
-	passingRate = 0.3
-	// passingLimit bounds the logarithm of one observation, so that a single request that hung
+	transientRate = 0.3
+	// transientLimit bounds the logarithm of one observation, so that a single request that hung
 	// doesn't count for many.
-	passingLimit = 1.6
-	// passingHalfLife is the time after which half of a slowdown is forgotten without further
+	transientLimit = 1.6
+	// transientHalfLife is the time after which half of a slowdown is forgotten without further
 	// answers. A replica that gets no more requests would never show its recovery.
-	passingHalfLife = 2 * time.Second
+	transientHalfLife = 2 * time.Second
 	// minSurePrediction is the least predicted time that an observation is compared with.
 	minSurePrediction = 5 * time.Millisecond
 )
 
-// Replica is how much slower one incarnation is than the average of its service. It has a part
-// that lasts (its hardware) and one that passes (a slowdown). The zero value is average.
+// Replica is how much slower one incarnation is than the average of its service. It has a
+// persistent part (its hardware) and a transient one (a slowdown). The zero value is average.
 type Replica struct {
-	lasting float64       // logarithm of the factor
-	passing core.Decaying // likewise, with passingHalfLife
+	persistent float64       // logarithm of the factor
+	transient  core.Decaying // likewise, with transientHalfLife
 }
 
 // Factor returns by how much longer than the average the replica takes, 1 for the average.
 func (r *Replica) Factor(now core.Instant) float64 {
-	if r.passing.Value == 0 {
-		if r.lasting == 0 {
+	if r.transient.Value == 0 {
+		if r.persistent == 0 {
 			return 1
 		}
-		return math.Exp(r.lasting)
+		return math.Exp(r.persistent)
 	}
-	return math.Exp(r.lasting + r.passing.Now(now, passingHalfLife))
+	return math.Exp(r.persistent + r.transient.Now(now, transientHalfLife))
 }
 
 // Observe learns from a first event that took a time, against the one that Service.FirstEvent
@@ -196,11 +196,9 @@
 		return
 	}
 	ratio := math.Log(took.Seconds() / predicted.Seconds())
-	current := r.passing.Now(now, passingHalfLife)
-	deviation := max(min(ratio-r.lasting, passingLimit), -passingLimit)
-	r.passing = core.Decaying{Value: current + passingRate*(deviation-current), At: now}
-	if math.Abs(ratio-r.lasting) < lastingOutlier {
-		r.lasting = max(min(r.lasting+lastingRate*(ratio-r.lasting), lastingLimit), -lastingLimit)
+	r.learnTransient(now, max(min(ratio-r.persistent, transientLimit), -transientLimit))
+	if math.Abs(ratio-r.persistent) < persistentOutlier {
+		r.persistent = max(min(r.persistent+persistentRate*(ratio-r.persistent), persistentLimit), -persistentLimit)
 	}
 }
 
@@ -210,9 +208,13 @@
 	if predicted < minSurePrediction || waits.Seconds() <= predicted.Seconds()*r.Factor(now) {
 		return
 	}
-	deviation := min(math.Log(waits.Seconds()/predicted.Seconds())-r.lasting, passingLimit)
-	current := r.passing.Now(now, passingHalfLife)
-	r.passing = core.Decaying{Value: current + passingRate*(deviation-current), At: now}
+	r.learnTransient(now, min(math.Log(waits.Seconds()/predicted.Seconds())-r.persistent, transientLimit))
+}
+
+// learnTransient moves the transient factor towards an observed deviation, given as a logarithm.
+func (r *Replica) learnTransient(now core.Instant, deviation float64) {
+	current := r.transient.Now(now, transientHalfLife)
+	r.transient = core.Decaying{Value: current + transientRate*(deviation-current), At: now}
 }
 
 // Prediction is what a service's model says of a request at one replica.
--- a/internal/core/replicamodel/replicamodel_test.go
+++ b/internal/core/replicamodel/replicamodel_test.go
@@ -124,7 +124,7 @@
 	f.engines[0].slowness = 3.5
 	f.run(time.Second)
 	is.True(f.factor(0) > 2*usual)
-	f.now = f.now.Add(3 * passingHalfLife)
+	f.now = f.now.Add(3 * transientHalfLife)
 	is.True(f.factor(0) < 1.3*usual)
 }
 
