--- a/internal/core/cost/cost.go
+++ b/internal/core/cost/cost.go
@@ -1,6 +1,6 @@
 // Package cost estimates what a request costs an engine: the prompt tokens to be read, the tokens
 // to be generated, and the memory that it holds at its end. Callers declare a maximum output, which
-// most don't use up, and a hint at it, which is right at the median only. How far both are off is
+// most don't use up, and an estimate of the output (hint), which is right at the median only. How far both are off is
 // learned from requests that have ended. Which replica gets a request is decided elsewhere.
 package cost
 
@@ -40,7 +40,7 @@
 	Service   table.ServiceID
 	Prompt    core.Tokens
 	MaxOutput core.Tokens // 0: not declared
-	Hint      core.Tokens // at the output; 0: none
+	Hint      core.Tokens // the caller's estimate of the output; 0: none
 }
 
 // outputs is what is learned of the outputs of a route's or service's requests.
@@ -48,7 +48,7 @@
 	fraction, factor quantile // of the declared maximum, of the hint
 }
 
-// quantile follows the outputQuantile of observed ratios, in steps that are relative to it.
+// quantile approximates the outputQuantile of observed ratios in small steps, without keeping them.
 type quantile struct {
 	value float64
 	seen  int
@@ -75,7 +75,7 @@
 	perEvent map[table.ServiceID]float64 // tokens that an event of a stream holds
 }
 
-// NewEstimator returns an estimator that takes requests at their word.
+// NewEstimator returns an estimator that has learned nothing: it returns the declared maximum output.
 func NewEstimator() *Estimator {
 	return &Estimator{routes: map[string]*outputs{}, services: map[table.ServiceID]*outputs{}, perEvent: map[table.ServiceID]float64{}}
 }
@@ -128,16 +128,16 @@
 		switch {
 		case o == nil:
 		case r.Hint > 0 && o.factor.known():
-			return limited(float64(r.Hint)*o.factor.value, r.MaxOutput)
+			return atMost(float64(r.Hint)*o.factor.value, r.MaxOutput)
 		case o.fraction.known():
-			return limited(float64(r.MaxOutput)*o.fraction.value, r.MaxOutput)
+			return atMost(float64(r.MaxOutput)*o.fraction.value, r.MaxOutput)
 		}
 	}
 	return r.MaxOutput
 }
 
-// limited returns a number of tokens, at most the declared maximum if there is one.
-func limited(tokens float64, most core.Tokens) core.Tokens {
+// atMost returns a number of tokens, at most the declared maximum if there is one.
+func atMost(tokens float64, most core.Tokens) core.Tokens {
 	if most > 0 {
 		return min(core.Tokens(tokens), most)
 	}
