--- a/internal/core/quota/pace.go
+++ b/internal/core/quota/pace.go
@@ -109,8 +109,8 @@
 	return max(all, d.rise.Now(now, riseHalfLife)/riseWindowSeconds)
 }
 
-// hearOthers adds the demand of another host, reported after a time without reports.
-func (d *demand) hearOthers(now core.Instant, tokens float64, since time.Duration) {
+// addOthers adds the demand of another host for the time since its last report.
+func (d *demand) addOthers(now core.Instant, tokens float64, since time.Duration) {
 	d.others.Add(now, recentPart(tokens, since, demandWindowSeconds), demandHalfLife)
 	d.rise.Add(now, recentPart(tokens, since, riseWindowSeconds), riseHalfLife)
 }
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -67,7 +67,7 @@
 	reported          map[core.HostID]Totals
 	reportedAsked     map[core.HostID]askedTotals
 	hosts             int     // that serve callers, this host included
-	heard             int     // hosts that reported lately what they were asked for
+	reporting         int     // other hosts that reported lately what they were asked for
 	reachableFraction float64 // of the fleet, this host included
 	restored          bool    // levels are no longer restored
 	startFull         bool    // the first buckets are full: the whole deployment starts
@@ -166,13 +166,13 @@
 // SetHosts sets the number of hosts that serve callers, this host included, and forgets the
 // reports of those that have not reported for long.
 func (m *Machine) SetHosts(now core.Instant, n int) {
-	m.hosts, m.heard = max(n, 1), 0
+	m.hosts, m.reporting = max(n, 1), 0
 	for from, last := range m.reportedAsked {
 		switch age := now.Sub(last.at); {
 		case age >= askedRetention:
 			delete(m.reportedAsked, from)
 		case age < askedTTL:
-			m.heard++
+			m.reporting++
 		}
 	}
 }
@@ -181,7 +181,7 @@
 // taken to have as much demand: a host that has just started must not take all for its own.
 func (m *Machine) silentRatio() float64 {
 	reached := m.reachableFraction * float64(m.hosts)
-	return max(reached/float64(1+m.heard), 1)
+	return max(reached/float64(1+m.reporting), 1)
 }
 
 // refill adds the tokens that the elapsed time has earned.
@@ -311,7 +311,7 @@
 	}
 	for id, total := range totals {
 		if b := m.buckets[id]; b != nil && total > last.totals[id] {
-			b.demand.hearOthers(now, float64(total-last.totals[id]), since)
+			b.demand.addOthers(now, float64(total-last.totals[id]), since)
 		}
 	}
 	m.reportedAsked[from] = askedTotals{totals: maps.Clone(totals), at: now}
