heldbytes, held: Acquire and Release; say where a lock is released

Take and Give are Acquire and Release in every other budget. finish and tick unlocked the mutex of their caller, which their names didn't show.

--- a/internal/core/heldbytes/heldbytes.go
+++ b/internal/core/heldbytes/heldbytes.go
@@ -173,9 +173,9 @@
 	return l.lag(now, c)
 }
 
-// Take asks for bytes. The effects grant or refuse them; where they do neither, the connection
-// waits until a later effect does. A connection that waits must not take more.
-func (l *Ledger) Take(now core.Instant, id ID, bytes int64) []Effect {
+// Acquire asks for bytes. The effects grant or refuse them; where they do neither, the connection
+// waits until a later effect does. A connection that waits must not ask for more.
+func (l *Ledger) Acquire(now core.Instant, id ID, bytes int64) []Effect {
 	c := l.connections[id]
 	if c == nil {
 		return []Effect{{Kind: Refuse, ID: id, Reason: Stalled}} // it has been closed meanwhile
@@ -196,8 +196,8 @@
 	}
 }
 
-// Give returns bytes that a connection holds.
-func (l *Ledger) Give(now core.Instant, id ID, bytes int64) []Effect {
+// Release returns bytes that a connection holds.
+func (l *Ledger) Release(now core.Instant, id ID, bytes int64) []Effect {
 	c := l.connections[id]
 	if c == nil {
 		return nil
--- a/internal/core/heldbytes/heldbytes_test.go
+++ b/internal/core/heldbytes/heldbytes_test.go
@@ -43,11 +43,11 @@
 func TestAConnectionThatHoldsMostAndStallsIsClosedForOthers(t *testing.T) {
 	is := is.New(t)
 	l := opened(is, 4)
-	is.True(granted(l.Take(0, 1, 300), 1))
-	is.True(granted(l.Take(0, 2, 400), 2))
+	is.True(granted(l.Acquire(0, 1, 300), 1))
+	is.True(granted(l.Acquire(0, 2, 400), 2))
 	l.Progress(50*ms, 1, 300)
 	l.Progress(50*ms, 2, 400)
-	is.Equal(len(l.Take(60*ms, 3, 200)), 0) // nobody has stalled yet: it waits
+	is.Equal(len(l.Acquire(60*ms, 3, 200)), 0) // nobody has stalled yet: it waits
 	effects := l.Tick(200 * ms)
 	is.True(has(effects, Close, 2)) // it holds more than connection 1
 	is.True(!has(effects, Close, 1))
@@ -57,11 +57,11 @@
 func TestARequestThatRunsIsNeverClosed(t *testing.T) {
 	is := is.New(t)
 	l := opened(is, 3)
-	is.True(granted(l.Take(0, 1, 400), 1))
-	is.True(granted(l.Take(0, 2, 400), 2))
+	is.True(granted(l.Acquire(0, 1, 400), 1))
+	is.True(granted(l.Acquire(0, 2, 400), 2))
 	l.SetPhase(0, 1, Running)
 	l.SetPhase(0, 2, Running)
-	is.Equal(len(l.Take(0, 3, 100)), 0)
+	is.Equal(len(l.Acquire(0, 3, 100)), 0)
 	is.Equal(len(l.Tick(1999*ms)), 0)
 	effects := l.Tick(2000 * ms)
 	is.Equal(effects, []Effect{{Kind: Refuse, ID: 3, Reason: NoRoom}})
@@ -70,10 +70,10 @@
 func TestLittleIsGrantedBesideLargeBodies(t *testing.T) {
 	is := is.New(t)
 	l := opened(is, 4)
-	is.True(granted(l.Take(0, 1, 400), 1))
-	is.True(granted(l.Take(0, 2, 400), 2))
-	is.Equal(len(l.Take(0, 3, 100)), 0) // waits
-	is.True(granted(l.Take(0, 4, 50), 4))
+	is.True(granted(l.Acquire(0, 1, 400), 1))
+	is.True(granted(l.Acquire(0, 2, 400), 2))
+	is.Equal(len(l.Acquire(0, 3, 100)), 0) // waits
+	is.True(granted(l.Acquire(0, 4, 50), 4))
 }
 
 // Guards against bodies at replicas whose answers wait for each other.
@@ -81,11 +81,11 @@
 	is := is.New(t)
 	l := opened(is, 3)
 	for id := ID(1); id <= 2; id++ {
-		is.True(granted(l.Take(0, id, 390), id))
+		is.True(granted(l.Acquire(0, id, 390), id))
 		l.SetPhase(0, id, Running)
 	}
-	is.Equal(len(l.Take(0, 3, 100)), 0) // receiving: waits
-	is.Equal(l.Take(0, 1, 10), []Effect{{Kind: Grant, ID: 1}})
+	is.Equal(len(l.Acquire(0, 3, 100)), 0) // receiving: waits
+	is.Equal(l.Acquire(0, 1, 10), []Effect{{Kind: Grant, ID: 1}})
 }
 
 func TestAPeerHasABoundOfItsOwn(t *testing.T) {
@@ -97,9 +97,9 @@
 	}
 	is.Equal(l.Open(0, 5, "one"), []Effect{{Kind: Refuse, ID: 5, Reason: TooManyOfPeer}})
 	is.True(granted(l.Open(0, 6, "other"), 6))
-	is.True(granted(l.Take(0, 1, 400), 1))
-	is.Equal(len(l.Take(0, 2, 300)), 0) // over the peer's bytes: waits
-	is.True(granted(l.Take(0, 6, 300), 6))
+	is.True(granted(l.Acquire(0, 1, 400), 1))
+	is.Equal(len(l.Acquire(0, 2, 300)), 0) // over the peer's bytes: waits
+	is.True(granted(l.Acquire(0, 6, 300), 6))
 	is.True(granted(l.Closed(0, 1), 2))
 }
 
@@ -131,8 +131,8 @@
 func TestOneConnectionIsBounded(t *testing.T) {
 	is := is.New(t)
 	l := opened(is, 1)
-	is.Equal(l.Take(0, 1, 401), []Effect{{Kind: Refuse, ID: 1, Reason: TooLarge}})
-	is.True(granted(l.Take(0, 1, 400), 1))
+	is.Equal(l.Acquire(0, 1, 401), []Effect{{Kind: Refuse, ID: 1, Reason: TooLarge}})
+	is.True(granted(l.Acquire(0, 1, 400), 1))
 	is.Equal(l.Held(), int64(400))
 	l.SetPhase(0, 1, Idle)
 	is.Equal(l.Held(), int64(0))
@@ -194,13 +194,13 @@
 				if open && m.wanted[id] == 0 {
 					bytes := int64(rapid.IntRange(1, 450).Draw(t, "bytes"))
 					m.wanted[id] = bytes
-					m.apply(t, l.Take(now, id, bytes))
+					m.apply(t, l.Acquire(now, id, bytes))
 				}
 			case 2:
 				if open && m.wanted[id] == 0 {
 					bytes := int64(rapid.IntRange(0, 100).Draw(t, "bytes"))
 					m.held[id] -= min(bytes, m.held[id])
-					m.apply(t, l.Give(now, id, bytes))
+					m.apply(t, l.Release(now, id, bytes))
 				}
 			case 3:
 				if open && m.wanted[id] == 0 {
--- a/internal/hangup/body.go
+++ b/internal/hangup/body.go
@@ -134,7 +134,8 @@
 	return w
 }
 
-// HideBody is the HTTP server's HeaderReceived: the server must not read the body itself.
+// HideBody is the HTTP server's HeaderReceived. It makes the server take the request for one without
+// a body, which ReceiveBody reads within the connection's budget.
 func HideBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if length := h.ContentLength(); length > 0 || length == framing.Chunked {
 		h.SetContentLength(0)
@@ -243,7 +244,7 @@
 		size = min(size, firstBodyBytes)
 	}
 	asked := time.Now()
-	if err := r.conn.account.Take(size - int64(cap(r.bytes))); err != nil {
+	if err := r.conn.account.Acquire(size - int64(cap(r.bytes))); err != nil {
 		return err
 	}
 	r.waited += time.Since(asked)
@@ -257,7 +258,7 @@
 func (r *receiver) read() (done bool, err error) {
 	_ = r.conn.SetReadDeadline(r.deadline())
 	if r.conn.account.Evicted() != "" { // its deadline may have been set before the one above
-		return false, TooSlow.New("closed for others")
+		return false, TooSlow.New("closed to free memory for other connections")
 	}
 	n, err := r.conn.readBody(r.bytes[len(r.bytes):cap(r.bytes)])
 	r.bytes = r.bytes[:len(r.bytes)+n]
@@ -345,7 +346,7 @@
 	if c == nil || c.account == nil || bytes <= firstBodyBytes {
 		return nil
 	}
-	if err := c.account.Take(int64(bytes)); err != nil {
+	if err := c.account.Acquire(int64(bytes)); err != nil {
 		return err
 	}
 	c.account.SetPhase(heldbytes.Answering)
@@ -359,11 +360,11 @@
 	if c == nil {
 		return nil
 	}
-	return c.account.Take(int64(bytes))
+	return c.account.Acquire(int64(bytes))
 }
 
-// evict ends the connection for others: the receiving of a body, so that the request can be refused,
-// or the whole connection.
+// evict frees what the connection holds for other connections. While a body is received, only that
+// ends, so that the request can be answered with a refusal; otherwise the connection is closed.
 func (c *Conn) evict() {
 	if c.receiving.Load() {
 		_ = c.SetReadDeadline(time.Unix(1, 0))
--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -1,6 +1,6 @@
-// Package held carries out the decisions of heldbytes for the listeners of a host: it numbers
-// connections, lets those wait that want more bytes than there are, closes those that are to make
-// room, and counts all of it.
+// Package held applies the decisions of heldbytes to the connections of a host's listeners: it blocks
+// those that ask for more bytes than are free (backpressure), closes those that are evicted, and
+// counts and logs both.
 package held
 
 import (
@@ -67,7 +67,7 @@
 	budget *Budget
 	id     heldbytes.ID
 	evict  func()     // closes the connection; must not block
-	answer chan error // of the take that waits
+	answer chan error // of the acquisition that waits
 
 	closed heldbytes.Reason // why the ledger has closed it; guarded by the budget's mu
 }
@@ -87,7 +87,7 @@
 	if refused {
 		delete(b.accounts, a.id)
 	}
-	b.finish(effects)
+	b.applyAndUnlock(effects)
 	if refused {
 		return nil
 	}
@@ -105,8 +105,8 @@
 
 func (b *Budget) now() core.Instant { return core.Instant(time.Since(b.start)) }
 
-// finish carries out effects and unlocks mu, which the caller holds.
-func (b *Budget) finish(effects []heldbytes.Effect) {
+// applyAndUnlock carries out effects and unlocks mu, which the caller holds.
+func (b *Budget) applyAndUnlock(effects []heldbytes.Effect) {
 	var evictions []func()
 	for _, e := range effects {
 		if e.Kind != heldbytes.Grant {
@@ -172,9 +172,9 @@
 	b.mu.Unlock()
 }
 
-// Take waits until the connection may hold more bytes. The error is Refused if it may not. A nil
+// Acquire waits until the connection may hold more bytes. The error is Refused if it may not. A nil
 // account has no bounds.
-func (a *Account) Take(bytes int64) error {
+func (a *Account) Acquire(bytes int64) error {
 	if a == nil || bytes <= 0 {
 		return nil
 	}
@@ -184,7 +184,7 @@
 		b.mu.Unlock()
 		return Refused.New("%s", a.closed)
 	}
-	b.finish(b.ledger.Take(b.now(), a.id, bytes))
+	b.applyAndUnlock(b.ledger.Acquire(b.now(), a.id, bytes))
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -198,29 +198,29 @@
 			b.mu.Unlock()
 			return Refused.New("%s", a.closed)
 		}
-		b.tick()
+		b.tickAndUnlock()
 	}
 }
 
-// tick checks the ledger unless another connection has just done so, and unlocks mu, which the caller
+// tickAndUnlock checks the ledger unless another connection has just done so, and unlocks mu, which the caller
 // holds.
-func (b *Budget) tick() {
+func (b *Budget) tickAndUnlock() {
 	now := time.Now()
 	if now.Sub(b.lastTick) < tickInterval/2 {
 		b.mu.Unlock()
 		return
 	}
 	b.lastTick = now
-	b.finish(b.ledger.Tick(b.now()))
+	b.applyAndUnlock(b.ledger.Tick(b.now()))
 }
 
-// Give returns bytes.
-func (a *Account) Give(bytes int64) {
+// Release returns bytes that the connection holds.
+func (a *Account) Release(bytes int64) {
 	if a == nil || bytes <= 0 {
 		return
 	}
 	a.budget.mu.Lock()
-	a.budget.finish(a.budget.ledger.Give(a.budget.now(), a.id, bytes))
+	a.budget.applyAndUnlock(a.budget.ledger.Release(a.budget.now(), a.id, bytes))
 }
 
 // Progress records that bytes were received or sent.
@@ -239,7 +239,7 @@
 		return
 	}
 	a.budget.mu.Lock()
-	a.budget.finish(a.budget.ledger.SetPhase(a.budget.now(), a.id, p))
+	a.budget.applyAndUnlock(a.budget.ledger.SetPhase(a.budget.now(), a.id, p))
 }
 
 // Evicted returns why the connection was closed for others, "" if it wasn't.
@@ -263,5 +263,5 @@
 	if a.closed == "" {
 		a.closed = closedItself
 	}
-	b.finish(b.ledger.Closed(b.now(), a.id))
+	b.applyAndUnlock(b.ledger.Closed(b.now(), a.id))
 }
