--- a/internal/measure/adapters/relayfleet.go
+++ b/internal/measure/adapters/relayfleet.go
@@ -50,19 +50,14 @@
 		f.addHost(i, seed)
 	}
 	for i := range f.machines {
-		f.introduce(i)
+		f.sendInitialReads(i)
 		f.clock.after(relayTick*time.Duration(i)/shiftHosts, func() { f.tick(i) })
 	}
 	for i := range f.calls {
 		c := &f.calls[i]
 		f.clock.after(c.at, func() { f.arrive(i, c) })
 	}
-	f.score.watchBusy(&f.clock, f.engines)
-	before := 0
-	f.clock.after(shiftMeasureFrom, func() { before = f.score.loads })
-	f.clock.runUntil(shiftEnd + streamTimeout)
-	f.score.loads -= before
-	f.score.collect(f.calls)
+	f.score.run(&f.clock, f.engines, f.calls)
 	return f.score
 }
 
@@ -79,8 +74,8 @@
 	return fleet.Registration{Name: name, Host: core.HostID(name + "/1"), Domain: "a", Capacity: 1}
 }
 
-// introduce sends a host what it reads from the store at its start.
-func (f *relayFleet) introduce(i int) {
+// sendInitialReads sends a host what it reads from the store at its start.
+func (f *relayFleet) sendInitialReads(i int) {
 	f.step(i, relaynode.ConfigurationRead{Table: shiftConfiguration()})
 	f.step(i, relaynode.VersionsRead{})
 	var entries []replicas.Entry
--- a/internal/measure/adapters/shift.go
+++ b/internal/measure/adapters/shift.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// run runs a clock to the end of the trace and records what the engines and calls show.
+func (s *shiftScore) run(c *clock, engines []*streamEngine, calls []streamCall) {
+	s.watchBusy(c, engines)
+	before := 0
+	c.after(shiftMeasureFrom, func() { before = s.loads })
+	c.runUntil(shiftEnd + streamTimeout)
+	s.loads -= before
+	s.collect(calls)
+}
+
 // watchBusy records the busy places of the engines at the bounds of the periods.
 func (s *shiftScore) watchBusy(c *clock, engines []*streamEngine) {
 	s.periods = make([]periodScore, len(shiftPeriods))
--- a/internal/measure/adapters/shiftbaseline.go
+++ b/internal/measure/adapters/shiftbaseline.go
@@ -41,12 +41,7 @@
 		c := &calls[i]
 		b.clock.after(c.at, func() { b.arrive(c) })
 	}
-	b.score.watchBusy(&b.clock, b.engines)
-	before := 0
-	b.clock.after(shiftMeasureFrom, func() { before = b.score.loads })
-	b.clock.runUntil(shiftEnd + streamTimeout)
-	b.score.loads -= before
-	b.score.collect(calls)
+	b.score.run(&b.clock, b.engines, calls)
 	return b.score
 }
 
