--- a/cmd/gentiancroft/soak.go
+++ b/cmd/gentiancroft/soak.go
@@ -53,21 +53,7 @@
 					return errSoak.Wrap(err)
 				}
 			}
-			failed := 0
-			for i := range seeds {
-				settings.Seed = seed + uint64(i)
-				ok, err := soakOne(c, settings)
-				if err != nil {
-					return errSoak.Wrap(err)
-				}
-				if !ok {
-					failed++
-				}
-			}
-			if failed > 0 {
-				return errSoak.New("%d of %d seeds violated a guarantee", failed, seeds)
-			}
-			return nil
+			return soakSeeds(c, settings, seed, seeds)
 		},
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "first seed; a seed determines the plan of faults, or of the upgrade")
@@ -77,6 +63,25 @@
 	return c
 }
 
+// soakSeeds runs seeds one after the other, from the first on. The error says how many failed.
+func soakSeeds(c *cobra.Command, s soak.Settings, first uint64, seeds int) error {
+	failed := 0
+	for i := range seeds {
+		s.Seed = first + uint64(i)
+		ok, err := soakOne(c, s)
+		if err != nil {
+			return errSoak.Wrap(err)
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return errSoak.New("%d of %d seeds violated a guarantee", failed, seeds)
+	}
+	return nil
+}
+
 // soakOne runs one seed and reports whether it passed. If it failed, the hosts' logs are
 // kept.
 func soakOne(c *cobra.Command, s soak.Settings) (ok bool, err error) {
