--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -51,9 +51,9 @@
 		{Name: "dispatch", Subject: "an attempt is sent to `upstream`", Detail: "requests at the replica, of this host and as reported by others; of an engine whose answers are known: the predicted time until the first event, and the predicted pause in the streams that run there; if versions of the adapter were announced: the one loaded there, the newest, and the one that the replica must confirm (0: any); of a stream that goes on: where it began, and the version of the replica's software; the host that carries the connection", Age: "the request", Reasons: []Reason{
 			{Name: "least_occupied", Meaning: "the replica with the lowest cost among those that can run it: predicted first event, predicted pause and occupied places"}}},
 		{Name: "error_share", Subject: "whether first attempts avoid `upstream`, whose share of failed answers is far above that of the other replicas of its service", Detail: "both shares", Reasons: []Reason{
-			{Name: "avoided", Meaning: "they do"},
-			{Name: "avoided_ended", Meaning: "they no longer do"},
-			{Name: "probe", Meaning: "one is sent to it all the same, so that its recovery is seen", MetricsOnly: true}}},
+			{Name: "avoided", Meaning: "they avoid it; one in 20 is still sent to it"},
+			{Name: "avoided_ended", Meaning: "they no longer avoid it: its error share has fallen"},
+			{Name: "probe", Meaning: "a first attempt is sent to it although it is avoided, so that its recovery is seen", MetricsOnly: true}}},
 		{Name: "stall", Subject: "whether this process has stood still", Age: "the last step before", Reasons: []Reason{
 			{Name: "list_in_doubt", Meaning: "it has; its list of replicas counts again once it has been compared with the store's"}}},
 		{Name: "software", Subject: "whether this host knows all software versions at which streams can have begun lately", Age: "the last comparison of the list of replicas; with `known_elsewhere`: the knowledge", Reasons: []Reason{
