core/relaynode: split place; one check of adapters, copy waits and extra demands

place was 60 lines that mixed sending and the order of refusals. The checks for an adapter at an engine, for the end of a copy's wait and for the time of an extra demand stood two to four times each.

--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -28,7 +28,7 @@
 	// copyInterval is the minimum time between two demands for another copy of an
 	// adapter.
 	copyInterval = time.Second
-	// shortageInterval is that time while requests for the adapter are predicted to miss a
+	// shortageInterval is copyInterval while requests for the adapter are predicted to miss a
 	// target. It is about as long as a load takes: an earlier demand would not know its result.
 	shortageInterval = 250 * time.Millisecond
 	// copyTargetOccupancy is the occupancy below which a replica takes a copy. A fuller one would
@@ -95,7 +95,10 @@
 	slices.SortStableFunc(preferred, func(a, b *replicas.Replica) int { return m.loadRank(r, a) - m.loadRank(r, b) })
 	for _, x := range preferred {
 		_, older := x.AdapterVersion(r.arrival.Adapter)
-		if m.saturated(r, x) && m.canRun(r, x) || !m.sendDemand(r, x) {
+		if m.saturated(r, x) && m.canRun(r, x) {
+			continue // it has the adapter; a copy at another replica is what helps
+		}
+		if !m.sendDemand(r, x) {
 			continue
 		}
 		demanded = true
@@ -132,11 +135,9 @@
 func (m *Machine) demandNewerVersion(r *request, x *replicas.Replica) {
 	a := r.arrival.Adapter
 	version, ok := x.AdapterVersion(a)
-	if !ok || version >= m.versions[a].newest() || m.lastExtraDemand[a] != 0 && m.now.Sub(m.lastExtraDemand[a]) < demandInterval {
-		return
+	if ok && version < m.versions[a].newest() && m.extraDemandDue(r, demandInterval) {
+		m.demandOnPreferred(r)
 	}
-	m.lastExtraDemand[a] = m.now
-	m.demandOnPreferred(r)
 }
 
 // sendDemand sends a demand for an adapter to the owner of a replica. It returns
@@ -172,7 +173,7 @@
 // demandCopy demands more copies of an adapter where the best replica that has it is busy, or is
 // predicted to miss a target.
 func (m *Machine) demandCopy(r *request, best *replicas.Replica) {
-	if r.arrival.Adapter == "" || r.service.Engine == nil {
+	if !r.usesAdapter() {
 		return
 	}
 	s := m.newScorer(r)
@@ -193,8 +194,8 @@
 	return needed > copies || m.promptPressure(r, x, 0) >= copyUtilizationThreshold
 }
 
-// extraDemandDue reports whether the last demand for a copy of a request's adapter is so long ago,
-// and if so, remembers one now.
+// extraDemandDue reports whether the last demand for a copy or a newer version of a request's adapter
+// is at least an interval ago. If so, it records one now.
 func (m *Machine) extraDemandDue(r *request, interval time.Duration) bool {
 	a := r.arrival.Adapter
 	if m.lastExtraDemand[a] != 0 && m.now.Sub(m.lastExtraDemand[a]) < interval {
@@ -204,10 +205,9 @@
 	return true
 }
 
-// demandCopies demands copies of the adapter of a request that no replica with it can run in time, or
-// only without pauses.
-// They may double in each interval: every host demands the first ones in the same order of
-// replicas, so that all hosts together demand no more than one of them does.
+// demandCopies demands copies of the adapter of a request that is predicted to miss a target at the
+// best replica with it; late is set where the first event is late. Every host demands the first copies in
+// the same order of replicas, so that all hosts together demand no more than one of them does.
 func (m *Machine) demandCopies(r *request, s *scorer, late bool) {
 	copies, needed := m.copies(r)
 	if needed <= copies && !late && m.sameAdapter(r) < 2 {
@@ -222,7 +222,8 @@
 	}
 }
 
-// demandCopiesAt demands a number of copies at replicas that suit.
+// demandCopiesAt demands a number of copies at the most preferred replicas for which suits returns
+// true. Limited replicas get none.
 func (m *Machine) demandCopiesAt(r *request, wanted int, suits func(*replicas.Replica) bool) {
 	for _, x := range m.preferredReplicas(r) {
 		if _, ok := x.AdapterVersion(r.arrival.Adapter); ok || m.limited(x) || !suits(x) {
@@ -276,7 +277,12 @@
 // copyOverdue reports whether the copy that a request waits for is to be demanded again, or no longer
 // waited for.
 func (m *Machine) copyOverdue(r *request) bool {
-	return m.now.Sub(r.lastDemand) >= shortageInterval || r.copyAwaitedSince != 0 && m.now.Sub(r.copyAwaitedSince) >= copyWait
+	return m.now.Sub(r.lastDemand) >= shortageInterval || m.copyWaitOver(r)
+}
+
+// copyWaitOver reports whether a request has waited for a copy of its adapter as long as it may.
+func (m *Machine) copyWaitOver(r *request) bool {
+	return r.copyAwaitedSince != 0 && m.now.Sub(r.copyAwaitedSince) >= copyWait
 }
 
 // hasOwner reports whether a replica has an owner that this host reaches.
@@ -292,8 +298,7 @@
 // and have sent the first event well before the best replica that has the adapter now. A request
 // waits so once, for no longer than a load takes.
 func (m *Machine) awaitBetterCopy(r *request, best *replicas.Replica) bool {
-	waited := r.copyAwaitedSince != 0 && m.now.Sub(r.copyAwaitedSince) >= copyWait
-	if waited || r.arrival.Adapter == "" || r.service.Engine == nil || r.attempt > 0 || r.route.LatencyTarget <= 0 {
+	if m.copyWaitOver(r) || !r.usesAdapter() || r.attempt > 0 || r.route.LatencyTarget <= 0 {
 		return false
 	}
 	if m.promptDelay(best, r.arrival.Prompt) < r.route.LatencyTarget+copyWait || !m.awaitCopy(r) {
@@ -308,7 +313,7 @@
 // awaitCopy lets a request wait for another copy of its adapter where all replicas that have it are
 // saturated. It returns false where none can load it that would run it in time.
 func (m *Machine) awaitCopy(r *request) bool {
-	if r.arrival.Adapter == "" || r.service.Engine == nil {
+	if !r.usesAdapter() {
 		return false
 	}
 	s := m.newScorer(r)
--- a/internal/core/relaynode/loads.go
+++ b/internal/core/relaynode/loads.go
@@ -9,9 +9,9 @@
 	"gentiancroft/internal/core/table"
 )
 
-// paceCheckInterval is how often a request that waits for its first event is held against what
-// was predicted.
-const paceCheckInterval = 100 * time.Millisecond
+// firstEventCheckInterval is how often the wait of a request for its first event is compared with the
+// predicted time.
+const firstEventCheckInterval = 100 * time.Millisecond
 
 // hostLoad is what another host has at the replicas.
 type hostLoad struct {
@@ -70,8 +70,8 @@
 	}
 }
 
-// countPrompt counts the prompt of a request that is sent to a replica, and keeps what is
-// predicted of it there.
+// countPrompt counts the prompt of a request that is sent to a replica, and records what is predicted
+// for it there.
 func (m *Machine) countPrompt(r *request, x *replicas.Replica) {
 	r.promptCounted = true
 	x.OwnPrompts += r.arrival.Prompt
@@ -83,7 +83,7 @@
 	}
 	service := m.model(r.service.ID)
 	r.expected = service.FirstEvent(r.sentTo)
-	r.predicted = service.Predict(m.now, &x.Pace, r.sentTo)
+	r.predicted = service.Predict(m.now, &x.Slowness, r.sentTo)
 }
 
 // loadOf returns the load at a replica.
@@ -125,7 +125,7 @@
 	}
 	took := m.now.Sub(r.stageSince)
 	if x := m.sentReplica(r); x != nil {
-		x.Pace.Observe(m.now, r.expected, took)
+		x.Slowness.Observe(m.now, r.expected, took)
 	}
 	m.model(r.service.ID).ObserveFirstEvent(r.sentTo, took)
 	if r.predicted.FirstEvent > 0 {
@@ -136,12 +136,12 @@
 // observeUnanswered learns from a request that waits for its first event for longer than
 // predicted: a replica that has become slow shows it before it answers.
 func (m *Machine) observeUnanswered(r *request) {
-	if r.stage != stageRunning || r.answerStarted || r.service.Engine == nil || r.route.Kind != table.Streaming || m.now < r.nextPaceCheck {
+	if r.stage != stageRunning || r.answerStarted || r.service.Engine == nil || r.route.Kind != table.Streaming || m.now < r.nextEventCheck {
 		return
 	}
-	r.nextPaceCheck = m.now.Add(paceCheckInterval)
+	r.nextEventCheck = m.now.Add(firstEventCheckInterval)
 	if x := m.sentReplica(r); x != nil {
-		x.Pace.ObserveWaiting(m.now, r.expected, m.now.Sub(r.stageSince))
+		x.Slowness.ObserveWaiting(m.now, r.expected, m.now.Sub(r.stageSince))
 	}
 }
 
@@ -168,5 +168,5 @@
 
 // promptDelay is how long the first event of a request with a prompt takes at a replica.
 func (m *Machine) promptDelay(x *replicas.Replica, prompt core.Tokens) time.Duration {
-	return m.model(x.Service).Predict(m.now, &x.Pace, loadWith(x, prompt)).FirstEvent
+	return m.model(x.Service).Predict(m.now, &x.Slowness, loadWith(x, prompt)).FirstEvent
 }
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -33,17 +33,29 @@
 	r.awaitsCopy = false
 	c := m.candidates(r)
 	if len(c.usable) > 0 {
-		best := m.choose(r, c.usable)
-		if m.awaitBetterCopy(r, best) || m.refuseHopeless(r, c) {
-			return
-		}
-		m.demandNewerVersion(r, best)
-		m.demandCopy(r, best)
-		m.beginTrial(r)
-		m.dispatch(r, best)
-		m.askForLater(c.limited)
+		m.placeAtBest(r, c)
+		return
+	}
+	m.waitOrRefuse(r, c)
+}
+
+// placeAtBest sends a request to the best of its usable replicas, unless it should wait for a copy of
+// its adapter or can't meet its deadline.
+func (m *Machine) placeAtBest(r *request, c candidates) {
+	best := m.choose(r, c.usable)
+	if m.awaitBetterCopy(r, best) || m.refuseBeyondDeadline(r, c) {
 		return
 	}
+	m.demandNewerVersion(r, best)
+	m.demandCopy(r, best)
+	m.beginTrial(r)
+	m.dispatch(r, best)
+	m.askForLater(c.limited)
+}
+
+// waitOrRefuse handles a request that no replica can run now: it waits for a permit, for room, for a
+// copy or for its adapter, or is refused with the most specific cause.
+func (m *Machine) waitOrRefuse(r *request, c candidates) {
 	if len(c.limited) > 0 && m.awaitPermit(r, c.limited) {
 		return
 	}
@@ -75,7 +87,7 @@
 		m.refuseLimited(r, c.limited)
 		return
 	}
-	if r.arrival.Adapter == "" || r.service.Engine == nil {
+	if !r.usesAdapter() {
 		m.refuseNoReplica(r)
 		return
 	}
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -40,7 +40,7 @@
 	expected         time.Duration           // from its dispatch to its first event, at an average replica
 	predicted        replicamodel.Prediction // of the latest attempt
 	promised         cost.Estimate           // at its replica; zero: nothing is
-	nextPaceCheck    core.Instant            // when the wait for its first event is next held against that
+	nextEventCheck   core.Instant            // when the wait for its first event is next compared with that
 	promptCounted    bool                    // its prompt counts as queued at the replica
 	possibleRuns     int                     // ended attempts that may have run
 	notReached       int                     // ended attempts for which no connection could be opened
@@ -74,6 +74,9 @@
 
 func (r *request) id() core.RequestID { return r.arrival.ID }
 
+// usesAdapter reports whether a request needs an adapter of an engine.
+func (r *request) usesAdapter() bool { return r.arrival.Adapter != "" && r.service.Engine != nil }
+
 // requests holds the requests of this host that have not ended.
 type requests struct {
 	byID map[core.RequestID]*request
--- a/internal/core/relaynode/score.go
+++ b/internal/core/relaynode/score.go
@@ -73,7 +73,7 @@
 func (s *scorer) score(x *replicas.Replica) float64 {
 	p := replicamodel.Prediction{Factor: 1}
 	if s.model != nil {
-		p = s.model.Predict(s.m.now, &x.Pace, loadWith(x, s.r.arrival.Prompt))
+		p = s.model.Predict(s.m.now, &x.Slowness, loadWith(x, s.r.arrival.Prompt))
 	}
 	cost := occupancyCost(x, p) + s.unseenCost(x) + firstEventCost(p, s.r.route.LatencyTarget) + pauseCost(x, p, s.gap)
 	cost *= 1 + failureWeight*s.m.failureScore(x.ID)
@@ -120,7 +120,7 @@
 // missesTarget reports whether a request is predicted to be late at a replica, or to make the
 // streams there miss their gap.
 func (s *scorer) missesTarget(x *replicas.Replica) bool {
-	p := s.model.Predict(s.m.now, &x.Pace, loadWith(x, s.r.arrival.Prompt))
+	p := s.model.Predict(s.m.now, &x.Slowness, loadWith(x, s.r.arrival.Prompt))
 	return s.late(x) || s.gap > 0 && p.Pause > s.gap
 }
 
--- a/internal/core/relaynode/score_test.go
+++ b/internal/core/relaynode/score_test.go
@@ -83,10 +83,10 @@
 // A restarted replica has nothing in common with the one before.
 func TestRestartedReplicaIsNotTakenForSlow(t *testing.T) {
 	h := newHostWithLargeBatches(t)
-	h.m.replicas.Get("e1").Pace.Observe(core.Instant(h.now), read1000, 8*read1000)
-	h.is.True(h.m.replicas.Get("e1").Pace.Factor(core.Instant(h.now)) > 1.4)
+	h.m.replicas.Get("e1").Slowness.Observe(core.Instant(h.now), read1000, 8*read1000)
+	h.is.True(h.m.replicas.Get("e1").Slowness.Factor(core.Instant(h.now)) > 1.4)
 	h.restart("e1")
-	h.is.Equal(h.m.replicas.Get("e1").Pace.Factor(core.Instant(h.now)), 1.0)
+	h.is.Equal(h.m.replicas.Get("e1").Slowness.Factor(core.Instant(h.now)), 1.0)
 }
 
 // Guards against herds: all hosts have heard the same, and each sent its requests to the replica that
@@ -120,7 +120,7 @@
 	for i := range 112 {
 		id := core.UpstreamID("engine-" + utoa(uint64(i)))
 		m.Step(0, ReplicaListed{Entry: replica(id, engines, x)})
-		m.replicas.Get(id).Pace.Observe(0, read1000, 2*read1000)
+		m.replicas.Get(id).Slowness.Observe(0, read1000, 2*read1000)
 	}
 	m.model(engines).Speed.Observe(10000, time.Second)
 	r := &request{route: &m.table.Routes[0], service: m.table.Services[engines], arrival: RequestArrived{Adapter: "x", Prompt: 1000}}
--- a/internal/core/relaynode/shed.go
+++ b/internal/core/relaynode/shed.go
@@ -16,10 +16,10 @@
 	maxRetryAfterLate = 10 * time.Second
 )
 
-// refuseHopeless refuses a request whose first event is predicted to come after its deadline at every
-// replica that could run it: it would only delay others. One that has been sent before, or goes on
-// with a stream, is not refused for a prediction.
-func (m *Machine) refuseHopeless(r *request, c candidates) bool {
+// refuseBeyondDeadline sheds a request whose first event is predicted to come after its deadline at
+// every replica that could run it: it would only delay others. One that has been sent before, or
+// goes on with a stream, is not refused for a prediction.
+func (m *Machine) refuseBeyondDeadline(r *request, c candidates) bool {
 	if r.service.Engine == nil || r.attempt > 0 || r.software != 0 || len(c.limited) > 0 {
 		return false
 	}
@@ -32,8 +32,8 @@
 	return true
 }
 
-// earliestFirstEvent returns the least predicted time of a request's first event, or any that is
-// soon enough.
+// earliestFirstEvent returns the least predicted time of a request's first event. It stops at the
+// first that is not above enough.
 func (m *Machine) earliestFirstEvent(r *request, from []*replicas.Replica, enough time.Duration) time.Duration {
 	earliest := m.promptDelay(from[0], r.arrival.Prompt)
 	for _, x := range from[1:] {
@@ -45,8 +45,9 @@
 	return earliest
 }
 
-// retryAfterLate returns when a request may come again that would have been late by some time: from
-// when the shortest queue has become so much shorter, spread over as long again by the request's id.
+// retryAfterLate returns the Retry-After time of a request that would have been late by some time: the
+// shortest queue has then become so much shorter. It is spread over as long again by the request's
+// id, so that refused callers don't return together.
 func retryAfterLate(r *request, late time.Duration) time.Duration {
 	late = min(max(late, minRetryAfterLate), maxRetryAfterLate/2)
 	const steps = 1 << 10
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -63,7 +63,7 @@
 	OtherRequests  int                    // other hosts' requests there, as last reported
 	OwnPrompts     core.Tokens            // prompts of this host's requests that have had no event yet
 	OtherPrompts   core.Tokens            // the same of other hosts, as last reported
-	Pace           replicamodel.Replica   // of this incarnation against its service
+	Slowness       replicamodel.Replica   // of this incarnation, against the average of its service
 	OwnOutputs     core.Tokens            // that this host's requests there will generate, as estimated
 	OtherOutputs   core.Tokens            // the same of other hosts, as last reported
 	OwnPromised    core.Tokens            // memory that this host's requests there will hold at their ends
