Cold replicas and limits: reports instead of news; reasons in comments

News, Follow and ShowRunning were figurative or had two meanings. The granter says why it doesn't apply an ask's limit to a cold replica; long comments of admission and of the fleet's fraction are reworded.

--- a/internal/core/intake/cold.go
+++ b/internal/core/intake/cold.go
@@ -15,14 +15,15 @@
 	// entryAge is how much older than its receipt an entry may be. What an event has shown less than
 	// this before an entry was received is not ended by that entry.
 	entryAge = 2 * time.Second
-	// maxColdTime bounds a remaining time that a replica gives.
+	// maxColdTime bounds a remaining time that a replica gives, so that a wrong one doesn't limit it
+	// for long.
 	maxColdTime = time.Minute
-	// coldNewsTolerance is by how much the known end of coldness must move to be reported to other
+	// coldReportTolerance is by how much the known end of coldness must move to be reported to other
 	// hosts. The entries of a cold replica move it by their own delay.
-	coldNewsTolerance = 500 * time.Millisecond
-	// coldNewsTime is how long after its end a coldness is remembered, so that delayed news of it don't
-	// begin it again.
-	coldNewsTime = time.Second
+	coldReportTolerance = 500 * time.Millisecond
+	// coldRetention is how long after its end a coldness is remembered, so that delayed reports of it
+	// don't begin it again.
+	coldRetention = time.Second
 )
 
 // never is a time before all others.
@@ -78,11 +79,11 @@
 func (c *coldness) active(now core.Instant) bool { return c.rule.PerSecond > 0 && now < c.until() }
 
 // includes reports whether it is known that the incarnation is cold until about end.
-func (c *coldness) includes(end core.Instant) bool { return end.Add(-coldNewsTolerance) <= c.until() }
+func (c *coldness) includes(end core.Instant) bool { return end.Add(-coldReportTolerance) <= c.until() }
 
 // over reports whether nothing that is known can still make the incarnation cold, under any rule.
 func (c *coldness) over(now core.Instant) bool {
-	return c.restartedAt == never && now >= max(c.entryUntil, c.eventUntil, 0).Add(coldNewsTime) &&
+	return c.restartedAt == never && now >= max(c.entryUntil, c.eventUntil, 0).Add(coldRetention) &&
 		(c.unsaidSince == never || now.Sub(c.unsaidSince) >= maxColdTime)
 }
 
@@ -119,8 +120,8 @@
 	return Evidence{Key: k, Named: true, PerSecond: rate}, true
 }
 
-// ColdNews returns what is known of an incarnation's coldness, and false where it isn't cold.
-func (l *Limits) ColdNews(now core.Instant, k Key) (Cold, bool) {
+// ColdReport returns what is known of an incarnation's coldness, and false where it isn't cold.
+func (l *Limits) ColdReport(now core.Instant, k Key) (Cold, bool) {
 	c := l.cold[k]
 	if c == nil || !c.active(now) {
 		return Cold{}, false
@@ -154,7 +155,7 @@
 	c.applyEntry(now, e)
 	isActive, after := c.active(now), c.until()
 	if wasActive && isActive {
-		return (after == forever) != (before == forever) || after.Sub(before).Abs() > coldNewsTolerance
+		return (after == forever) != (before == forever) || after.Sub(before).Abs() > coldReportTolerance
 	}
 	return wasActive != isActive
 }
@@ -174,8 +175,8 @@
 	}
 }
 
-// BeginCold applies that an incarnation is cold for d, as an event has shown that its entries may not
-// show yet. It reports whether that was unknown.
+// BeginCold records that an incarnation is cold for d, as shown by an event that its entries may not
+// reflect yet. It reports whether that was unknown.
 func (l *Limits) BeginCold(now core.Instant, k Key, rule ColdRule, d time.Duration) (changed bool) {
 	c := l.coldnessOf(k, rule)
 	end := now.Add(min(max(d, 0), maxColdTime))
@@ -184,7 +185,7 @@
 	return !known && c.active(now)
 }
 
-// SuspectRestart applies that an incarnation may have ended and come back as another one. It reports
+// SuspectRestart records that an incarnation may have ended and come back as another one. It reports
 // whether that was unknown.
 func (l *Limits) SuspectRestart(now core.Instant, k Key, rule ColdRule) (changed bool) {
 	if rule.PerSecond <= 0 || rule.Start <= 0 {
@@ -206,33 +207,33 @@
 	return c.restartedAt, true
 }
 
-// ShowRunning applies that an incarnation still runs: it has not come back as another one.
-func (l *Limits) ShowRunning(k Key) {
+// ConfirmRunning records that an incarnation still runs: it has not come back as another one.
+func (l *Limits) ConfirmRunning(k Key) {
 	if c := l.cold[k]; c != nil {
 		c.restartedAt = never
 	}
 }
 
-// ShowRunningSince is ShowRunning for the incarnations that have been suspected since a time for which
-// shown returns true.
-func (l *Limits) ShowRunningSince(shown func(since core.Instant) bool) {
+// ConfirmRunningSince is ConfirmRunning for the incarnations that have been suspected since a time
+// for which confirmed returns true.
+func (l *Limits) ConfirmRunningSince(confirmed func(since core.Instant) bool) {
 	for _, c := range l.cold {
-		if c.restartedAt != never && shown(c.restartedAt) {
+		if c.restartedAt != never && confirmed(c.restartedAt) {
 			c.restartedAt = never
 		}
 	}
 }
 
-// ApplyCold applies another host's news, and reports whether they were unknown. News of what is known
-// change nothing, so that hosts that tell each other don't prolong it.
-func (l *Limits) ApplyCold(now core.Instant, rule ColdRule, news Cold) (changed bool) {
-	if news.Restarted {
-		return l.SuspectRestart(now, news.Key, rule)
+// ApplyCold applies another host's report, and reports whether it was unknown. What is known changes
+// nothing, so that hosts that report to each other don't prolong it.
+func (l *Limits) ApplyCold(now core.Instant, rule ColdRule, report Cold) (changed bool) {
+	if report.Restarted {
+		return l.SuspectRestart(now, report.Key, rule)
 	}
-	if c := l.cold[news.Key]; news.For <= 0 || c != nil && c.includes(now.Add(min(news.For, maxColdTime))) {
+	if c := l.cold[report.Key]; report.For <= 0 || c != nil && c.includes(now.Add(min(report.For, maxColdTime))) {
 		return false
 	}
-	return l.BeginCold(now, news.Key, rule, news.For)
+	return l.BeginCold(now, report.Key, rule, report.For)
 }
 
 // SetColdRules sets the rules of all incarnations of which anything is known.
--- a/internal/core/intake/cold_test.go
+++ b/internal/core/intake/cold_test.go
@@ -122,7 +122,7 @@
 	is.True(l.ApplyEntry(at(2100*time.Millisecond), key, coldRule, ColdEntry{}))
 	is.True(!l.Cold(at(2100*time.Millisecond), key))
 	l.SuspectRestart(at(3*time.Second), key, coldRule)
-	l.ShowRunning(key)
+	l.ConfirmRunning(key)
 	is.True(!l.Cold(at(3*time.Second), key))
 	is.True(!l.SuspectRestart(at(4*time.Second), key, ColdRule{PerSecond: 1})) // its replicas are never cold after a start
 }
@@ -132,17 +132,17 @@
 	first, second := NewLimits(), NewLimits()
 	first.BeginCold(at(0), key, coldRule, 2*time.Second)
 	for now := time.Duration(0); now < 2*time.Second; now += 200 * time.Millisecond { // each message takes 100 ms
-		if news, cold := first.ColdNews(at(now), key); cold {
+		if news, cold := first.ColdReport(at(now), key); cold {
 			second.ApplyCold(at(now+100*time.Millisecond), coldRule, news)
 		}
-		if news, cold := second.ColdNews(at(now+100*time.Millisecond), key); cold {
+		if news, cold := second.ColdReport(at(now+100*time.Millisecond), key); cold {
 			first.ApplyCold(at(now+200*time.Millisecond), coldRule, news)
 		}
 	}
 	is.True(!first.Cold(at(2*time.Second), key))
 	is.True(!second.Cold(at(2100*time.Millisecond), key))
 	first.SuspectRestart(at(5*time.Second), key, coldRule)
-	news, _ := first.ColdNews(at(5*time.Second), key)
+	news, _ := first.ColdReport(at(5*time.Second), key)
 	is.True(second.ApplyCold(at(5*time.Second), coldRule, news))
 	is.True(!second.ApplyCold(at(5*time.Second), coldRule, news))
 }
@@ -167,7 +167,7 @@
 	is.Equal(len(ended), 1)
 	is.True(!ended[0].Begun)
 	is.True(l.Any()) // delayed news of it begin nothing
-	l.ColdChanges(at(2*time.Second + coldNewsTime))
+	l.ColdChanges(at(2*time.Second + coldRetention))
 	is.True(!l.Any())
 	l.ApplyEntry(at(4*time.Second), key, coldRule, says(2*time.Second))
 	l.Keep(func(Key) bool { return false })
@@ -178,7 +178,7 @@
 func follow(until time.Duration) (*Permits, *Limits) {
 	l, p := NewLimits(), NewPermits()
 	l.ApplyEntry(at(0), key, coldRule, says(until))
-	p.Follow(l)
+	p.SetLimits(l)
 	return p, l
 }
 
--- a/internal/core/intake/permits.go
+++ b/internal/core/intake/permits.go
@@ -48,8 +48,9 @@
 // NewPermits returns no permits.
 func NewPermits() *Permits { return &Permits{byKey: map[Key]*permits{}} }
 
-// Follow lets permits for incarnations that are cold end after coldPermitTime.
-func (p *Permits) Follow(l *Limits) { p.limits = l }
+// SetLimits sets the limits that tell which incarnations are cold: permits for them end after
+// coldPermitTime.
+func (p *Permits) SetLimits(l *Limits) { p.limits = l }
 
 // end returns when the permits of the latest answered ask end.
 func (p *Permits) end(now core.Instant, k Key, x *permits) core.Instant {
--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -153,9 +153,7 @@
 	return nil
 }
 
-// quotaRequest returns the request as its workspace's rate is charged for it. Requests of plain services
-// are charged a small fixed amount: refusing them would leave hardly more of the rate to generations, so that
-// they go with the most urgent ones.
+// quotaRequest returns the request as its workspace's rate is charged for it.
 func (r *request) quotaRequest() quota.Request {
 	return quota.Request{
 		Workspace: r.workspace.ID,
@@ -165,6 +163,9 @@
 	}
 }
 
+// quotaRank returns the rank of a request within its workspace. Requests of plain services have the
+// most urgent one: they are charged a small fixed amount, and refusing them would leave hardly more of
+// the rate to generations.
 func (r *request) quotaRank() int {
 	if r.service.Engine == nil {
 		return 0
@@ -172,6 +173,7 @@
 	return r.priorityAtReplica()
 }
 
+// charged returns the tokens that a request with a declared size is charged.
 func charged(w *table.Workspace, declared core.Tokens) core.Tokens {
 	if declared > 0 {
 		return declared
--- a/internal/core/relaynode/cold.go
+++ b/internal/core/relaynode/cold.go
@@ -31,12 +31,14 @@
 type coldState struct {
 	listRead bool // the first list of replicas has been applied
 	starts   *warmup.Starts
-	news     map[intake.Key]bool // cold incarnations of which the other hosts are to be told
-	newsDue  core.Instant
+	// unreported are the incarnations that this host has seen turn cold and has not told the other
+	// hosts of.
+	unreported map[intake.Key]bool
+	reportDue  core.Instant // when they may next be told
 }
 
 func newColdState() coldState {
-	return coldState{starts: warmup.NewStarts(), news: map[intake.Key]bool{}}
+	return coldState{starts: warmup.NewStarts(), unreported: map[intake.Key]bool{}}
 }
 
 // coldRule returns what the replicas of a service are like when they are cold.
@@ -70,34 +72,34 @@
 	return x, rule, rule.PerSecond > 0
 }
 
-// entryNews is what an entry has that those applied before lack.
-type entryNews struct {
-	incarnation bool // this host has known no entry of it
+// entryChange is how an entry differs from those applied before.
+type entryChange struct {
+	incarnation bool // it is the first known entry of its incarnation
 	later       bool // it was written after the entries applied before
 }
 
-// newsOf returns what an entry that is about to be applied has that is new. The entries of a
-// replica that runs may have been missing from the list for a while.
-func (m *Machine) newsOf(e *replicas.Entry) entryNews {
+// compareEntry returns how an entry that is about to be applied differs from those applied before.
+// The entries of a running replica may have been missing from the list for a while.
+func (m *Machine) compareEntry(e *replicas.Entry) entryChange {
 	if x := m.replicas.Get(e.ID); x != nil && (x.Started == e.Started || e.Started == 0) {
-		return entryNews{later: e.Sequence > x.Sequence}
+		return entryChange{later: e.Sequence > x.Sequence}
 	}
 	removed, ok := m.replicas.LastRemoval(e.ID)
-	return entryNews{incarnation: !ok || removed.Started != e.Started, later: true}
+	return entryChange{incarnation: !ok || removed.Started != e.Started, later: true}
 }
 
 // observeStart applies what an entry shows of its replica's start, and reports whether the other hosts
 // are to have the entry. When the whole deployment starts, the replicas in the first list are not
 // new.
-func (m *Machine) observeStart(e *replicas.Entry, news entryNews) (changed bool) {
+func (m *Machine) observeStart(e *replicas.Entry, change entryChange) (changed bool) {
 	rule := m.coldRule(e.Service)
-	if news.incarnation && m.cold.listRead && rule.Start > 0 {
+	if change.incarnation && m.cold.listRead && rule.Start > 0 {
 		m.cold.starts.Begin(m.now, warmup.Key{Replica: e.ID, Started: e.Started})
 	}
-	if !news.later || m.table != nil && rule.PerSecond <= 0 {
+	if !change.later || m.table != nil && rule.PerSecond <= 0 {
 		return false
 	}
-	seen := intake.ColdEntry{New: news.incarnation && (m.cold.listRead || !m.settings.FirstStart), Known: e.Cold.Known, Remaining: e.Cold.Remaining}
+	seen := intake.ColdEntry{New: change.incarnation && (m.cold.listRead || !m.settings.FirstStart), Known: e.Cold.Known, Remaining: e.Cold.Remaining}
 	return m.limits.known.ApplyEntry(m.now, intake.KeyOf(e.ID, e.Started), rule, seen)
 }
 
@@ -108,7 +110,7 @@
 		return
 	}
 	if x, rule, ok := m.incarnationOf(id, started); ok && m.limits.known.BeginCold(m.now, keyOf(x), rule, d) {
-		m.cold.news[keyOf(x)] = true
+		m.cold.unreported[keyOf(x)] = true
 	}
 }
 
@@ -122,7 +124,7 @@
 	}
 }
 
-// suspectRestart applies that an incarnation may have ended and come back as another one.
+// suspectRestart records that an incarnation may have ended and come back as another one.
 func (m *Machine) suspectRestart(i incarnation) (suspected bool) {
 	x, rule, ok := m.incarnationOf(i.replica, i.started)
 	if !ok || rule.Start <= 0 || x.Unavailable() {
@@ -132,15 +134,16 @@
 	return true
 }
 
-// reportRestart is suspectRestart where more shows it than a closed connection: the other hosts are
-// told.
+// reportRestart is suspectRestart where there is more evidence than a closed connection, so that the
+// other hosts are told as well.
 func (m *Machine) reportRestart(i incarnation) {
 	if m.suspectRestart(i) {
-		m.cold.news[intake.KeyOf(i.replica, i.started)] = true
+		m.cold.unreported[intake.KeyOf(i.replica, i.started)] = true
 	}
 }
 
-// checkRestart has a replica checked that has closed the connection of a request.
+// checkRestart treats a replica that has closed the connection of a request as possibly restarted,
+// and has it checked.
 func (m *Machine) checkRestart(i incarnation) {
 	if m.suspectRestart(i) {
 		m.checkReplica(i, m.endOf(i))
@@ -156,17 +159,17 @@
 	case result != CheckAlive:
 		m.reportRestart(i)
 	case since <= checkedAt:
-		m.limits.known.ShowRunning(k)
+		m.limits.known.ConfirmRunning(k)
 		m.placementDue = true
-	default:
-		m.checkReplica(i, m.endOf(i)) // the check was sent before
+	default: // the check was sent before the suspicion and shows nothing
+		m.checkReplica(i, m.endOf(i))
 	}
 }
 
-// receiveCold applies another host's news of cold replicas, and passes on what was unknown.
-func (m *Machine) receiveCold(from core.HostID, news []intake.Cold) {
+// receiveCold applies another host's reports of cold replicas, and passes on what was unknown.
+func (m *Machine) receiveCold(from core.HostID, reports []intake.Cold) {
 	var unknown []intake.Cold
-	for _, c := range news {
+	for _, c := range reports {
 		if _, rule, ok := m.incarnationOf(c.Key.Replica, c.Key.Started); ok && m.limits.known.ApplyCold(m.now, rule, c) {
 			unknown = append(unknown, c)
 		}
@@ -176,27 +179,27 @@
 	}
 }
 
-// sendColdNews tells the other hosts of the replicas that this host has seen turn cold.
-func (m *Machine) sendColdNews() {
-	if len(m.cold.news) == 0 || m.now < m.cold.newsDue {
+// sendColdReports tells the other hosts of the replicas that this host has seen turn cold.
+func (m *Machine) sendColdReports() {
+	if len(m.cold.unreported) == 0 || m.now < m.cold.reportDue {
 		return
 	}
-	m.cold.newsDue = m.now.Add(limitNewsInterval)
-	var news []intake.Cold
-	for _, k := range slices.SortedFunc(maps.Keys(m.cold.news), intake.Key.Compare) {
-		if c, cold := m.limits.known.ColdNews(m.now, k); cold {
-			news = append(news, c)
+	m.cold.reportDue = m.now.Add(limitReportInterval)
+	var reports []intake.Cold
+	for _, k := range slices.SortedFunc(maps.Keys(m.cold.unreported), intake.Key.Compare) {
+		if c, cold := m.limits.known.ColdReport(m.now, k); cold {
+			reports = append(reports, c)
 		}
 	}
-	clear(m.cold.news)
-	if len(news) > 0 {
-		m.tellAll(Message{Cold: news})
+	clear(m.cold.unreported)
+	if len(reports) > 0 {
+		m.tellAll(Message{Cold: reports})
 	}
 }
 
-// coldNewsOf returns the coldness of a replica for its granter, which may not know it.
-func (m *Machine) coldNewsOf(k intake.Key) []intake.Cold {
-	if c, cold := m.limits.known.ColdNews(m.now, k); cold {
+// coldReportsOf returns the coldness of a replica for its granter, which may not know it.
+func (m *Machine) coldReportsOf(k intake.Key) []intake.Cold {
+	if c, cold := m.limits.known.ColdReport(m.now, k); cold {
 		return []intake.Cold{c}
 	}
 	return nil
@@ -205,7 +208,7 @@
 // updateCold applies the time to what is known of starting replicas, and logs what has changed.
 func (m *Machine) updateCold() {
 	m.cold.starts.Expire(m.now)
-	m.limits.known.ShowRunningSince(func(since core.Instant) bool {
+	m.limits.known.ConfirmRunningSince(func(since core.Instant) bool {
 		return m.now.Sub(since) >= restartTimeout && m.listIsCurrent()
 	})
 	for _, c := range m.limits.known.ColdChanges(m.now) {
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -13,8 +13,8 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// A replica that names a limit, or is cold, gets requests only under permits, which one host hands out for it, its
-// granter: every host chooses the same one, by the replica's id. A request that only limited
+// A replica that names a limit, or is cold, gets requests only under permits. One host hands them
+// out, its granter: every host chooses the same one, by the replica's id. A request that only limited
 // replicas can run waits for a permit for as long as an answer of the granter takes, and is refused
 // with the wait that the rate gives. So that requests for which there are other replicas use permits too,
 // a host asks for some now and then.
@@ -26,8 +26,8 @@
 	askInterval = 250 * time.Millisecond
 	// askIntervalPerHost is added to it for each active host.
 	askIntervalPerHost = 5 * time.Millisecond
-	// limitNewsInterval is the minimum time between two messages on limits to all hosts.
-	limitNewsInterval = 40 * time.Millisecond
+	// limitReportInterval is the minimum time between two messages on limits to all hosts.
+	limitReportInterval = 40 * time.Millisecond
 	// minGrantedFraction is the fraction of a limit that a granter hands out at least which reaches
 	// few of the hosts. Those that it doesn't reach may have a granter of their own.
 	minGrantedFraction = 0.6
@@ -37,17 +37,17 @@
 
 // limits is what a host knows of the limits that replicas name, and its permits.
 type limits struct {
-	known   *intake.Limits
-	permits *intake.Permits
-	granter *intake.Granter
-	news    map[intake.Key]intake.Evidence // for the other hosts
-	newsDue core.Instant
-	refused bool // a granter has had no permit: the requests that wait are to be placed again
+	known      *intake.Limits
+	permits    *intake.Permits
+	granter    *intake.Granter
+	unreported map[intake.Key]intake.Evidence // of which the other hosts are to be told
+	newsDue    core.Instant
+	refused    bool // a granter has had no permit: the requests that wait are to be placed again
 }
 
 func newLimits() limits {
-	l := limits{known: intake.NewLimits(), permits: intake.NewPermits(), granter: intake.NewGranter(), news: map[intake.Key]intake.Evidence{}}
-	l.permits.Follow(l.known)
+	l := limits{known: intake.NewLimits(), permits: intake.NewPermits(), granter: intake.NewGranter(), unreported: map[intake.Key]intake.Evidence{}}
+	l.permits.SetLimits(l.known)
 	return l
 }
 
@@ -72,7 +72,7 @@
 // observeLimit applies evidence of this host's own, and reports to the other hosts what it has changed.
 func (m *Machine) observeLimit(e intake.Evidence) {
 	if m.applyLimit(e, "named in an answer") {
-		m.limits.news[e.Key] = e
+		m.limits.unreported[e.Key] = e
 	}
 }
 
@@ -139,7 +139,7 @@
 		return
 	}
 	if p, known := m.fleet.ByName(string(granter)); known {
-		m.send([]fleet.Registration{p}, Message{PermitAsks: []intake.Ask{ask}, Cold: m.coldNewsOf(k)})
+		m.send([]fleet.Registration{p}, Message{PermitAsks: []intake.Ask{ask}, Cold: m.coldReportsOf(k)})
 	}
 }
 
@@ -159,7 +159,9 @@
 	k := ask.Limit.Key
 	cold := m.limits.known.Cold(m.now, k)
 	rate, limited := m.limits.known.RateAt(m.now, k)
-	if !cold || ask.Limit.PerSecond < rate { // no cold rate, which isn't to outlast the coldness
+	// An ask for a cold replica carries the cold rate as a named limit (AskEvidence). Applied as
+	// such, it would outlast the coldness.
+	if !cold || ask.Limit.PerSecond < rate {
 		m.applyLimit(ask.Limit, "known to a host that asks for permits")
 		rate, limited = m.limits.known.RateAt(m.now, k)
 	}
@@ -167,11 +169,11 @@
 		return intake.Grant{Number: ask.Number, Key: k, Count: ask.Count} // the asking host will see that the limit has ended
 	}
 	fraction := max(m.fleet.ReachableFraction(m.now), minGrantedFraction)
-	give := m.limits.granter.Grant
+	grant := m.limits.granter.Grant
 	if cold {
-		give = m.limits.granter.GrantCold
+		grant = m.limits.granter.GrantCold
 	}
-	g := give(m.now, k, rate*fraction, ask.Count, len(m.fleet.Members(m.now)))
+	g := grant(m.now, k, rate*fraction, ask.Count, len(m.fleet.Members(m.now)))
 	g.Number = ask.Number
 	return g
 }
@@ -252,22 +254,22 @@
 	}
 }
 
-// sendLimitNews sends the limits that have changed to the other hosts.
-func (m *Machine) sendLimitNews() {
-	if len(m.limits.news) == 0 || m.now < m.limits.newsDue {
+// sendLimitReports sends the limits that have changed to the other hosts.
+func (m *Machine) sendLimitReports() {
+	if len(m.limits.unreported) == 0 || m.now < m.limits.newsDue {
 		return
 	}
-	m.limits.newsDue = m.now.Add(limitNewsInterval)
-	news := slices.Collect(maps.Values(m.limits.news))
-	slices.SortFunc(news, func(a, b intake.Evidence) int { return cmp.Compare(a.Key.Replica, b.Key.Replica) })
-	clear(m.limits.news)
-	m.tellAll(Message{Limits: news})
+	m.limits.newsDue = m.now.Add(limitReportInterval)
+	reports := slices.Collect(maps.Values(m.limits.unreported))
+	slices.SortFunc(reports, func(a, b intake.Evidence) int { return cmp.Compare(a.Key.Replica, b.Key.Replica) })
+	clear(m.limits.unreported)
+	m.tellAll(Message{Limits: reports})
 }
 
 // receiveLimits applies another host's evidence, and passes on what was unknown.
-func (m *Machine) receiveLimits(from core.HostID, news []intake.Evidence) {
+func (m *Machine) receiveLimits(from core.HostID, reports []intake.Evidence) {
 	var unknown []intake.Evidence
-	for _, e := range news {
+	for _, e := range reports {
 		if m.applyLimit(e, "reported by another host") {
 			unknown = append(unknown, e)
 		}
--- a/internal/core/relaynode/lists.go
+++ b/internal/core/relaynode/lists.go
@@ -29,8 +29,8 @@
 }
 
 // updateReplica applies an entry of the list. It reports whether the replica is new
-// or restarted, starts to leave, turns cold or no longer is, or has another address. An entry that is older than the
-// replica's removal is ignored.
+// or restarted, starts to leave, turns cold or no longer is, or has another address. An
+// entry that is older than the replica's removal is ignored.
 func (m *Machine) updateReplica(e replicas.Entry, from replicas.Source) (changed bool) {
 	if !m.replicas.Accepts(m.now, e, from) {
 		m.emit(LogDecision{Name: "replica", Reason: "outdated", Upstream: e.ID, Detail: string(e.Service)})
@@ -39,9 +39,9 @@
 	before := m.replicas.Get(e.ID)
 	moved := before != nil && before.Address != e.Address
 	wasLeaving := before != nil && before.Leaving
-	news := m.newsOf(&e)
+	change := m.compareEntry(&e)
 	fresh := m.replicas.Update(m.now, e)
-	coldChanged := m.observeStart(&e, news)
+	coldChanged := m.observeStart(&e, change)
 	m.origins.versions.Observe(m.now, e.Service, e.Software)
 	m.residency.UpdateReplica(e)
 	if fresh {
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -254,18 +254,20 @@
 	m.sendPartReports()
 	m.expireLimits()
 	m.updateCold()
-	m.sendLimitNews()
-	m.sendColdNews()
+	m.sendLimitReports()
+	m.sendColdReports()
 	m.finishLeaving()
 }
 
-// firstHeartbeatsTime is how long after its start a host may not have heard a host that it reaches.
+// firstHeartbeatsTime is how long after its start a host may have no heartbeat of a host that it
+// reaches.
 const firstHeartbeatsTime = time.Second
 
-// updateQuotaFraction tells the quota machine which fraction of the fleet this host reaches. A host that
-// has just started doesn't know: where all hosts have restarted, each of them would take itself for cut off
-// and refuse what is within a workspace's rate. The buckets of a host that has just started are nearly empty, so that
-// a fleet that restarts in several parts can't exceed a rate by more than this time's worth.
+// updateQuotaFraction tells the quota machine which fraction of the fleet this host reaches. A host
+// that has just started doesn't know it and keeps 1: after a restart of all hosts, each would
+// otherwise count as cut off and refuse requests within their workspace's rate. Buckets are nearly
+// empty then, so that the parts of a partitioned fleet that restarts exceed a rate by what it gives in
+// firstHeartbeatsTime at most.
 func (m *Machine) updateQuotaFraction() {
 	if m.now < core.Instant(firstHeartbeatsTime) {
 		return
--- a/internal/core/relaynode/rejections.go
+++ b/internal/core/relaynode/rejections.go
@@ -6,13 +6,13 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// rejectionTime is how long an engine that has rejected a request gets no other one of this host. It is about
-// the time in which one of a full batch's requests ends.
+// rejectionTime is how long an engine that has rejected a request gets no other one of this host.
+// It is about the time in which one of a full batch's requests ends.
 const rejectionTime = 100 * time.Millisecond
 
-// avoidRejecting keeps requests from a replica that has just rejected one. An engine that sheds load is full whatever
-// the hosts know of its load: a request whose adapter it alone has would be sent to it again within
-// a millisecond, until its attempts are used up.
+// avoidRejecting keeps requests from an engine that has just rejected one. An engine that sheds load
+// is full whatever the hosts know of its load: a request whose adapter it alone has would be sent to
+// it again within a millisecond, until its attempts are used up.
 func (m *Machine) avoidRejecting(x *replicas.Replica) {
 	if m.table == nil || m.table.Services[x.Service] == nil || m.table.Services[x.Service].Engine == nil {
 		return
