--- a/internal/core/intake/cold.go
+++ b/internal/core/intake/cold.go
@@ -109,8 +109,8 @@
 }
 
 // AskEvidence returns the evidence of the limit of an incarnation for its granter, and false where it
-// isn't limited. A granter of an earlier build takes the rate of a cold one for a limit that it names
-// now.
+// isn't limited. A granter of the previous build takes the rate of a cold one for a limit that it
+// names now.
 func (l *Limits) AskEvidence(now core.Instant, k Key) (Evidence, bool) {
 	rate, limited := l.RateAt(now, k)
 	named, ok := l.Evidence(now, k)
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -302,7 +302,7 @@
 func (m *Machine) Asked() Totals { return m.asked }
 
 // ApplyAsked applies what another host, which has run for a time, was asked for. For a host
-// of an earlier build, which reports none, the caller passes what it admitted.
+// of the previous build, which reports none, the caller passes what it admitted.
 func (m *Machine) ApplyAsked(now core.Instant, from core.HostID, uptime time.Duration, totals Totals) {
 	last, known := m.reportedAsked[from]
 	since := now.Sub(last.at)
--- a/internal/core/relaynode/evacuation.go
+++ b/internal/core/relaynode/evacuation.go
@@ -12,7 +12,7 @@
 // The operator evacuates a failure domain by an object in the store: no request and no load order
 // goes to its replicas any more. The hosts that watch the store send the evacuations to the others,
 // in a message for each change and in their heartbeats. A host that gets none of them reads the
-// store itself, as hosts of the former build don't watch these objects.
+// store itself, as hosts of the previous build don't watch these objects.
 
 const (
 	// evacuationStateTimeout is how long a host may have had no evacuations from a watcher until it
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -163,7 +163,7 @@
 		m.quota.SetTotals(b.Host, spent) // spent before this host started
 	}
 	m.quota.ApplyTotals(m.now, b.Host, spent)
-	asked := spent // of a host of a former build
+	asked := spent // a host of the previous build reports no demand
 	if b.Asked != nil {
 		asked = m.totalsByWorkspace(b.Asked)
 	}
--- a/internal/core/relaynode/promises.go
+++ b/internal/core/relaynode/promises.go
@@ -6,8 +6,8 @@
 	"gentiancroft/internal/core/replicas"
 )
 
-// Engines preempt requests when their memory is full. So that several hosts don't promise the same
-// memory, each tells the others what its requests will hold, as estimated.
+// Engines preempt requests when their memory is full. So that several hosts don't count on the same
+// free memory, each reports to the others how much its requests are estimated to hold.
 
 // promiseLearningRate is the weight of one request in the mean promise of its service.
 const promiseLearningRate = 0.05
@@ -46,8 +46,8 @@
 	r.promised = cost.Estimate{}
 }
 
-// promisedOrMean returns the memory that a host has promised. A host of a former build doesn't tell:
-// its requests count as the mean of this host's.
+// promisedOrMean returns the memory that a host has promised. A host of the previous build
+// doesn't report it: its requests count as the mean of this host's.
 func (m *Machine) promisedOrMean(load hostLoad) []Load {
 	if len(load.promised) > 0 {
 		return load.promised
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -44,7 +44,7 @@
 	Reread      uint64 // rises each time that the configuration and versions are to be read again
 	Relist      uint64 // rises each time that all objects are to be listed again
 	Standby     bool   // this host is a standby host
-	Evacuations bool   // the same as Watch for the evacuations, which watchers of the former build don't watch
+	Evacuations bool   // the same as Watch for the evacuations, which watchers of the previous build don't watch
 	Forming     bool   // the whole deployment starts, and its hosts are finding each other
 }
 
