--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -28,7 +28,7 @@
 // recordRequestEnd counts a finished request by route and outcome and records its
 // latencies.
 func (g *Gateway) recordRequestEnd(s relaynode.RequestEnded) {
-	const reservoir, decay = 128, 0.015
+	const reservoir = 128
 	route := s.Route
 	if route == "" {
 		route = unrouted
@@ -38,33 +38,28 @@
 	if s.Total == 0 {
 		return // refused on arrival: no latency to record
 	}
-	observe := func(name string, d time.Duration) {
-		sample := func() metrics.Histogram {
-			return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
-		}
-		if h, ok := g.registry.GetOrRegister(prefix+name, sample).(metrics.Histogram); ok {
-			h.Update(d.Microseconds())
-		}
-	}
-	observe("first_byte_us", s.FirstByte)
-	observe("total_us", s.Total)
+	g.observeTime(prefix+"first_byte_us", reservoir, s.FirstByte)
+	g.observeTime(prefix+"total_us", reservoir, s.Total)
 }
 
 // recordFirstEvent records how well a first event was predicted.
 func (g *Gateway) recordFirstEvent(e relaynode.FirstEventSeen) {
-	const reservoir, decay = 512, 0.015
+	const reservoir = 512
 	prefix := prefixService + string(e.Service) + "."
-	observe := func(name string, d time.Duration) {
-		sample := func() metrics.Histogram {
-			return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
-		}
-		if h, ok := g.registry.GetOrRegister(prefix+name, sample).(metrics.Histogram); ok {
-			h.Update(d.Microseconds())
-		}
+	g.observeTime(prefix+"first_event_predicted_us", reservoir, e.Predicted)
+	g.observeTime(prefix+"first_event_us", reservoir, e.Took)
+	g.observeTime(prefix+"first_event_error_us", reservoir, (e.Took - e.Predicted).Abs())
+}
+
+// observeTime adds a time to a histogram in µs, which keeps a sample of that size.
+func (g *Gateway) observeTime(name string, reservoir int, d time.Duration) {
+	const decay = 0.015 // favors about the last five minutes
+	sample := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
+	}
+	if h, ok := g.registry.GetOrRegister(name, sample).(metrics.Histogram); ok {
+		h.Update(d.Microseconds())
 	}
-	observe("first_event_predicted_us", e.Predicted)
-	observe("first_event_us", e.Took)
-	observe("first_event_error_us", (e.Took - e.Predicted).Abs())
 }
 
 // UpdateMetrics updates the gauges that describe the machine's state. It is called when
