Errors and details that an operator can act on

"No room for the answer" didn't say whose room; the detail of error_share didn't say that its shares are of failures, and that of cold not of what.

--- a/internal/core/relaynode/cold.go
+++ b/internal/core/relaynode/cold.go
@@ -223,7 +223,7 @@
 
 // coldDetail describes the beginning of coldness for the log.
 func coldDetail(c intake.ColdChange) string {
-	rate := strconv.FormatFloat(c.PerSecond, 'g', -1, 64) + " a second "
+	rate := strconv.FormatFloat(c.PerSecond, 'g', -1, 64) + " requests a second "
 	if c.For == 0 {
 		return rate + "until it is seen which incarnation runs"
 	}
--- a/internal/core/relaynode/errorshares.go
+++ b/internal/core/relaynode/errorshares.go
@@ -58,7 +58,7 @@
 		reason = "avoided"
 		m.avoided[x.ID] = true
 	}
-	detail := fmt.Sprintf("%.0f %% of its answers, %.0f %% of the others'", 100*a.Share, 100*a.Siblings)
+	detail := fmt.Sprintf("%.0f %% of its answers fail, %.0f %% of the others'", 100*a.Share, 100*a.Siblings)
 	m.emit(LogDecision{Name: "error_share", Reason: reason, Upstream: x.ID, Detail: detail})
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -311,7 +311,7 @@
 	if t.conn.HoldAnswer(len(body)) != nil {
 		// The request has run, and its answer can't be held until the caller has taken it.
 		ctx.SetConnectionClose()
-		t.endRefused(ctx, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "no room for the answer", Ran: core.RanYes})
+		t.endRefused(ctx, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "this host has no memory for the answer", Ran: core.RanYes})
 		return true
 	}
 	t.writeOutcome(ctx, outcome)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -245,7 +245,7 @@
 		status = fasthttp.StatusServiceUnavailable
 	}
 	s.metrics.refused(r.Code)
-	closing := ctx.Response.ConnectionClose()
+	closing := ctx.Response.ConnectionClose() // Reset would keep the connection open
 	ctx.Response.Reset()
 	if closing {
 		ctx.SetConnectionClose()
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -213,7 +213,7 @@
 		// The request has run, and its answer can't be held until the caller has taken it.
 		t.attemptEnded(d, end)
 		ctx.SetConnectionClose()
-		t.server.refuse(ctx, t.requestID, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "no room for the answer", Ran: core.RanYes})
+		t.server.refuse(ctx, t.requestID, &core.Refusal{Code: core.CodeUpstreamFailed, Message: "this host has no memory for the answer", Ran: core.RanYes})
 		t.finish()
 		return true
 	}
