--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -52,7 +52,7 @@
 type Machine struct {
 	read      State        // as this host's own watch has read it; its changes apply to it
 	hasRead   bool         // read has been read
-	reads     uint64       // changes of the domains of read after the first list
+	changes   uint64       // of the domains of read, after the first list
 	current   State        // the newest one known
 	known     bool         // there is one
 	adoptedAt core.Instant // when it became known
@@ -78,7 +78,7 @@
 // setRead sets what this host's own watch has read.
 func (m *Machine) setRead(s State) {
 	if m.hasRead && !slices.Equal(s.Domains, m.read.Domains) {
-		m.reads++
+		m.changes++
 	}
 	m.read, m.hasRead = s, true
 }
@@ -205,9 +205,9 @@
 // Known reports whether this host knows a state, read by itself or by another host.
 func (m *Machine) Known() bool { return m.known }
 
-// Reads returns how many times the domains that this host reads itself have changed since its first
-// list.
-func (m *Machine) Reads() uint64 { return m.reads }
+// ReadChanges returns how many times the domains that this host reads itself have changed since its
+// first list.
+func (m *Machine) ReadChanges() uint64 { return m.changes }
 
 // ToSend returns the state to be sent to other hosts; nil: none is known, or it has too many
 // domains, so that they have to read it.
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -32,7 +32,7 @@
 	is.Equal(m.ApplyList(1, 1, at(1, 5), domains("b", "a")), Change{Begun: domains("a", "b")})
 	is.Equal(m.ApplyChanges(2, at(1, 7), []ObjectChange{{Domain: "c"}, {Domain: "b", Removed: true}}), Change{Begun: domains("c"), Ended: domains("b")})
 	is.Equal(m.Domains(), domains("a", "c"))
-	is.Equal(m.Reads(), uint64(1)) // not the first list
+	is.Equal(m.ReadChanges(), uint64(1)) // not the first list
 	is.Equal(m.ApplyChanges(3, at(1, 9), []ObjectChange{{Domain: "a", Removed: true}, {Domain: "a"}}), Change{})
 	is.Equal(m.ApplyList(4, 4, at(1, 12), nil), Change{Ended: domains("a", "c")})
 	is.Equal(*m.ToSend(), State{Era: 1, Revision: 12})
--- a/internal/core/relaynode/evacuation.go
+++ b/internal/core/relaynode/evacuation.go
@@ -107,9 +107,9 @@
 	if m.sentAt(sent) >= m.list.doubtedAt {
 		m.evacuations.readAt = m.now
 	}
-	changes := m.evacuations.Reads()
+	before := m.evacuations.ReadChanges()
 	m.applyEvacuationChange(apply())
-	if m.evacuations.Reads() != changes && m.now >= core.Instant(startupTime) && m.isWatcher() {
+	if m.evacuations.ReadChanges() != before && m.now >= core.Instant(startupTime) && m.isWatcher() {
 		m.sendEvacuations()
 	}
 }
