--- a/internal/core/heldbytes/heldbytes.go
+++ b/internal/core/heldbytes/heldbytes.go
@@ -2,10 +2,11 @@
 // received or wait for a replica, and answers that are not yet taken. It also bounds the number of
 // connections.
 //
-// A Ledger accounts what each connection holds against a budget. A connection that wants more than
-// there is waits, in order; meanwhile those are closed that hold most and have progressed least.
+// A Ledger accounts what each connection holds against a budget. A connection that asks for more than
+// is free waits, in order (backpressure). Meanwhile stalled connections are closed, those that hold
+// most and have progressed least first.
 // A part of the budget is reserved for connections that hold little, so that ordinary requests are
-// served beside large bodies.
+// served beside large bodies. A peer is the address of a caller here, not another host.
 package heldbytes
 
 import (
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -10,8 +10,8 @@
 //
 // While the bucket is low and demand exceeds the rate, a host admits at its own pace: the
 // rate times its share of the recent demand, corrected by the bucket's level. Without it
-// all hosts refuse until the debt is paid back, and then all admit until they hear of
-// each other. Hosts gossip for that what they were asked for. More urgent requests go
+// all hosts refuse until the debt is paid back, and then all admit until they receive each
+// other's totals. For the shares, hosts gossip what they were asked for. More urgent requests go
 // first; less urgent ones keep a part of the pace.
 //
 // A host that reaches only a fraction of the fleet fills its buckets at that fraction
--- a/internal/core/relaynode/demands.go
+++ b/internal/core/relaynode/demands.go
@@ -35,7 +35,8 @@
 	// soon be short of places itself.
 	copyTargetOccupancy = 0.8
 	// copyWait is how long a request waits for another copy of its adapter before it is sent to a
-	// replica where it will be late: a load, the order before it and the news of it.
+	// replica where it will be late: the order, the load and the report that
+	// it is done.
 	copyWait = 600 * time.Millisecond
 	// copyPlacesFraction is the part of a replica's places that one of its adapters can count on: it
 	// shares them with the others.
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -41,8 +41,8 @@
 	permits    *intake.Permits
 	granter    *intake.Granter
 	unreported map[intake.Key]intake.Evidence // of which the other hosts are to be told
-	newsDue    core.Instant
-	refused    bool // a granter has had no permit: the requests that wait are to be placed again
+	reportDue  core.Instant                   // when they may next be told
+	refused    bool                           // a granter has had no permit: the requests that wait are to be placed again
 }
 
 func newLimits() limits {
@@ -256,10 +256,10 @@
 
 // sendLimitReports sends the limits that have changed to the other hosts.
 func (m *Machine) sendLimitReports() {
-	if len(m.limits.unreported) == 0 || m.now < m.limits.newsDue {
+	if len(m.limits.unreported) == 0 || m.now < m.limits.reportDue {
 		return
 	}
-	m.limits.newsDue = m.now.Add(limitReportInterval)
+	m.limits.reportDue = m.now.Add(limitReportInterval)
 	reports := slices.Collect(maps.Values(m.limits.unreported))
 	slices.SortFunc(reports, func(a, b intake.Evidence) int { return cmp.Compare(a.Key.Replica, b.Key.Replica) })
 	clear(m.limits.unreported)
