--- a/internal/core/heldbytes/heldbytes.go
+++ b/internal/core/heldbytes/heldbytes.go
@@ -2,10 +2,11 @@
 // received or wait for a replica, and answers that are not yet taken. It also bounds the number of
 // connections.
 //
-// A Ledger accounts what each connection holds against a budget. A connection that wants more than
-// there is waits, in order; meanwhile those are closed that hold most and have progressed least.
+// A Ledger accounts what each connection holds against a budget. A connection that asks for more than
+// is free waits, in order (backpressure). Meanwhile stalled connections are closed, those that hold
+// most and have progressed least first.
 // A part of the budget is reserved for connections that hold little, so that ordinary requests are
-// served beside large bodies.
+// served beside large bodies. A peer is the address of a caller here, not another host.
 package heldbytes
 
 import (
@@ -173,9 +174,9 @@
 	return l.lag(now, c)
 }
 
-// Take asks for bytes. The effects grant or refuse them; where they do neither, the connection
-// waits until a later effect does. A connection that waits must not take more.
-func (l *Ledger) Take(now core.Instant, id ID, bytes int64) []Effect {
+// Acquire asks for bytes. The effects grant or refuse them; where they do neither, the connection
+// waits until a later effect does. A connection that waits must not ask for more.
+func (l *Ledger) Acquire(now core.Instant, id ID, bytes int64) []Effect {
 	c := l.connections[id]
 	if c == nil {
 		return []Effect{{Kind: Refuse, ID: id, Reason: Stalled}} // it has been closed meanwhile
@@ -196,8 +197,8 @@
 	}
 }
 
-// Give returns bytes that a connection holds.
-func (l *Ledger) Give(now core.Instant, id ID, bytes int64) []Effect {
+// Release returns bytes that a connection holds.
+func (l *Ledger) Release(now core.Instant, id ID, bytes int64) []Effect {
 	c := l.connections[id]
 	if c == nil {
 		return nil
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -10,8 +10,8 @@
 //
 // While the bucket is low and demand exceeds the rate, a host admits at its own pace: the
 // rate times its share of the recent demand, corrected by the bucket's level. Without it
-// all hosts refuse until the debt is paid back, and then all admit until they hear of
-// each other. Hosts gossip for that what they were asked for. More urgent requests go
+// all hosts refuse until the debt is paid back, and then all admit until they receive each
+// other's totals. For the shares, hosts gossip what they were asked for. More urgent requests go
 // first; less urgent ones keep a part of the pace.
 //
 // A host that reaches only a fraction of the fleet fills its buckets at that fraction
@@ -67,7 +67,7 @@
 	reported          map[core.HostID]Totals
 	reportedAsked     map[core.HostID]askedTotals
 	hosts             int     // that serve callers, this host included
-	heard             int     // hosts that reported lately what they were asked for
+	reporting         int     // other hosts that reported lately what they were asked for
 	reachableFraction float64 // of the fleet, this host included
 	restored          bool    // levels are no longer restored
 	startFull         bool    // the first buckets are full: the whole deployment starts
@@ -166,13 +166,13 @@
 // SetHosts sets the number of hosts that serve callers, this host included, and forgets the
 // reports of those that have not reported for long.
 func (m *Machine) SetHosts(now core.Instant, n int) {
-	m.hosts, m.heard = max(n, 1), 0
+	m.hosts, m.reporting = max(n, 1), 0
 	for from, last := range m.reportedAsked {
 		switch age := now.Sub(last.at); {
 		case age >= askedRetention:
 			delete(m.reportedAsked, from)
 		case age < askedTTL:
-			m.heard++
+			m.reporting++
 		}
 	}
 }
@@ -181,7 +181,7 @@
 // taken to have as much demand: a host that has just started must not take all for its own.
 func (m *Machine) silentRatio() float64 {
 	reached := m.reachableFraction * float64(m.hosts)
-	return max(reached/float64(1+m.heard), 1)
+	return max(reached/float64(1+m.reporting), 1)
 }
 
 // refill adds the tokens that the elapsed time has earned.
@@ -302,7 +302,7 @@
 func (m *Machine) Asked() Totals { return m.asked }
 
 // ApplyAsked applies what another host, which has run for a time, was asked for. For a host
-// of an earlier build, which reports none, the caller passes what it admitted.
+// of the previous build, which reports none, the caller passes what it admitted.
 func (m *Machine) ApplyAsked(now core.Instant, from core.HostID, uptime time.Duration, totals Totals) {
 	last, known := m.reportedAsked[from]
 	since := now.Sub(last.at)
@@ -311,7 +311,7 @@
 	}
 	for id, total := range totals {
 		if b := m.buckets[id]; b != nil && total > last.totals[id] {
-			b.demand.hearOthers(now, float64(total-last.totals[id]), since)
+			b.demand.addOthers(now, float64(total-last.totals[id]), since)
 		}
 	}
 	m.reportedAsked[from] = askedTotals{totals: maps.Clone(totals), at: now}
--- a/internal/core/relaynode/evacuation.go
+++ b/internal/core/relaynode/evacuation.go
@@ -12,7 +12,7 @@
 // The operator evacuates a failure domain by an object in the store: no request and no load order
 // goes to its replicas any more. The hosts that watch the store send the evacuations to the others,
 // in a message for each change and in their heartbeats. A host that gets none of them reads the
-// store itself, as hosts of the former build don't watch these objects.
+// store itself, as hosts of the previous build don't watch these objects.
 
 const (
 	// evacuationStateTimeout is how long a host may have had no evacuations from a watcher until it
@@ -107,9 +107,9 @@
 	if m.sentAt(sent) >= m.list.doubtedAt {
 		m.evacuations.readAt = m.now
 	}
-	changes := m.evacuations.Reads()
+	before := m.evacuations.ReadChanges()
 	m.applyEvacuationChange(apply())
-	if m.evacuations.Reads() != changes && m.now >= core.Instant(startupTime) && m.isWatcher() {
+	if m.evacuations.ReadChanges() != before && m.now >= core.Instant(startupTime) && m.isWatcher() {
 		m.sendEvacuations()
 	}
 }
