--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -15,14 +15,17 @@
 // heartbeats, and read the store themselves where they differ or where no watcher is
 // reachable.
 const (
-	watcherCount          = 3 // hosts that watch the store
-	watchersKind          = 31
-	maxSentConfigBytes    = 64 << 10                // a longer configuration is read from the store
-	storeAnswerTTL        = 1600 * time.Millisecond // how long an answer of the store counts; a host calls it at least once a second
-	listDifferTimeout     = 600 * time.Millisecond  // how long a watcher's list may differ
-	standbyDifferDelay    = relayInterval           // added on standby hosts, whose heartbeats are relayed
-	newerElsewhereTimeout = 300 * time.Millisecond  // how long another host may have a newer document
-	rereadInterval        = time.Second             // minimum time between two rereads
+	watcherCount       = 3 // hosts that watch the store
+	watchersKind       = 31
+	maxSentConfigBytes = 64 << 10                // a longer configuration is read from the store
+	storeAnswerTTL     = 1600 * time.Millisecond // how long an answer of the store counts; a host calls it at least once a second
+	listDifferTimeout  = 600 * time.Millisecond  // how long a watcher's list may differ
+	standbyDifferDelay = relayInterval           // added on standby hosts, whose heartbeats are relayed
+	// newerElsewhereTimeout is how long another host may have a newer document. The first watcher may read a change
+	// up to a watch's interval after the other watchers, whose heartbeats show it, and sends it with its own next
+	// heartbeat: after a shorter time all hosts would read the store for each new version of an adapter.
+	newerElsewhereTimeout = 800 * time.Millisecond
+	rereadInterval        = time.Second // minimum time between two rereads
 )
 
 // watchState is the state of this host's view of the store, compared with that of
