--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -86,7 +86,7 @@
 
 // summary returns the fields of a heartbeat that standby hosts need.
 func (b Heartbeat) summary() Heartbeat {
-	b.Loads, b.Prompts, b.Outputs, b.Promised, b.Crashes, b.ReachableStandbys = nil, nil, nil, nil, nil, nil
+	b.Loads, b.Prompts, b.Promised, b.Crashes, b.ReachableStandbys = nil, nil, nil, nil, nil
 	return b
 }
 
@@ -117,7 +117,6 @@
 		Asked:             byShortHash(m.quota.Asked()),
 		Loads:             load.requests,
 		Prompts:           load.prompts,
-		Outputs:           load.outputs,
 		Promised:          load.promised,
 		Crashes:           m.ownCrashes(),
 		ConfigVersion:     m.configVersion(),
@@ -221,7 +220,7 @@
 		m.gossip.busyStandbys = append(m.gossip.busyStandbys, b.Host)
 	}
 	m.applyTotals(b)
-	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts, outputs: b.Outputs, promised: b.Promised})
+	m.applyLoads(b.Host, hostLoad{requests: b.Loads, prompts: b.Prompts, promised: b.Promised})
 	m.applyPeerCrashes(b.Host, b.Crashes)
 	m.compareState(b)
 	m.compareSoftware(b.Software)
--- a/internal/core/relaynode/loads.go
+++ b/internal/core/relaynode/loads.go
@@ -17,7 +17,6 @@
 type hostLoad struct {
 	requests []Load
 	prompts  []Load
-	outputs  []Load
 	promised []Load
 }
 
@@ -30,7 +29,6 @@
 	for _, x := range m.replicas.All() {
 		add(&own.requests, x, x.OwnRequests)
 		add(&own.prompts, x, int(x.OwnPrompts))
-		add(&own.outputs, x, int(x.OwnOutputs))
 		add(&own.promised, x, int(x.OwnPromised))
 	}
 	return own
@@ -52,11 +50,9 @@
 	before := m.loads[from]
 	m.eachLoad(before.requests, func(x *replicas.Replica, n int) { x.OtherRequests = max(x.OtherRequests-n, 0) })
 	m.eachLoad(before.prompts, func(x *replicas.Replica, n int) { x.OtherPrompts = max(x.OtherPrompts-core.Tokens(n), 0) })
-	m.eachLoad(before.outputs, func(x *replicas.Replica, n int) { x.OtherOutputs = max(x.OtherOutputs-core.Tokens(n), 0) })
 	m.eachLoad(before.promised, func(x *replicas.Replica, n int) { x.OtherPromised = max(x.OtherPromised-core.Tokens(n), 0) })
 	m.eachLoad(load.requests, func(x *replicas.Replica, n int) { x.OtherRequests += n })
 	m.eachLoad(load.prompts, func(x *replicas.Replica, n int) { x.OtherPrompts += core.Tokens(n) })
-	m.eachLoad(load.outputs, func(x *replicas.Replica, n int) { x.OtherOutputs += core.Tokens(n) })
 	m.eachLoad(load.promised, func(x *replicas.Replica, n int) { x.OtherPromised += core.Tokens(n) })
 	m.loads[from] = load
 }
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -75,7 +75,6 @@
 	Software          uint64           `cbor:"19,keyasint,omitempty"` // digest of the replicas' software versions that ran lately; 0: it doesn't know all
 	ReplicaDigest     uint64           `cbor:"20,keyasint,omitempty"` // of its list of replicas alone; 0: a former build, which sends ListDigest only
 	Asked             map[uint32]int64 `cbor:"22,keyasint,omitempty"` // tokens that it was asked for since the start, by core.ShortHash of the workspace; nil: the previous build, or none
-	Outputs           []Load           `cbor:"23,keyasint,omitempty"` // tokens that are still to be generated at replicas, as estimated
 	Promised          []Load           `cbor:"24,keyasint,omitempty"` // memory that its requests will hold at replicas, in tokens; none: the previous build
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
 
--- a/internal/core/relaynode/promises.go
+++ b/internal/core/relaynode/promises.go
@@ -28,7 +28,6 @@
 		return
 	}
 	r.promised = m.estimate(r)
-	x.OwnOutputs += r.promised.Output
 	x.OwnPromised += r.promised.Peak
 	mean, known := m.meanPromises[r.service.ID]
 	if !known {
@@ -40,7 +39,6 @@
 // endPromise stops counting what a request was to hold.
 func (m *Machine) endPromise(r *request) {
 	if x := m.sentReplica(r); x != nil {
-		x.OwnOutputs = max(x.OwnOutputs-r.promised.Output, 0)
 		x.OwnPromised = max(x.OwnPromised-r.promised.Peak, 0)
 	}
 	r.promised = cost.Estimate{}
--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -64,8 +64,6 @@
 	OwnPrompts     core.Tokens            // prompts of this host's requests that have had no event yet
 	OtherPrompts   core.Tokens            // the same of other hosts, as last reported
 	Slowness       replicamodel.Replica   // of this incarnation, against the average of its service
-	OwnOutputs     core.Tokens            // that this host's requests there will generate, as estimated
-	OtherOutputs   core.Tokens            // the same of other hosts, as last reported
 	OwnPromised    core.Tokens            // memory that this host's requests there will hold at their ends
 	OtherPromised  core.Tokens            // the same of other hosts, as last reported
 	Recent         core.Decaying          // requests that this host has sent there just now
