review: a replica that has left gets streams after a cut from the store

One host is cut off from the store for 4 s; a call that was begun in the cut and fails after it begins the grace of an outage anew.

--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -118,6 +119,15 @@
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
+// useStore has the host call the store at another address.
+func (h *host) useStore(address string) error {
+	text, err := os.ReadFile(h.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(h.settings, bytes.ReplaceAll(text, []byte("store: "+h.stage.address), []byte("store: "+address)), 0o600)
+}
+
 // addHosts adds a host in each of some zones.
 func (s *stage) addHosts(zones ...string) error {
 	for _, zone := range zones {
