A call to the store that fails late doesn't begin an outage anew

Cause: the failure of a call counted from when it was known, and not from when the call was sent. The grace of an outage, in which a replica that the list lacks is kept, began anew with the next answer and lasted until 2.2 s after that. The same failure had all lists read again and took the host out of those that the store answers.

Change: StoreCallFailed carries when the call was sent, as StoreAnswered does. Where a call that was sent later has been answered, the failure shows nothing; else the outage is that of the time it was sent. The log tells of each loss and return, and of failures that came late: without it, this cause and the next one (a return that is seen late) could not be told apart.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -123,7 +123,10 @@
 			{Name: "begun", Meaning: "no request and no order goes to its replicas any more"},
 			{Name: "ended", Meaning: "its replicas are used again"},
 			{Name: "unknown_domain", Meaning: "no replica and no host is in it; it begins once one is"}}},
-		{Name: "store", Subject: "the platform's store", Detail: "its era", Reasons: []Reason{
+		{Name: "store", Subject: "the platform's store", Detail: "its era, where it was restored", Age: "the call that shows it", Reasons: []Reason{
+			{Name: "lost", Meaning: "a call has failed, and none that was sent later has been answered"},
+			{Name: "back", Meaning: "it answers again; for a while the list may lack replicas that run"},
+			{Name: "failed_late", Meaning: "a call has failed; it shows nothing, as one that was sent later has been answered"},
 			{Name: "restored", Meaning: "it has come back from an older copy"}}},
 		{Name: "configuration", Subject: "a version of the configuration", Detail: "the version", Reasons: []Reason{
 			{Name: "in_force", Meaning: "it applies from now on"}}},
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -159,7 +159,9 @@
 }
 
 // StoreCallFailed is sent when a call to the store has failed or was refused.
-type StoreCallFailed struct{}
+type StoreCallFailed struct {
+	Sent core.Instant // when the call was sent; 0: now
+}
 
 // StoreAnswered is sent when the store has answered, before the event of the answer.
 type StoreAnswered struct {
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -190,8 +190,7 @@
 			m.inheritParts()
 		}
 	case StoreCallFailed:
-		m.watch.storeLost = true
-		m.replicas.StoreLost(m.now)
+		m.handleStoreLost(e)
 	case StoreAnswered:
 		m.handleStoreReached(e)
 	case WriteDone:
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -37,7 +37,7 @@
 	lastReread    core.Instant                 // when documents were last reread
 	lastAnswer    core.Instant                 // when the latest call that the store has answered was sent
 	era           uint64                       // of the store; 0: it has given none
-	storeLost     bool                         // the last call to the store failed
+	storeLost     bool                         // no call has been answered that was sent as late as the last one that failed
 	rereadPending bool                         // a reread is due after rereadInterval
 }
 
@@ -142,11 +142,27 @@
 		return
 	}
 	m.watch.storeLost = false
+	m.emit(LogDecision{Name: "store", Reason: "back", Age: m.now.Sub(m.sentAt(e.Sent))})
 	m.list.doubtedAt = m.now
 	m.relists++ // changes during the outage have not reached this host if it missed the watchers' messages too
 	m.requestReread("store_back", "")
 }
 
+// handleStoreLost records that a call has failed. It shows nothing where the store has answered a call
+// that was sent later: opening a connection may fail seconds after the path works again.
+func (m *Machine) handleStoreLost(e StoreCallFailed) {
+	sent := m.sentAt(e.Sent)
+	if sent < m.watch.lastAnswer {
+		m.emit(LogDecision{Name: "store", Reason: "failed_late", Age: m.now.Sub(sent)})
+		return
+	}
+	if !m.watch.storeLost {
+		m.emit(LogDecision{Name: "store", Reason: "lost", Age: m.now.Sub(sent)})
+	}
+	m.watch.storeLost = true
+	m.replicas.StoreLost(sent)
+}
+
 // requestReread requests a new read of the configuration, versions and lists,
 // delayed if the last one was less than rereadInterval ago.
 func (m *Machine) requestReread(reason, detail string) {
--- a/internal/core/replicas/outage.go
+++ b/internal/core/replicas/outage.go
@@ -40,8 +40,9 @@
 	}
 }
 
-// StoreLost records that the platform's store is unreachable.
-func (s *Set) StoreLost(now core.Instant) { s.storeLostAt = now }
+// StoreLost records that the platform's store was unreachable at a time: a call that was sent then
+// has failed. Its failure may be known long after, when other calls have been answered again.
+func (s *Set) StoreLost(sent core.Instant) { s.storeLostAt = max(s.storeLostAt, sent) }
 
 // StoreReached records that the store has answered.
 func (s *Set) StoreReached(now core.Instant) {
--- a/internal/core/replicas/set.go
+++ b/internal/core/replicas/set.go
@@ -17,7 +17,7 @@
 	byShort        map[uint32]*Replica            // by core.ShortHash of the id
 	digest         uint64                         // 0: not computed yet
 	removals       map[core.UpstreamID]*removal   // the latest of each replica
-	storeLostAt    core.Instant                   // when the store was last unreachable; 0: never
+	storeLostAt    core.Instant                   // when the latest call was sent that the store has not answered; 0: none
 	storeReachedAt core.Instant                   // when it was first reached after that
 }
 
--- a/internal/gateway/storestatus.go
+++ b/internal/gateway/storestatus.go
@@ -43,7 +43,7 @@
 	if reached {
 		g.Notify(relaynode.StoreAnswered{Era: r.Era, Sent: sent})
 	} else {
-		g.Notify(relaynode.StoreCallFailed{})
+		g.Notify(relaynode.StoreCallFailed{Sent: sent})
 	}
 	if g.storeReachable.Swap(reached) != reached {
 		log.WithField("dependency", "store").WithField("reached", reached).Warn("dependency changed")
--- a/internal/gateway/storestatus_test.go
+++ b/internal/gateway/storestatus_test.go
@@ -100,3 +100,14 @@
 		is.Equal(events.failed.Load(), int32(1))
 	})
 }
+
+// Guards against requests to a replica that has left (review, case 7): a failure counted from when it was
+// known, which may be seconds after the call was sent.
+func TestFailedCallCountsFromWhenItWasSent(t *testing.T) {
+	is := is.New(t)
+	now := core.Instant(9 * time.Second)
+	g := New(relaynode.New(relaynode.Settings{}), Executors{}, func() core.Instant { return now }, metrics.NewRegistry())
+	sent := core.Instant(7 * time.Second)
+	g.reportStoreStatus(t.Context(), sent, &core.ObjectResult{Status: core.ObjectUnavailable})
+	is.Equal(<-g.events.Items(), relaynode.Event(relaynode.StoreCallFailed{Sent: sent}))
+}
