The return of the store is seen within the time that opens a connection

Cause: a host learned up to 1.6 s after the end of a cut that the store answers (by the log: lost at 37.57 s, back at 41.45 s, 1.6 s after the cut's end), and the grace of 2.2 s counts from there, past contactMs. Calls that had lost their opening packet in the cut waited for it until their timeout, or, as the client ignored the call's timeout while it opened a connection, for two seconds: the kernel repeats such a packet after one second and after three. All watches did so at the same time.

Change: opening a connection is bounded by the time that is left of its call, and a try by 400 ms, after which a new opening packet is sent.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -15,7 +15,10 @@
 
 // Limits of a transport.
 const (
-	dialTimeout    = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	// openTimeout is how long one try to open a connection may take. The kernel repeats a lost opening
+	// packet only after a second.
+	openTimeout    = 400 * time.Millisecond
 	maxConnections = 256
 	maxAnswerBytes = 16 << 20
 	// maxIdleTime is how long a connection without a call is kept. One that has gone silent
@@ -29,11 +32,12 @@
 	kept   *fasthttp.HostClient // keeps connections for later calls
 	single *fasthttp.HostClient // has a connection for each call
 	conns  connections
+	open   func(network, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // NewTransport returns a transport to an ip:port.
 func NewTransport(address string) *Transport {
-	t := &Transport{}
+	t := &Transport{open: net.DialTimeout}
 	t.kept, t.single = t.client(address), t.client(address)
 	return t
 }
@@ -42,7 +46,7 @@
 func (t *Transport) client(address string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                     address,
-		Dial:                     t.dial,
+		DialTimeout:              t.dial,
 		MaxIdleConnDuration:      maxIdleTime,
 		MaxConns:                 maxConnections,
 		MaxResponseBodySize:      maxAnswerBytes,
@@ -57,13 +61,27 @@
 	}
 }
 
-// dial opens a connection. Its errors are of class NotSent.
-func (t *Transport) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, NotSent.Wrap(err)
+// dial opens a connection within the time that is left of its call, by several tries if need be. Its
+// errors are of class NotSent.
+func (t *Transport) dial(address string, left time.Duration) (net.Conn, error) {
+	if left <= 0 || left > dialTimeout {
+		left = dialTimeout
+	}
+	deadline := time.Now().Add(left)
+	for {
+		conn, err := t.open("tcp", address, min(openTimeout, time.Until(deadline)))
+		if err == nil {
+			return t.conns.add(conn)
+		}
+		if !isTimeout(err) || !time.Now().Before(deadline) {
+			return nil, NotSent.Wrap(err)
+		}
 	}
-	return t.conns.add(conn)
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
 }
 
 // Close closes all connections. Pending calls, such as a watch, end with an error; later
