Answers are checked against RFC 9112 before they are parsed

Statuses 001, 099, 600, 999 and 101 reached the node as the replica's failures. A status 000 of the store counted as 200.

Cause: the HTTP client parses leniently, and nothing stood before it.

Change: internal/answercheck, a pure checker of a connection's bytes (status line with 1 to 5, names that are tokens with the colon at once, text without control bytes, one length, chunks, trailers), and a net.Conn that returns only what it lets pass. All connections on which answers are read have it: those to replicas (requests, streams and their resumption, carried ones, reports, liveness checks, orders, confirmations; relay and serve) and those to the store. A connection on which malformed bytes came after an answer is not used again.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -8,6 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"gentiancroft/internal/answercheck"
 )
 
 // NotSent is the class of errors of calls that were certainly not sent.
@@ -71,7 +73,7 @@
 	for {
 		conn, err := t.open("tcp", address, min(openTimeout, time.Until(deadline)))
 		if err == nil {
-			return t.conns.add(conn)
+			return t.conns.add(answercheck.New(conn))
 		}
 		if !isTimeout(err) || !time.Now().Before(deadline) {
 			return nil, NotSent.Wrap(err)
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	n, err := a.Body.Read(next[:])
-	return n == 0 && errors.Is(err, io.EOF) && a.conn.reader.Buffered() == 0
+	return n == 0 && errors.Is(err, io.EOF) && a.conn.reader.Buffered() == 0 && !a.conn.Failed()
 }
 
 // trackedBody records whether its reader has returned io.EOF, so that closing an
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	"gentiancroft/internal/answercheck"
 	"gentiancroft/internal/core"
 )
 
@@ -100,7 +101,7 @@
 
 // conn is a connection to an upstream with its read buffer.
 type conn struct {
-	net.Conn
+	*answercheck.Conn
 	address           string
 	reader            *bufio.Reader
 	writer            *bufio.Writer
@@ -313,10 +314,11 @@
 	if err != nil {
 		return nil, err
 	}
+	checked := answercheck.New(opened)
 	return &conn{
-		Conn:    opened,
+		Conn:    checked,
 		address: call.Address,
-		reader:  bufio.NewReaderSize(opened, readBufferBytes),
+		reader:  bufio.NewReaderSize(checked, readBufferBytes),
 		writer:  bufio.NewWriter(opened),
 		carried: carried,
 	}, nil
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,6 +33,7 @@
 		writeHeader(request, call)
 		request.SetBodyRaw(call.Body)
 	}
+	conn.BeginAnswer(request.Header.IsHead())
 	sent, err := send(conn, request, call.StableBody)
 	if err != nil {
 		return nil, err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,14 +75,10 @@
 // isOpen reports whether the upstream has neither closed the connection nor sent
 // unexpected bytes on it. It does not block.
 func isOpen(c *conn) bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.Failed() {
 		return false
 	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
