An answer that ends with its connection is whole only if nothing on that failed

Cause: the kernel hands the error of a reset out once. The write of the upload, which runs beside the reader, got it; the reader saw the same end as of a connection that was closed in order. Where another host carries the connection, its copy to the replica got the error, and it passed on a regular end.

Change: at such an end, the write's outcome counts; where it is still under way, the socket tells whether it was reset (internal/socket). The carrying host asks its socket too, and passes on a reset. EPIPE counts as a connection that the upstream has closed, like ECONNRESET.

An early answer of a replica that ends its side in order and reads on is whole, as before.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -55,6 +55,14 @@
 	once    sync.Once
 }
 
+// SyscallConn implements syscall.Conn where the connection to the replica does.
+func (c *carriedConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, syscall.EINVAL
+}
+
 // Close implements net.Conn.
 func (c *carriedConn) Close() error {
 	c.once.Do(func() { c.gateway.Notify(relaynode.CarryEnded{}) })
--- a/internal/peer/carry.go
+++ b/internal/peer/carry.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/socket"
 )
 
 // A host that can't reach an upstream has another one carry a connection to it: the bytes of the
@@ -334,6 +335,9 @@
 		}
 	}()
 	err := l.pass(stream, upstream)
+	if reset, _ := socket.WasReset(upstream); err == nil && reset {
+		err = syscall.ECONNRESET // which the writer may have got
+	}
 	switch {
 	case err == nil:
 		_ = stream.Close()
--- a/internal/peer/carry_test.go
+++ b/internal/peer/carry_test.go
@@ -172,3 +172,25 @@
 	is.True(CarrierError.Has(err))
 	is.Equal(x.b.Carried(), maxCarried)
 }
+
+// Guards against a part of an answer that passes for the whole one (issue 54): the upstream resets the
+// connection while bytes are passed on to it, so that the carrying host's write gets the error.
+func TestResetDuringAnUploadIsAReset(t *testing.T) {
+	is := is.New(t)
+	x := newCarryTest(t)
+	for range 20 {
+		here, there := x.dial(t)
+		var upload sync.WaitGroup
+		upload.Go(func() { _, _ = io.Copy(here, endless{}) })
+		_, err := io.ReadFull(there, make([]byte, 1<<20))
+		is.NoErr(err)
+		_, err = there.Write([]byte("part"))
+		is.NoErr(err)
+		is.NoErr(there.(*net.TCPConn).SetLinger(0))
+		_ = there.Close()
+		_, err = io.ReadAll(here)
+		is.True(errors.Is(err, syscall.ECONNRESET))
+		_ = here.Close()
+		upload.Wait()
+	}
+}
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -140,7 +140,7 @@
 // ConnectionClosed reports whether an upstream closed or reset the connection in the
 // middle of a call, as happens when it crashes.
 func ConnectionClosed(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // NothingListens reports whether a call was not sent because nothing listens at the upstream's
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"slices"
 	"sync/atomic"
+
+	"gentiancroft/internal/socket"
 )
 
 const (
@@ -43,6 +45,42 @@
 // release gives bytes back.
 func (b *bodyBudget) release(bytes int64) { b.reserved.Add(-bytes) }
 
+// closedBody is a body whose end only the connection's marks. It is whole only if nothing failed on the
+// connection: where the upstream resets it while the request is written, the write gets the error, and
+// the reader sees a regular end.
+type closedBody struct {
+	io.Reader
+	conn    *conn
+	written *requestWrite
+}
+
+// Read implements io.Reader.
+func (b *closedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if failed := b.failure(); failed != nil {
+		return n, Broken.Wrap(failed)
+	}
+	return n, io.EOF
+}
+
+// failure returns the error by which the connection has failed in either direction, nil where the
+// upstream has ended the answer. It may still read the request.
+func (b *closedBody) failure() error {
+	if b.written.ended() {
+		return b.written.await()
+	}
+	if b.conn.carried {
+		return nil // the host that carries it tells of a reset
+	}
+	if reset, known := socket.WasReset(b.conn); known && !reset {
+		return nil
+	}
+	return b.written.await()
+}
+
 // ReadBody reads the body of an answer. The error is AnswerTooLong if it is over limit bytes
 // or the client's budget for bodies is used up, and Broken if it is incomplete. Where only the
 // end of the connection marks the body's end, an incomplete one can't be told from a whole one.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -34,7 +34,7 @@
 		request.SetBodyRaw(call.Body)
 	}
 	conn.BeginAnswer(request.Header.IsHead())
-	sent, err := send(conn, request, call.StableBody)
+	written, err := send(conn, request, call.StableBody)
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newAnswer(conn, response, sent()), nil
+	return newAnswer(conn, response, written), nil
 }
 
 // maxInlineBodyBytes is the longest body that is written before the answer is read. A
@@ -50,12 +50,37 @@
 // the whole body.
 const maxInlineBodyBytes = 8 << 10
 
-// send writes a request. The returned function reports whether all of it has been
-// written. stableBody is as in Call.
-func send(conn *conn, request *fasthttp.Request, stableBody bool) (sent func() bool, err error) {
+// requestWrite is the write of a request, which may still run when the answer comes.
+type requestWrite struct {
+	end chan struct{}
+	err error // valid once end is closed
+}
+
+func (w *requestWrite) ended() bool {
+	select {
+	case <-w.end:
+		return true
+	default:
+		return false
+	}
+}
+
+// done reports whether the whole request has been written.
+func (w *requestWrite) done() bool { return w.ended() && w.err == nil }
+
+// await waits for the end of the write and returns its error. A write has a timeout.
+func (w *requestWrite) await() error {
+	<-w.end
+	return w.err
+}
+
+// send writes a request. stableBody is as in Call.
+func send(conn *conn, request *fasthttp.Request, stableBody bool) (*requestWrite, error) {
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w := &requestWrite{end: make(chan struct{})}
 	if len(request.Body()) <= maxInlineBodyBytes {
-		return func() bool { return true }, writeRequest(conn, request)
+		close(w.end)
+		return w, writeRequest(conn, request)
 	}
 	copied := &fasthttp.Request{} // the write may still run when the call has ended
 	if stableBody {
@@ -64,16 +89,11 @@
 	} else {
 		request.CopyTo(copied)
 	}
-	done := make(chan error, 1)
-	go func() { done <- writeRequest(conn, copied) }()
-	return func() bool {
-		select {
-		case err := <-done:
-			return err == nil
-		default:
-			return false
-		}
-	}, nil
+	go func() {
+		defer close(w.end)
+		w.err = writeRequest(conn, copied)
+	}()
+	return w, nil
 }
 
 func writeRequest(conn *conn, request *fasthttp.Request) error {
@@ -135,11 +155,14 @@
 	return err
 }
 
-func newAnswer(conn *conn, response *fasthttp.Response, sent bool) *Answer {
+func newAnswer(conn *conn, response *fasthttp.Response, written *requestWrite) *Answer {
 	var body io.Reader = response.BodyStream()
 	if body == nil {
 		body = emptyBody{}
 	}
+	if framing(response) == FramedByClose {
+		body = &closedBody{Reader: body, conn: conn, written: written}
+	}
 	return &Answer{
 		Status:             response.StatusCode(),
 		ContentType:        string(response.Header.ContentType()),
@@ -150,7 +173,7 @@
 		Framing:            framing(response),
 		response:           response,
 		conn:               conn,
-		connectionReusable: sent && !conn.carried && !response.ConnectionClose(),
+		connectionReusable: written.done() && !conn.carried && !response.ConnectionClose(),
 	}
 }
 
