A kept connection doesn't carry a request with the id of one that it carried

What callers saw: by the form of the report (REFUSED, TWICE): a replica wrote its refusal of a request once more. A second attempt with the same id on the same kept connection got the copy: 503, not run, though it ran at that replica, or it ran at a second one.

Cause: an answer belongs to a request if it names its id. A host sends none of its own repetitions on a connection that it used for that request, but the id is the caller's, and a caller that sends it twice makes a copy of the first answer pass for the second's.

Change: a connection remembers the latest 32 requests that it has carried, and is left out for a call with one of these ids: another connection, or a new one, carries it.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -111,6 +111,7 @@
 	unnamed           bool          // the latest call was Unnamed
 	serverIdleTimeout time.Duration // of the upstream, from its Keep-Alive header; 0: not given
 	carried           bool          // over another host: it carries one call and is not kept
+	requests          recentRequests
 }
 
 // Client calls upstreams over kept connections. It is safe for concurrent use.
@@ -204,7 +205,7 @@
 	if call.Confirm != nil {
 		limit = 0
 	}
-	kept := c.pool.get(call.Address, limit, !call.Strict)
+	kept := c.pool.get(call, limit)
 	if kept != nil {
 		kept.use = Connection{Kept: true}
 	}
@@ -360,6 +361,7 @@
 func (c *Client) attempt(ctx context.Context, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	conn.unnamed = call.Unnamed
+	conn.requests.add(call.Request)
 	answer, err := exchange(conn, call)
 	c.reportStrays(conn, call)
 	if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,16 +29,15 @@
 	return &pool{idle: map[string][]*conn{}, lastSweep: time.Now()}
 }
 
-// get returns a kept connection that is still open and has been idle for less than
-// callLimit (0: as long as connections are kept), or nil if there is none. Those whose latest
-// call was unnamed are left out unless afterUnnamed is set.
-func (p *pool) get(address string, callLimit time.Duration, afterUnnamed bool) *conn {
+// get returns a kept connection that may carry a call, is still open and has been idle for less than
+// limit (0: as long as connections are kept), or nil if there is none.
+func (p *pool) get(call Call, limit time.Duration) *conn {
 	for {
-		c := p.pop(address, afterUnnamed)
+		c := p.pop(call)
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < c.maxIdle(callLimit) && isOpen(c) {
+		if time.Since(c.idleSince) < c.maxIdle(limit) && isOpen(c) {
 			return c
 		}
 		_ = c.Close()
@@ -59,13 +58,13 @@
 }
 
 // pop removes and returns the most recently used connection that get may return.
-func (p *pool) pop(address string, afterUnnamed bool) *conn {
+func (p *pool) pop(call Call) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stack := p.idle[address]
+	stack := p.idle[call.Address]
 	for i, c := range slices.Backward(stack) {
-		if afterUnnamed || !c.unnamed {
-			p.idle[address] = slices.Delete(stack, i, i+1)
+		if c.mayCarry(call) {
+			p.idle[call.Address] = slices.Delete(stack, i, i+1)
 			return c
 		}
 	}
