A host that stops waits for the answers that its callers still read

Cause: the machine knows when a request has ended, which for a whole answer is before the HTTP server has written it, and the process ended once no request was left. Besides, a host without the setting `shutdown` ended at once: the documented default of 8 s (and the 2 s of `keep`) was not applied.

Change: connections count the requests whose heads have been read and whose answers have not been written to their end (hangup.Serving). A host that may exit waits until there are none, or until 150 ms before the grace ends. The defaults are applied.

--- a/internal/hangup/body.go
+++ b/internal/hangup/body.go
@@ -95,6 +95,7 @@
 
 // beginRequest prepares for the next request. What the connection held for the last is given back.
 func (c *Conn) beginRequest() {
+	c.endServing()
 	c.head.Reset()
 	c.body = body{}
 	c.written, c.blocked, c.answerHeld = 0, 0, false
@@ -103,6 +104,7 @@
 }
 
 func (c *Conn) endHead() {
+	c.beginServing()
 	if c.head.BodyLength() == 0 {
 		c.state.Store(int32(requestRead))
 		return
--- a/internal/hangup/close.go
+++ b/internal/hangup/close.go
@@ -31,6 +31,7 @@
 		c.linger()
 	}
 	c.account.Close()
+	c.endServing()
 	return c.Conn.Close()
 }
 
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -39,6 +39,7 @@
 	StallTimeout time.Duration // a write that takes longer fails
 	MaxLines     int           // of a request's head; 0: no framing
 	Budget       *held.Budget  // of the connections; nil: no bounds
+	Serving      *Serving      // counts the requests on the connections; nil: nothing does
 }
 
 // Accept implements net.Listener. It closes connections that are too many.
@@ -69,6 +70,7 @@
 func (l Listener) admit(c net.Conn) *Conn {
 	w := New(c, l.StallTimeout)
 	w.head.MaxLines = l.MaxLines
+	w.serving = l.Serving
 	if l.Budget != nil {
 		if w.account = l.Budget.Open(c.RemoteAddr(), w.evict); w.account == nil {
 			return nil
@@ -104,6 +106,8 @@
 	body      body
 	state     atomic.Int32 // a requestState
 	receiving atomic.Bool  // ReceiveBody runs
+	serving   *Serving     // nil: nothing is counted
+	counted   atomic.Bool  // the current request counts in serving
 
 	// Of the current answer:
 	written int           // bytes
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -64,6 +64,7 @@
 	http         *fasthttp.Server
 	maxConnIdle  time.Duration // see defaultMaxConnIdle
 	budget       *held.Budget  // of the callers; nil: no bounds
+	serving      hangup.Serving
 }
 
 // SetBudget bounds what callers hold. It must be called before Serve.
@@ -106,9 +107,13 @@
 		StallTimeout: s.limits.StallTimeout,
 		MaxLines:     s.limits.MaxFields,
 		Budget:       s.budget,
+		Serving:      &s.serving,
 	})
 }
 
+// Serving returns how many requests have been read whose answers callers have not got to their end.
+func (s *Server) Serving() int { return s.serving.Requests() }
+
 // arrival makes the event of a new request. Its id is this host's request number and
 // the caller's request id.
 func (s *Server) arrival(ctx *fasthttp.RequestCtx, d RequestFields) relaynode.RequestArrived {
--- a/internal/wiring/relay.go
+++ b/internal/wiring/relay.go
@@ -46,13 +46,19 @@
 	links    *peer.Links
 	server   *relay.Server
 	pages    pageBudgets
+
+	answersEnd atomic.Pointer[time.Time] // of the wait for answers that are being written; nil: the host isn't leaving
 }
 
 // Times of a relaying host.
 const (
+	defaultShutdown    = 8 * time.Second // where the settings give none, like defaultKeep
+	defaultKeep        = 2 * time.Second
 	linkIdleTimeout    = 1500 * time.Millisecond // a link without traffic for so long counts as broken
 	replicaDialTimeout = 300 * time.Millisecond  // to open a connection to a replica
 	shutdownMargin     = 400 * time.Millisecond  // from the end of the shutdown to the kill of the process
+	lastAnswerMargin   = 150 * time.Millisecond  // from the end of the wait for the last answers to the kill
+	answersInterval    = 10 * time.Millisecond   // between two looks whether all answers are written
 	requestRefusalLead = 2 * time.Second         // from the refusal of requests to the end of the shutdown
 	streamRefusalLead  = 4800 * time.Millisecond // from the refusal of streams to the end of the shutdown
 )
@@ -137,7 +143,7 @@
 }
 
 func newRelayMachine(s *settings.Relay, id identity, k *linkCertificate) *relaynode.Machine {
-	shutdown := s.Shutdown.Value() - shutdownMargin
+	shutdown := s.Shutdown.ValueOr(defaultShutdown) - shutdownMargin
 	return relaynode.New(relaynode.Settings{
 		Self: fleet.Registration{
 			Name:   s.Host.Name,
@@ -253,6 +259,7 @@
 	ended := r.tree.ServeBackground(ctx)
 	select {
 	case <-r.gateway.Done():
+		r.awaitAnswers(ctx)
 		return nil
 	case err := <-ended:
 		return Error.Wrap(err)
@@ -260,7 +267,25 @@
 }
 
 // Leave starts a graceful shutdown.
-func (r *RelayHost) Leave() { r.gateway.Leave() }
+func (r *RelayHost) Leave() {
+	end := time.Now().Add(r.settings.Load().Shutdown.ValueOr(defaultShutdown) - lastAnswerMargin)
+	r.answersEnd.CompareAndSwap(nil, &end)
+	r.gateway.Leave()
+}
+
+// awaitAnswers waits until all answers are written, or until the end of the shutdown. The machine knows
+// of a request's end, and not whether its caller has taken the answer.
+func (r *RelayHost) awaitAnswers(ctx context.Context) {
+	end := r.answersEnd.Load()
+	if end == nil {
+		return
+	}
+	for r.server.Serving() > 0 && time.Now().Before(*end) {
+		if !supervise.Sleep(ctx, answersInterval) {
+			return
+		}
+	}
+}
 
 type relayListeners struct{ callers, ready, directory, metrics net.Listener }
 
@@ -305,7 +330,7 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	body, err := r.adapter.EncodeAddresses(addresses, r.settings.Load().Keep.Value())
+	body, err := r.adapter.EncodeAddresses(addresses, r.settings.Load().Keep.ValueOr(defaultKeep))
 	if err != nil {
 		log.WithError(err).Error("could not encode the directory answer; it is answered with status 500")
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
