A leaving host takes late only what ends before it does

What callers saw (LOST): in a planned stop of one host of 8 s, non-idempotent requests that came from 3.2 s (runs of 4.5 s) or 5.2 s (runs of 2.5 s) after the signal on were taken, passed on, and cut off without an answer at 7.6 s: 24 and 4 of 80.

Cause: a leaving host took requests for 5.6 s, and two seconds were left for those that came last, however long they might run. What was left at the end got no answer.

Change: for the first 2.8 s every request is taken, as callers learn late that the host leaves. After that, those that end in time for certain, by the caller's or the route's timeout; the others, and streams as before, are refused as not run, at once.

--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -46,10 +46,10 @@
 	if route == nil {
 		return nil, refuseRoute()
 	}
-	if m.rejectsRoute(route) {
+	r := &request{arrival: e, route: route, arrivedAt: m.now, lastEvent: e.LastEvent}
+	if m.mayNotEndInTime(r) {
 		return nil, core.Refuse(core.CodeHostLeaving, retryAfterLeaving, "this host is leaving; ask for addresses again")
 	}
-	r := &request{arrival: e, route: route, arrivedAt: m.now, lastEvent: e.LastEvent}
 	if refusal := m.authorize(r); refusal != nil {
 		return nil, refusal
 	}
@@ -92,20 +92,6 @@
 	return core.Refuse(core.CodeInvalidKey, 0, "the key is missing or not valid")
 }
 
-// rejectsRoute reports whether a leaving host takes no more requests of a route.
-// Streams are rejected earlier than other requests: they must end before the host
-// does.
-func (m *Machine) rejectsRoute(route *table.Route) bool {
-	if m.leavingSince == 0 {
-		return false
-	}
-	after := m.settings.RequestRefusalDelay
-	if route.Kind == table.Streaming {
-		after = m.settings.StreamRefusalDelay
-	}
-	return m.now.Sub(m.leavingSince) > after
-}
-
 // timeout returns the maximum duration of the request: the lower one of the caller's
 // and the route's.
 func (r *request) timeout() time.Duration {
