Answers without end take bounded memory, those of the store too

What callers would see (LOST): a process that runs out of memory ends, and the requests of all its callers with it.

Cause: each call to the store buffered up to 16 MiB, with a copy while its buffer grew, and many calls run at the same time; nothing bounded them together. Bodies of replicas have a budget, which counted the buffer that had grown and not the one that it was copied from.

ReadBody reads parts, which are joined once the body is whole.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -76,7 +76,7 @@
 	if o.WatchTimeout == 0 {
 		o.WatchTimeout = DefaultWatchTimeout
 	}
-	return &Client{Transport: NewTransport(o.Address), address: o.Address, timeout: o.Timeout, watchTimeout: o.WatchTimeout}
+	return &Client{Transport: NewTransport(o.Address, DefaultLimits), address: o.Address, timeout: o.Timeout, watchTimeout: o.WatchTimeout}
 }
 
 // Do sends one call and returns its result. ObjectUnavailable means that the call had
--- a/internal/platform/dial_test.go
+++ b/internal/platform/dial_test.go
@@ -38,7 +38,7 @@
 // kept its worker for two seconds whatever its timeout, so that the end of the cut was seen late.
 func TestCallEndsAtItsTimeoutWhereNoConnectionOpens(t *testing.T) {
 	is := is.New(t)
-	transport := platform.NewTransport(unansweredAddress(t))
+	transport := platform.NewTransport(unansweredAddress(t), platform.DefaultLimits)
 	defer transport.Close()
 	for _, once := range []bool{false, true} {
 		send := func(timeout time.Duration) error {
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -30,7 +30,7 @@
 		is.NoErr(err)
 		written := make(chan int, 1)
 		go func() { written <- writeWithoutEnd(l, head) }()
-		transport := NewTransport(l.Addr().String())
+		transport := NewTransport(l.Addr().String(), DefaultLimits)
 		request := &fasthttp.Request{}
 		request.SetRequestURI("http://" + l.Addr().String() + "/")
 		const timeout = 30 * time.Second
@@ -38,7 +38,7 @@
 		if err == nil || err == fasthttp.ErrTimeout {
 			t.Errorf("%s: %v", name, err)
 		}
-		if n := <-written; n > maxAnswerBytes+kernelSlackBytes {
+		if n := <-written; n > DefaultLimits.AnswerBytes+kernelSlackBytes {
 			t.Errorf("%s: %d bytes were read", name, n)
 		}
 		transport.Close()
--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -20,7 +20,7 @@
 			_, _ = c.Write([]byte(head + "Content-Length: 2\r\n\r\n{}"))
 			_ = c.Close()
 		}))
-		transport := NewTransport(s.Listener.Addr().String())
+		transport := NewTransport(s.Listener.Addr().String(), DefaultLimits)
 		r := &fasthttp.Request{}
 		r.SetRequestURI(s.URL)
 		_, err := transport.Send(t.Context(), r, 10*time.Second)
--- a/internal/platform/open_test.go
+++ b/internal/platform/open_test.go
@@ -35,7 +35,7 @@
 		is := is.New(t)
 		began := time.Now()
 		o := &cutOpener{healed: began.Add(time.Millisecond)}
-		transport := NewTransport("store:1")
+		transport := NewTransport("store:1", DefaultLimits)
 		transport.open = o.open
 		conn, err := transport.dial("store:1", 900*time.Millisecond)
 		is.NoErr(err)
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -22,12 +22,14 @@
 	// packet only after a second.
 	openTimeout    = 400 * time.Millisecond
 	maxConnections = 256
-	maxAnswerBytes = 16 << 20
 	// maxIdleTime is how long a connection without a call is kept. One that has gone silent
 	// meanwhile costs the next call its timeout.
 	maxIdleTime = 1500 * time.Millisecond
 )
 
+// DefaultLimits are the limits of a client of the object API, whose lists have no pages.
+var DefaultLimits = Limits{AnswerBytes: 16 << 20, TotalBytes: 32 << 20}
+
 // Transport sends HTTP calls to one address. It sends each call once: whether a failed
 // call may be retried is the caller's decision.
 type Transport struct {
@@ -38,8 +40,8 @@
 }
 
 // NewTransport returns a transport to an ip:port.
-func NewTransport(address string) *Transport {
-	t := &Transport{open: net.DialTimeout}
+func NewTransport(address string, l Limits) *Transport {
+	t := &Transport{open: net.DialTimeout, conns: connections{limits: l}}
 	t.kept, t.single = t.client(address), t.client(address)
 	return t
 }
@@ -51,7 +53,7 @@
 		DialTimeout:              t.dial,
 		MaxIdleConnDuration:      maxIdleTime,
 		MaxConns:                 maxConnections,
-		MaxResponseBodySize:      maxAnswerBytes,
+		MaxResponseBodySize:      t.conns.limits.AnswerBytes,
 		NoDefaultUserAgentHeader: true,
 		DisablePathNormalizing:   true,
 		// Invariant: a call is sent once. Only the caller can tell whether a
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -14,8 +14,9 @@
 	bodyReservation = 64 << 10
 	// maxBufferedBytes is the budget in bytes of all bodies that a client buffers at the same time.
 	maxBufferedBytes = 32 << 20
-	// minReadBytes is the least space in bytes for one read of a body.
-	minReadBytes = 512
+	// minPartBytes and maxPartBytes bound the space in bytes for the parts in which a body is read.
+	minPartBytes = 512
+	maxPartBytes = 64 << 10
 )
 
 // bodyBudget bounds the memory of the bodies that are buffered at the same time. Each of them
@@ -85,22 +86,30 @@
 // or the client's budget for bodies is used up, and Broken if it is incomplete. Where only the
 // end of the connection marks the body's end, an incomplete one can't be told from a whole one.
 func ReadBody(a *Answer, limit int) ([]byte, error) {
-	var body []byte
+	var parts [][]byte // none is copied until the body is whole
+	size := 0
+	part := make([]byte, 0, minPartBytes)
 	for {
-		body = slices.Grow(body, minReadBytes)
-		if err := a.reserveFor(cap(body)); err != nil {
+		if err := a.reserveFor(size + cap(part)); err != nil {
 			return nil, err
 		}
-		n, err := a.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := a.Body.Read(part[len(part):cap(part)])
+		part = part[:len(part)+n]
 		switch {
-		case len(body) > limit:
+		case size+len(part) > limit:
 			return nil, AnswerTooLong.New("over %d bytes", limit)
+		case err == io.EOF && parts == nil:
+			return part, nil
 		case err == io.EOF:
-			return body, nil
+			return slices.Concat(append(parts, part)...), nil
 		case err != nil:
 			return nil, Broken.Wrap(err)
 		}
+		if len(part) == cap(part) {
+			parts = append(parts, part)
+			size += len(part)
+			part = make([]byte, 0, min(2*cap(part), maxPartBytes))
+		}
 	}
 }
 
