Calls that the store refuses one by one begin no outage

A store that serves, but refuses a host's calls now and then, as all hosts together make too many (429), kept that host from ever dropping a replica that had left.

Change: an outage is the time from the first call that failed after the last answer to the next answer, and has a grace only if it lasted a second: entries expire after three missed heartbeats. A restored store has one at once, as before.

Measured: TestCallsThatAreRefusedOneByOneAreNoOutage fails on the former code. A test with an outage of no length has one of two seconds now, and checks that the replica is kept.

--- a/internal/core/relaynode/outage_test.go
+++ b/internal/core/relaynode/outage_test.go
@@ -50,3 +50,21 @@
 	h.step(StoreCallFailed{Sent: core.Instant(h.now)}) // as late as the answered one
 	h.is.True(!h.m.storeAnswers())
 }
+
+// The same cause elsewhere: calls that the store refuses one by one, as hosts make too many, each began the
+// grace anew, so that no removal was ever applied.
+func TestCallsThatAreRefusedOneByOneAreNoOutage(t *testing.T) {
+	h := newHost(t)
+	for i := range 20 {
+		h.step(StoreAnswered{Sent: core.Instant(h.now)})
+		h.advance(250 * time.Millisecond)
+		h.step(StoreCallFailed{Sent: core.Instant(h.now)})
+		if i == 10 {
+			h.step(ReplicaUnlisted{ID: "s1"})
+		}
+		h.advance(250 * time.Millisecond)
+	}
+	h.step(StoreAnswered{Sent: core.Instant(h.now)})
+	h.advance(20 * time.Millisecond)
+	h.is.True(h.m.replicas.Get("s1") == nil)
+}
--- a/internal/core/relaynode/restore_test.go
+++ b/internal/core/relaynode/restore_test.go
@@ -200,8 +200,10 @@
 func TestUnlistedReplicaGetsWorkOnlyIfNoneIsListed(t *testing.T) {
 	h := newHost(t)
 	h.step(StoreCallFailed{})
+	h.now += 2 * time.Second
 	h.step(StoreAnswered{})
 	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s2", services)}})
+	h.is.True(h.m.replicas.Get("s1") != nil)
 	for range 4 { // more than its batch
 		h.arrive(RequestArrived{Path: "/read/x"})
 		h.is.Equal(h.dispatch().Upstream, core.UpstreamID("s2"))
--- a/internal/core/relaynode/watchers.go
+++ b/internal/core/relaynode/watchers.go
@@ -195,7 +195,7 @@
 	if !restored {
 		return
 	}
-	m.replicas.StoreLost(m.now)
+	m.replicas.StoreRestored(m.now)
 	m.due.register = m.now.Add(time.Duration(m.rng.IntN(int(registrationSpread))))
 	m.emit(LogDecision{Name: "store", Reason: "restored", Detail: "era " + utoa(era)})
 }
--- a/internal/core/replicas/outage.go
+++ b/internal/core/replicas/outage.go
@@ -7,9 +7,21 @@
 	"gentiancroft/internal/core"
 )
 
-// outageGracePeriod is how long after the end of a store outage the list may lack
-// running replicas: entries expire during the outage and are then written again.
-const outageGracePeriod = 2200 * time.Millisecond
+const (
+	// outageGracePeriod is how long after the end of a store outage the list may lack
+	// running replicas: entries expire during the outage and are then written again.
+	outageGracePeriod = 2200 * time.Millisecond
+	// minOutage is the shortest outage that has a grace: in a shorter one no entry expires. Calls that are
+	// refused one by one, for a rate limit say, are none.
+	minOutage = time.Second
+)
+
+// outage is what a host knows of the store's outages.
+type outage struct {
+	lostSince  core.Instant // when the first call was sent that failed after the last answer; 0: none has
+	answeredAt core.Instant // when the latest answer came; 0: never
+	graceEnd   core.Instant // of the latest outage
+}
 
 // Remove removes a replica that is no longer listed. Around a store outage it is only
 // marked as missing, unless it was leaving.
@@ -42,21 +54,29 @@
 
 // StoreLost records that the platform's store was unreachable at a time: a call that was sent then
 // has failed. Its failure may be known long after, when other calls have been answered again.
-func (s *Set) StoreLost(sent core.Instant) { s.storeLostAt = max(s.storeLostAt, sent) }
+func (s *Set) StoreLost(sent core.Instant) {
+	if s.outage.lostSince == 0 && sent >= s.outage.answeredAt {
+		s.outage.lostSince = max(sent, 1)
+	}
+}
 
 // StoreReached records that the store has answered.
 func (s *Set) StoreReached(now core.Instant) {
-	if s.storeReachedAt <= s.storeLostAt {
-		s.storeReachedAt = now
+	if s.outage.lostSince != 0 && now.Sub(s.outage.lostSince) >= minOutage {
+		s.beginGrace(now)
 	}
+	s.outage.lostSince, s.outage.answeredAt = 0, now
 }
 
+// StoreRestored records that the store has come back from an older copy, which may lack running
+// replicas.
+func (s *Set) StoreRestored(now core.Instant) { s.beginGrace(now) }
+
+func (s *Set) beginGrace(now core.Instant) { s.outage.graceEnd = now.Add(outageGracePeriod) }
+
 // duringOutage reports whether the store is unreachable or was within the grace period.
 func (s *Set) duringOutage(now core.Instant) bool {
-	if s.storeLostAt == 0 {
-		return false
-	}
-	return s.storeReachedAt < s.storeLostAt || now.Sub(s.storeReachedAt) < outageGracePeriod
+	return s.outage.lostSince != 0 || now < s.outage.graceEnd
 }
 
 // Tick removes the replicas that are still missing at the end of the grace period after
--- a/internal/core/replicas/set.go
+++ b/internal/core/replicas/set.go
@@ -11,14 +11,13 @@
 // Set holds the replicas that are known to a host. The indexes are built when they are
 // first read after a change.
 type Set struct {
-	byID           map[core.UpstreamID]*Replica
-	sorted         []*Replica                     // all, by id; nil: indexes not built yet
-	byService      map[table.ServiceID][]*Replica // by service, each sorted by id
-	byShort        map[uint32]*Replica            // by core.ShortHash of the id
-	digest         uint64                         // 0: not computed yet
-	removals       map[core.UpstreamID]*removal   // the latest of each replica
-	storeLostAt    core.Instant                   // when the latest call was sent that the store has not answered; 0: none
-	storeReachedAt core.Instant                   // when it was first reached after that
+	byID      map[core.UpstreamID]*Replica
+	sorted    []*Replica                     // all, by id; nil: indexes not built yet
+	byService map[table.ServiceID][]*Replica // by service, each sorted by id
+	byShort   map[uint32]*Replica            // by core.ShortHash of the id
+	digest    uint64                         // 0: not computed yet
+	removals  map[core.UpstreamID]*removal   // the latest of each replica
+	outage    outage
 }
 
 // NewSet returns an empty set.
