The end of a host doesn't wait for a reader of its log lines

Cause: the process flushed its log lines without a time limit, while the callers' server went on and the machine that decides had ended.

Change: the flush waits for 100 ms at most.

--- a/cmd/gentiancroft/relay.go
+++ b/cmd/gentiancroft/relay.go
@@ -26,6 +26,9 @@
 	gcPercent      = 25
 )
 
+// logFlushTime is how long the end of a host waits for its last log lines to be written.
+const logFlushTime = 100 * time.Millisecond
+
 func relayCommand() *cobra.Command {
 	var file string
 	c := &cobra.Command{
@@ -59,7 +62,7 @@
 			fmt.Fprintln(os.Stderr, "gentiancroft: writing log lines failed; no more are written:", err)
 		}
 	}()
-	defer sink.Flush()
+	defer sink.FlushWithin(logFlushTime)
 	if s.Log != "" {
 		log.SetLevelFromString(s.Log)
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// FlushWithin is Flush, but waits for d at most: nobody may read what is written.
+func (s *Sink) FlushWithin(d time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Flush()
+	}()
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
+}
+
 // write writes a line and the queued ones after it as one batch.
 func (s *Sink) write(line []byte) error {
 	batch := line
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -142,3 +143,29 @@
 		_ = s.HandleLog(e)
 	}
 }
+
+// stuckWriter is a pipe that nobody reads.
+type stuckWriter struct{ blocked chan struct{} }
+
+func (w stuckWriter) Write(b []byte) (int, error) {
+	<-w.blocked
+	return len(b), nil
+}
+
+// Guards against a host that hangs at its end on its last log lines and goes on reading requests (review,
+// case 1).
+func TestFlushDoesNotWaitForAReaderThatHasStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := stuckWriter{make(chan struct{})}
+		s := New(w, clock)
+		is.NoErr(s.HandleLog(entry("last", nil)))
+		began := time.Now()
+		s.FlushWithin(100 * time.Millisecond)
+		is.Equal(time.Since(began), 100*time.Millisecond)
+		close(w.blocked)
+		is.NoErr(s.HandleLog(entry("read", nil)))
+		s.FlushWithin(time.Hour) // returns once the lines are written
+		is.Equal(time.Since(began), 100*time.Millisecond)
+	})
+}
