--- a/internal/answercheck/grammar.go
+++ b/internal/answercheck/grammar.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 )
 
 // Statuses with a meaning for an answer's framing.
@@ -56,7 +57,8 @@
 }
 
 func isTokenByte(x byte) bool {
-	return isDigit(x) || x|0x20 >= 'a' && x|0x20 <= 'z' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), x) >= 0
+	isLetter := x|0x20 >= 'a' && x|0x20 <= 'z'
+	return isLetter || isDigit(x) || strings.IndexByte("!#$%&'*+-.^_`|~", x) >= 0
 }
 
 // isText reports whether b has only visible bytes, blanks, tabs and bytes over 127.
--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -47,7 +47,7 @@
 		return nil, refuseRoute()
 	}
 	r := &request{arrival: e, route: route, arrivedAt: m.now, lastEvent: e.LastEvent}
-	if m.mayNotEndInTime(r) {
+	if m.mayOutlastHost(r) {
 		return nil, core.Refuse(core.CodeHostLeaving, retryAfterLeaving, "this host is leaving; ask for addresses again")
 	}
 	if refusal := m.authorize(r); refusal != nil {
--- a/internal/core/relaynode/leaving.go
+++ b/internal/core/relaynode/leaving.go
@@ -27,10 +27,10 @@
 	m.tick()
 }
 
-// mayNotEndInTime reports whether a leaving host rejects a request, as it may still run when the host
+// mayOutlastHost reports whether a leaving host rejects a request, as it may still run when the host
 // ends. For a while every request is taken: callers learn late that the host leaves. After that only
 // those are that end in time by their timeout, as how long they run isn't known, and no streams.
-func (m *Machine) mayNotEndInTime(r *request) bool {
+func (m *Machine) mayOutlastHost(r *request) bool {
 	if m.leavingSince == 0 {
 		return false
 	}
@@ -44,9 +44,9 @@
 	return passed+r.timeout()+lastAnswerTime > m.settings.LeaveTimeout
 }
 
-// refuseUnended answers the requests that are left at the end of a graceful shutdown. Those that may
+// refuseRemaining answers the requests that remain at the end of a graceful shutdown. Those that may
 // have run are told so.
-func (m *Machine) refuseUnended() {
+func (m *Machine) refuseRemaining() {
 	for _, r := range m.requests.all() {
 		m.refuse(r, core.Refuse(core.CodeHostLeaving, retryAfterLeaving, "this host ends, and the request has not"))
 	}
@@ -63,7 +63,7 @@
 	if idle || passed >= m.settings.LeaveTimeout {
 		m.leaveDone = true
 		m.emit(LogDecision{Name: "leave", Reason: "ended", Detail: utoa(uint64(len(m.requests.byID))) + " requests left"})
-		m.refuseUnended()
+		m.refuseRemaining()
 		m.emit(LeaveCompleted{})
 	}
 }
