--- a/internal/gateway/former_build_test.go
+++ b/internal/gateway/former_build_test.go
@@ -18,7 +18,7 @@
 )
 
 // Hosts of two builds run side by side while machines are replaced, so that each reads what the other
-// writes. The files in formerBuild are what the former build, 48aacaf, writes where every field is
+// writes. The files in formerBuild are what the former build, b2585a3, writes where every field is
 // set, with the values of fill. former_types_test.go has copies of its types. After a release both
 // are written anew, in the released tree, by
 //
--- a/internal/gateway/former_types_test.go
+++ b/internal/gateway/former_types_test.go
@@ -20,30 +20,35 @@
 	Limits                []formerIntakeEvidence            `cbor:"16,keyasint,omitempty"`
 	PermitAsks            []formerIntakeAsk                 `cbor:"17,keyasint,omitempty"`
 	PermitGrants          []formerIntakeGrant               `cbor:"18,keyasint,omitempty"`
+	Cold                  []formerIntakeCold                `cbor:"21,keyasint,omitempty"`
 	Pauses                []formerRelaynodePause            `cbor:"19,keyasint,omitempty"`
+	Evacuations           *formerEvacuationState            `cbor:"20,keyasint,omitempty"`
 }
 
 type formerRelaynodeHeartbeat struct {
-	Host              string                `cbor:"1,keyasint"`
-	Number            uint64                `cbor:"2,keyasint"`
-	Ready             bool                  `cbor:"3,keyasint,omitempty"`
-	Leaving           bool                  `cbor:"4,keyasint,omitempty"`
-	Uptime            int64                 `cbor:"5,keyasint,omitempty"`
-	Spent             map[uint32]int64      `cbor:"6,keyasint,omitempty"`
-	Loads             []formerRelaynodeLoad `cbor:"7,keyasint,omitempty"`
-	Crashes           map[uint64]uint8      `cbor:"8,keyasint,omitempty"`
-	ConfigVersion     uint64                `cbor:"9,keyasint,omitempty"`
-	VersionSum        uint64                `cbor:"10,keyasint,omitempty"`
-	IsWatcher         bool                  `cbor:"11,keyasint,omitempty"`
-	ListDigest        uint64                `cbor:"12,keyasint,omitempty"`
-	ReachableStandbys []uint32              `cbor:"13,keyasint,omitempty"`
-	RequestRate       float32               `cbor:"14,keyasint,omitempty"`
-	Prompts           []formerRelaynodeLoad `cbor:"16,keyasint,omitempty"`
-	BlockedParts      uint64                `cbor:"17,keyasint,omitempty"`
-	Paths             *formerReachReport    `cbor:"18,keyasint,omitempty"`
-	Software          uint64                `cbor:"19,keyasint,omitempty"`
-	ReplicaDigest     uint64                `cbor:"20,keyasint,omitempty"`
-	ConfigRestored    uint64                `cbor:"15,keyasint,omitempty"`
+	Host              string                 `cbor:"1,keyasint"`
+	Number            uint64                 `cbor:"2,keyasint"`
+	Ready             bool                   `cbor:"3,keyasint,omitempty"`
+	Leaving           bool                   `cbor:"4,keyasint,omitempty"`
+	Uptime            int64                  `cbor:"5,keyasint,omitempty"`
+	Spent             map[uint32]int64       `cbor:"6,keyasint,omitempty"`
+	Loads             []formerRelaynodeLoad  `cbor:"7,keyasint,omitempty"`
+	Crashes           map[uint64]uint8       `cbor:"8,keyasint,omitempty"`
+	ConfigVersion     uint64                 `cbor:"9,keyasint,omitempty"`
+	VersionSum        uint64                 `cbor:"10,keyasint,omitempty"`
+	IsWatcher         bool                   `cbor:"11,keyasint,omitempty"`
+	ListDigest        uint64                 `cbor:"12,keyasint,omitempty"`
+	ReachableStandbys []uint32               `cbor:"13,keyasint,omitempty"`
+	RequestRate       float32                `cbor:"14,keyasint,omitempty"`
+	Prompts           []formerRelaynodeLoad  `cbor:"16,keyasint,omitempty"`
+	BlockedParts      uint64                 `cbor:"17,keyasint,omitempty"`
+	Paths             *formerReachReport     `cbor:"18,keyasint,omitempty"`
+	Software          uint64                 `cbor:"19,keyasint,omitempty"`
+	ReplicaDigest     uint64                 `cbor:"20,keyasint,omitempty"`
+	Asked             map[uint32]int64       `cbor:"22,keyasint,omitempty"`
+	Promised          []formerRelaynodeLoad  `cbor:"24,keyasint,omitempty"`
+	ConfigRestored    uint64                 `cbor:"15,keyasint,omitempty"`
+	Evacuations       *formerEvacuationState `cbor:"21,keyasint,omitempty"`
 }
 
 type formerRelaynodeLoad struct {
@@ -57,6 +62,12 @@
 	Unreached []uint32 `cbor:"2,keyasint,omitempty"`
 }
 
+type formerEvacuationState struct {
+	Era      uint64   `cbor:"1,keyasint,omitempty"`
+	Revision uint64   `cbor:"2,keyasint,omitempty"`
+	Domains  []string `cbor:"3,keyasint,omitempty"`
+}
+
 type formerResidencyDemand struct {
 	Replica string
 	Model   string
@@ -102,6 +113,12 @@
 	Started  int64
 	Sequence uint64
 	Models   []formerReplicasModel
+	Cold     formerReplicasColdness
+}
+
+type formerReplicasColdness struct {
+	Known     bool
+	Remaining int64
 }
 
 type formerRelaynodeVersionAnnounced struct {
@@ -197,6 +214,13 @@
 	Wait   int64
 }
 
+type formerIntakeCold struct {
+	_         struct{} `cbor:",toarray"`
+	Key       formerIntakeKey
+	For       int64
+	Restarted bool
+}
+
 type formerRelaynodePause struct {
 	_       struct{} `cbor:",toarray"`
 	Replica string
