The socket of a wrapped connection is found in one place

Cause: three copies of the same lines, in answercheck.Conn, the gateway's carriedConn and socket.WasReset. Change: socket.Raw, which all three call; behaviour is the same.

A run of platform's path tests with -race ended by its time limit without a result.

--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"gentiancroft/internal/socket"
 )
 
 // Conn is a client's connection that returns only legal answers from Read. The first bytes that are
@@ -40,9 +42,4 @@
 func (c *Conn) Failed() bool { return c.err != nil }
 
 // SyscallConn implements syscall.Conn where the wrapped connection does.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if s, ok := c.Conn.(syscall.Conn); ok {
-		return s.SyscallConn()
-	}
-	return nil, syscall.EINVAL
-}
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return socket.Raw(c.Conn) }
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -12,6 +12,7 @@
 
 	"gentiancroft/internal/core"
 	"gentiancroft/internal/core/relaynode"
+	"gentiancroft/internal/socket"
 )
 
 // NotCarried is the class of errors of connections that this host opens for no other one.
@@ -56,12 +57,7 @@
 }
 
 // SyscallConn implements syscall.Conn where the connection to the replica does.
-func (c *carriedConn) SyscallConn() (syscall.RawConn, error) {
-	if s, ok := c.Conn.(syscall.Conn); ok {
-		return s.SyscallConn()
-	}
-	return nil, syscall.EINVAL
-}
+func (c *carriedConn) SyscallConn() (syscall.RawConn, error) { return socket.Raw(c.Conn) }
 
 // Close implements net.Conn.
 func (c *carriedConn) Close() error {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -8,15 +8,20 @@
 	"golang.org/x/sys/unix"
 )
 
+// Raw returns the raw connection of a connection's socket. Connections that wrap others have it as their
+// SyscallConn. The error is EINVAL where the connection shows no socket.
+func Raw(c net.Conn) (syscall.RawConn, error) {
+	if s, ok := c.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, syscall.EINVAL
+}
+
 // WasReset reports whether the peer of a connection has reset it. A reader can't tell: where a write
 // was under way, it gets the error of the reset, and the reader the same end as of a connection that the
 // peer has closed in order. known is false where the connection shows no socket.
 func WasReset(c net.Conn) (reset, known bool) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	raw, err := s.SyscallConn()
+	raw, err := Raw(c)
 	if err != nil {
 		return false, false
 	}
