review: a replica is ordered to load one adapter too many (LIMIT)

A load without an answer is carried out 2.6 s later, and a copy of an earlier 202 comes before the 409 of the next load, on the connection on which it came first: 9 adapters in 8 places.

--- a/review/stage-3/engine.go
+++ b/review/stage-3/engine.go
@@ -41,6 +41,7 @@
 	public  string // address in its entry
 	store   *platformtest.Store
 	onOrder func(e *engine, o order, status int)
+	loadsIn func(adapter string) time.Duration // nil: each adapter takes adapterLoad
 
 	mu       sync.Mutex
 	born     int64
@@ -158,7 +159,11 @@
 		delete(e.adapters, o.Adapter)
 		return http.StatusOK
 	}
-	e.adapters[o.Adapter] = time.Now().Add(adapterLoad)
+	takes := adapterLoad
+	if e.loadsIn != nil {
+		takes = e.loadsIn(o.Adapter)
+	}
+	e.adapters[o.Adapter] = time.Now().Add(takes)
 	return http.StatusAccepted
 }
 
--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -27,6 +27,7 @@
 	"crash":  runCrash,
 	"quota":  runQuota,
 	"limits": runLimits,
+	"room":   runRoom,
 	"stale":  runStale,
 }
 
--- a/review/stage-3/stale.go
+++ b/review/stage-3/stale.go
@@ -197,22 +197,7 @@
 func (s *staleScene) ask(ctx context.Context, h *host) {
 	client := &http.Client{Timeout: 15 * time.Second}
 	for ctx.Err() == nil {
-		q, err := http.NewRequest(http.MethodPost, "http://"+h.callers+"/live/2f", bytes.NewReader([]byte("draft")))
-		if err != nil {
-			return
-		}
-		q.Host = "h.example"
-		q.Header.Set("X-Request-Id", fmt.Sprintf("%016x", rand.Uint64()))
-		q.Header.Set("X-Deadline-Ms", "15000")
-		q.Header.Set("Api-Key", "key-of-t")
-		q.Header.Set("X-Model", fmt.Sprintf("base/a%d", rand.IntN(staleNames)+1))
-		q.Header.Set("X-Token-Usage", "300,50")
-		status := 0
-		if a, err := client.Do(q); err == nil {
-			_, _ = io.Copy(io.Discard, a.Body)
-			_ = a.Body.Close()
-			status = a.StatusCode
-		}
+		status := s.askOnce(client, h, fmt.Sprintf("a%d", rand.IntN(staleNames)+1))
 		s.mu.Lock()
 		s.served[status]++
 		s.mu.Unlock()
@@ -222,6 +207,27 @@
 	}
 }
 
+// askOnce sends a request for an adapter and returns the status of the answer, 0 if there is none.
+func (s *staleScene) askOnce(client *http.Client, h *host, adapter string) int {
+	q, err := http.NewRequest(http.MethodPost, "http://"+h.callers+"/live/2f", bytes.NewReader([]byte("draft")))
+	if err != nil {
+		return 0
+	}
+	q.Host = "h.example"
+	q.Header.Set("X-Request-Id", fmt.Sprintf("%016x", rand.Uint64()))
+	q.Header.Set("X-Deadline-Ms", "15000")
+	q.Header.Set("Api-Key", "key-of-t")
+	q.Header.Set("X-Model", "base/"+adapter)
+	q.Header.Set("X-Token-Usage", "300,50")
+	a, err := client.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer a.Body.Close()
+	_, _ = io.Copy(io.Discard, a.Body)
+	return a.StatusCode
+}
+
 // judge reports whether an engine has got an order with a lower fence number after one with a higher
 // number, or orders of two holders within leaseMs. Orders within thawMs after the link healed don't
 // count.
