--- a/review/stage-3/engine.go
+++ b/review/stage-3/engine.go
@@ -41,7 +41,6 @@
 	public  string // address in its entry
 	store   *platformtest.Store
 	onOrder func(e *engine, o order, status int)
-	loadsIn func(adapter string) time.Duration // nil: each adapter takes adapterLoad
 
 	mu       sync.Mutex
 	born     int64
@@ -159,11 +158,7 @@
 		delete(e.adapters, o.Adapter)
 		return http.StatusOK
 	}
-	takes := adapterLoad
-	if e.loadsIn != nil {
-		takes = e.loadsIn(o.Adapter)
-	}
-	e.adapters[o.Adapter] = time.Now().Add(takes)
+	e.adapters[o.Adapter] = time.Now().Add(adapterLoad)
 	return http.StatusAccepted
 }
 
--- a/review/stage-3/links.go
+++ b/review/stage-3/links.go
@@ -14,11 +14,14 @@
 	"gentiancroft/platform/platformtest"
 )
 
+// hostsKind is the kind of the objects in which hosts register.
+const hostsKind = "gentiancroft-hosts"
+
 // linkProxies carry the UDP packets between hosts, one proxy in front of each host's link address.
 // The store gives a proxy's address in place of the host's own, as an address translation would.
 type linkProxies struct {
 	mu      sync.Mutex
-	places  map[string]string          // by link address: a region, or the host's name
+	places  map[string]string          // the host's name, by link address
 	proxies map[string]string          // address of the proxy, by link address
 	blocked func(from, to string) bool // between which places no packet passes; nil: all pass
 }
--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -24,11 +24,8 @@
 type scene func(dir string, r *record, trouble bool) (broken bool, err error)
 
 var scenes = map[string]scene{
-	"crash":  runCrash,
-	"quota":  runQuota,
-	"limits": runLimits,
-	"room":   runRoom,
-	"stale":  runStale,
+	"crash": runCrash,
+	"stale": runStale,
 }
 
 func main() {
