Orders that were given up never reach a replica

Cause: a call that timed out closed its connection in order, so that the kernel sent its bytes again after the cut; an order was written as a whole without knowing that anything still arrives, and what a proxy has taken no reset takes back; nothing bound an order to its lease.

Change: an order's body is sent only once the replica asks for it (Expect: 100-continue). Connections to upstreams, carried ones and those to the store reset at their close unless all has arrived. An order's call ends with its host's lease.

--- a/internal/core/relaynode/effects.go
+++ b/internal/core/relaynode/effects.go
@@ -53,7 +53,10 @@
 }
 
 // SendOrder sends a load or unload order to a replica.
-type SendOrder struct{ residency.Order }
+type SendOrder struct {
+	residency.Order
+	TimeLeft time.Duration // after which this host may not give the order any more
+}
 
 // RequestReport requests a replica's report.
 type RequestReport struct{ residency.Probe }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -358,7 +358,7 @@
 	}
 	out := m.residency.Tick(m.now, m.orderFenceUnlessPaused)
 	for _, o := range out.Orders {
-		m.emit(SendOrder{o})
+		m.emit(SendOrder{Order: o, TimeLeft: m.shards.OrderTimeLeft(m.now, m.shards.Of(o.Replica))})
 	}
 	for _, p := range out.Probes {
 		m.emit(RequestReport{p})
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -148,6 +148,12 @@
 	return l.record.Fence, now.Before(l.validUntil)
 }
 
+// OrderTimeLeft returns for how much longer this host may order a shard's replicas, unless it renews the
+// lease. An order that has no answer by then must be given up.
+func (m *Machine) OrderTimeLeft(now core.Instant, shard int) time.Duration {
+	return max(m.leases[shard].validUntil.Sub(now), 0)
+}
+
 // Owner returns a shard's owner as last observed, "" if there is none.
 func (m *Machine) Owner(shard int) core.HostID {
 	l := &m.leases[shard]
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -193,3 +193,16 @@
 		}
 	})
 }
+
+// An order must be given up when the lease ends, whenever it was decided.
+func TestTimeLeftForOrdersEndsWithTheLease(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	m := New(Settings{Self: "a", Count: 1})
+	is.Equal(m.OrderTimeLeft(0, 0), time.Duration(0))
+	m.ApplyList(0, 0, s.list())
+	calls := m.Tick(0, alone)
+	m.ApplyWriteResult(at(time.Millisecond), calls[0], s.do(calls[0].Object))
+	is.Equal(m.OrderTimeLeft(at(2*time.Second), 0), DefaultTerm-2*time.Second)
+	is.Equal(m.OrderTimeLeft(at(2*DefaultTerm), 0), time.Duration(0))
+}
--- a/internal/gateway/executors.go
+++ b/internal/gateway/executors.go
@@ -65,8 +65,12 @@
 	Documents Documents
 }
 
-// sendOrder carries out an order and returns its outcome to the machine.
-func (g *Gateway) sendOrder(ctx context.Context, o residency.Order) {
+// sendOrder carries out an order and returns its outcome to the machine. The order is given up when this
+// host may no longer give it.
+func (g *Gateway) sendOrder(ctx context.Context, s relaynode.SendOrder) {
+	ctx, cancel := context.WithTimeout(ctx, s.TimeLeft)
+	defer cancel()
+	o := s.Order
 	done := g.executors.Replicas.Order(ctx, o)
 	what := "unload."
 	if o.Load {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,7 +224,7 @@
 	case relaynode.Cancel:
 		g.cancel(x)
 	case relaynode.SendOrder:
-		go g.sendOrder(ctx, x.Order)
+		go g.sendOrder(ctx, x)
 	case relaynode.RequestReport:
 		go g.readReport(ctx, x.Probe)
 	case relaynode.CheckReplica:
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -16,6 +16,7 @@
 
 	"gentiancroft/internal/framing"
 	"gentiancroft/internal/held"
+	"gentiancroft/internal/socket"
 )
 
 const (
@@ -249,12 +250,6 @@
 	return stall - blocked + time.Duration(written)*time.Second/minWriteRate
 }
 
-// Values of TCP's linger option, in seconds.
-const (
-	resetAtClose = 0
-	closeInOrder = -1 // the default
-)
-
 // ResetOnClose makes the close of a connection that a Listener accepted reset it, also where
 // the process is killed, so that the caller doesn't take the end of what was sent for the end of
 // the answer. With reset false, the connection is closed in order again.
@@ -263,11 +258,5 @@
 	if !ok {
 		return
 	}
-	linger := closeInOrder
-	if reset {
-		linger = resetAtClose
-	}
-	if tcp, ok := w.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(linger)
-	}
+	_ = socket.ResetOnClose(w.Conn, reset) // a connection without a socket has no such option
 }
--- a/internal/peer/carry.go
+++ b/internal/peer/carry.go
@@ -270,6 +270,7 @@
 		return
 	}
 	defer func() { _ = upstream.Close() }()
+	_ = socket.ResetOnClose(upstream, true) // what the other host gives up is discarded
 	l.counters.carried.Inc(1)
 	if !openCarried(stream) {
 		return
--- a/internal/peer/carry_test.go
+++ b/internal/peer/carry_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/socket/sockettest"
 )
 
 // carryTest is two hosts, of which b carries connections of a, and an upstream that b reaches.
@@ -194,3 +195,23 @@
 		upload.Wait()
 	}
 }
+
+// Guards against a call that its upstream gets after the other host has given it up: the carrying host's
+// kernel held it.
+func TestCarriedBytesThatAreGivenUpNeverArrive(t *testing.T) {
+	is := is.New(t)
+	x := newCarryTest(t)
+	upstream := sockettest.Listen(t)
+	here, err := x.dialTo(upstream.Address())
+	is.NoErr(err)
+	const length = 96 << 10 // fits in the buffers on the way, but not in the upstream's
+	_ = here.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	_, _ = here.Write(make([]byte, length))
+	is.NoErr(here.Close())
+	for x.b.Carried() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	got, reset := upstream.ReadAll()
+	is.True(reset)
+	is.True(len(got) < length)
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"gentiancroft/internal/answercheck"
+	"gentiancroft/internal/socket"
 )
 
 // NotSent is the class of errors of calls that were certainly not sent.
@@ -75,6 +76,7 @@
 	for {
 		conn, err := t.open("tcp", address, min(openTimeout, time.Until(deadline)))
 		if err == nil {
+			_ = socket.ResetOnClose(conn, true) // a call that was given up isn't carried out later
 			return t.conns.add(answercheck.New(conn))
 		}
 		if !isTimeout(err) || !time.Now().Before(deadline) {
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -68,7 +68,7 @@
 	reusable = a.stop() && a.readToEnd()
 	a.conn.serverIdleTimeout = parseKeepAlive(a.response.Header.Peek("Keep-Alive"))
 	if !reusable {
-		_ = a.conn.Close() // before the body stream, whose Close would wait for the upstream
+		a.conn.abandon() // before the body stream, whose Close would wait for the upstream
 	}
 	_ = a.response.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.response)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -17,6 +18,7 @@
 
 	"gentiancroft/internal/answercheck"
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/socket"
 )
 
 // Classes of errors.
@@ -81,6 +83,9 @@
 	// MaxIdle is how long a kept connection may have been idle at most; 0: as long as
 	// connections are kept.
 	MaxIdle time.Duration
+	// Invited is set for a call that must not act late: its body, which must not be empty, is sent only
+	// once the upstream asks for it on the connection.
+	Invited bool
 	// Confirm is a harmless request that is sent first on a kept connection that has been
 	// idle for longer than MaxIdle, to learn whether it still works, or once on every
 	// connection, to learn which process it leads to. Nil: no such connection is used.
@@ -112,6 +117,7 @@
 	serverIdleTimeout time.Duration // of the upstream, from its Keep-Alive header; 0: not given
 	carried           bool          // over another host: it carries one call and is not kept
 	requests          recentRequests
+	sent              atomic.Bool // the whole of the latest request has been written
 }
 
 // Client calls upstreams over kept connections. It is safe for concurrent use.
@@ -170,7 +176,7 @@
 		return nil, NotReached.Wrap(err)
 	}
 	if c.now != nil && call.SendBefore != 0 && !c.now().Before(call.SendBefore) {
-		_ = conn.Close()
+		conn.closeInOrder()
 		return nil, NotReached.New("the ticket ended before the request was sent")
 	}
 	answer, err := c.attempt(ctx, conn, call)
@@ -255,7 +261,7 @@
 		conn.process = call.Confirm.Process
 		return nil
 	}
-	_ = conn.Close()
+	conn.abandon()
 	if err != nil {
 		c.count(call, "confirmations_failed")
 		return err
@@ -315,6 +321,7 @@
 	if err != nil {
 		return nil, err
 	}
+	_ = socket.ResetOnClose(opened, true) // a carried connection has no such option: its end discards
 	checked := answercheck.New(opened)
 	return &conn{
 		Conn:    checked,
@@ -359,14 +366,15 @@
 }
 
 func (c *Client) attempt(ctx context.Context, conn *conn, call Call) (*Answer, error) {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	conn.sent.Store(false)
+	stop := context.AfterFunc(ctx, conn.abandon)
 	conn.unnamed = call.Unnamed
 	conn.requests.add(call.Request)
 	answer, err := exchange(conn, call)
 	c.reportStrays(conn, call)
 	if err != nil {
 		stop()
-		_ = conn.Close()
+		conn.abandon()
 		return nil, err
 	}
 	answer.stop = stop
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -34,11 +34,11 @@
 		request.SetBodyRaw(call.Body)
 	}
 	conn.BeginAnswer(request.Header.IsHead())
-	written, err := send(conn, request, call.StableBody)
+	written, err := startRequest(conn, request, call)
 	if err != nil {
 		return nil, err
 	}
-	response, err := receive(conn, call, request.Header.IsHead())
+	response, err := receive(conn, call, written, request.Header.IsHead())
 	if err != nil {
 		return nil, err
 	}
@@ -52,8 +52,9 @@
 
 // requestWrite is the write of a request, which may still run when the answer comes.
 type requestWrite struct {
-	end chan struct{}
-	err error // valid once end is closed
+	end      chan struct{}
+	err      error  // valid once end is closed
+	withheld []byte // the body that the upstream has not asked for yet
 }
 
 func (w *requestWrite) ended() bool {
@@ -74,6 +75,14 @@
 	return w.err
 }
 
+// startRequest writes a request, or only its head where the upstream is to ask for the body.
+func startRequest(conn *conn, request *fasthttp.Request, call Call) (*requestWrite, error) {
+	if call.Invited {
+		return sendHead(conn, request)
+	}
+	return send(conn, request, call.StableBody)
+}
+
 // send writes a request. stableBody is as in Call.
 func send(conn *conn, request *fasthttp.Request, stableBody bool) (*requestWrite, error) {
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -100,18 +109,26 @@
 	if err := request.Write(conn.writer); err != nil {
 		return err
 	}
-	return conn.writer.Flush()
+	if err := conn.writer.Flush(); err != nil {
+		return err
+	}
+	conn.sent.Store(true)
+	return nil
 }
 
 // maxStrayAnswers is how many answers to earlier calls are discarded before a call fails.
 const maxStrayAnswers = 2
 
-// receive reads the header of the answer that belongs to a call. Invariant: on a kept
+// receive reads the header of the answer that belongs to a call, and writes a body that the upstream asks
+// for before. Invariant: on a kept
 // connection, which may still carry an answer to an earlier call, only an answer that names
 // the call is taken for its answer. isHead is set for a HEAD
 // request, whose answer has no body.
-func receive(conn *conn, call Call, isHead bool) (*fasthttp.Response, error) {
+func receive(conn *conn, call Call, written *requestWrite, isHead bool) (*fasthttp.Response, error) {
 	for range maxStrayAnswers + 1 {
+		if err := written.awaitInvitation(conn); err != nil {
+			return nil, err
+		}
 		response := fasthttp.AcquireResponse()
 		response.StreamBody = true
 		response.SkipBody = isHead
@@ -120,6 +137,9 @@
 			return nil, err
 		}
 		match := call.match(&response.Header)
+		if written.withheld != nil && conn.use.Kept && isSuccess(response) {
+			match = Foreign // a copy of an earlier answer: the upstream doesn't know the body yet
+		}
 		if match == Own || match == Unnamed && !conn.use.Kept {
 			return response, nil
 		}
--- a/internal/upstream/orders.go
+++ b/internal/upstream/orders.go
@@ -76,7 +76,7 @@
 		return nil, NotReached.Wrap(err)
 	}
 	if expired() {
-		_ = conn.Close()
+		conn.closeInOrder()
 		return nil, NotReached.New("the grant expired while the connection was being opened")
 	}
 	answer, err := c.attempt(ctx, conn, call)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,7 +40,7 @@
 		if time.Since(c.idleSince) < c.maxIdle(limit) && isOpen(c) {
 			return c
 		}
-		_ = c.Close()
+		c.closeInOrder()
 	}
 }
 
@@ -104,7 +104,7 @@
 		expired = append(expired, c)
 	}
 	for _, old := range expired {
-		_ = old.Close()
+		old.closeInOrder()
 	}
 }
 
@@ -142,7 +142,7 @@
 	p.mu.Unlock()
 	for _, stack := range idle {
 		for _, c := range stack {
-			_ = c.Close()
+			c.closeInOrder()
 		}
 	}
 }
