Hosts that start or were cut off learn which requests crash replicas

Cause: crash counts were told for 2 s after a crash, to the hosts that ran then, and kept nowhere.

Change: counts by observer (core/crashcount), told to hosts that register or whose heartbeat shows other suspects, and kept with the leases, which a host reads before it is ready. Two tests that start a host give it the leases, which readiness waits for now, up to 2 s.

--- a/internal/core/relaynode/catalog.go
+++ b/internal/core/relaynode/catalog.go
@@ -119,6 +119,9 @@
 			{Name: "let_in", Meaning: "an answer on it came to a certain end; requests with it are sent to replicas again"},
 			{Name: "forgotten", Meaning: "nothing has been heard of it for long; it is no longer blocked"},
 			{Name: "malformed", Meaning: "its identifier in a lease can't be read"}}},
+		{Name: "crashing_request", Subject: "a request that crashes the replicas that run it", Detail: "its fingerprint, and how that was learned", Reasons: []Reason{
+			{Name: "suspect", Meaning: "it has crashed so many that it is sent to no other one"},
+			{Name: "malformed", Meaning: "its fingerprint in a lease can't be read"}}},
 		{Name: "evacuation", Subject: "a failure domain that the operator evacuates", Detail: "the domain", Age: "the evacuation, as this host learned of it", Reasons: []Reason{
 			{Name: "begun", Meaning: "no request and no order goes to its replicas any more"},
 			{Name: "ended", Meaning: "its replicas are used again"},
--- a/internal/core/relaynode/crashes.go
+++ b/internal/core/relaynode/crashes.go
@@ -1,140 +1,141 @@
 package relaynode
 
 import (
-	"math"
+	"strconv"
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/crashcount"
+	"gentiancroft/internal/core/fleet"
+	"gentiancroft/internal/core/shard"
 )
 
-// Bounds on requests that seem to crash the replicas that run them.
+// A request that seems to crash the replicas that run it is refused by all hosts. Each tells the others of the
+// crashes that it observes with its heartbeats. What was missed meanwhile, by a host that starts or is cut
+// off, is told to it when it registers, and when its heartbeat shows other suspects. What all hosts would
+// forget together is kept with the leases.
+
 const (
-	maxCrashes      = 3                // crashes after which a request is refused
-	crashRetention  = 90 * time.Second // how long a crash counts
-	maxCrashRecords = 512              // request fingerprints with a record
+	// crashReportTTL is how long after the last crash a count is sent with heartbeats.
+	crashReportTTL = 2 * time.Second
+	// crashReportInterval is the minimum time between two reports of all counts to the same host.
+	crashReportInterval = time.Second
 )
 
-// crashRecord counts the replicas that crashed while they ran requests of one
-// fingerprint.
-type crashRecord struct {
-	own       int                 // crashes that this host observed
-	byPeer    map[core.HostID]int // crashes that other hosts reported
-	lastCrash core.Instant        // time of the last crash
+// crashes is what a host knows of requests that crash replicas.
+type crashes struct {
+	counts *crashcount.Counts
+	toldAt map[core.HostID]core.Instant // when all counts were last sent to a host
 }
 
-func (c *crashRecord) total() int {
-	n := c.own
-	for _, k := range c.byPeer {
-		n += k
-	}
-	return n
+func newCrashes(self core.HostID) crashes {
+	return crashes{counts: crashcount.New(self), toldAt: map[core.HostID]core.Instant{}}
 }
 
 // isSuspect reports whether a request has crashed so many replicas that it is not
 // sent to another one.
 func (m *Machine) isSuspect(fingerprint uint64) bool {
-	c := m.crashes[fingerprint]
-	return c != nil && m.now.Sub(c.lastCrash) < crashRetention && c.total() >= maxCrashes
+	return m.crashes.counts.IsSuspect(m.now, fingerprint)
 }
 
 // recordCrash counts a replica that closed the connection of a request before it
 // answered.
 func (m *Machine) recordCrash(fingerprint uint64) {
-	c := m.crashRecordFor(fingerprint)
-	c.own++
-	c.lastCrash = m.now
+	m.crashes.counts.Observe(m.now, fingerprint)
+	m.logSuspect(fingerprint, learnedHere)
 }
 
-func (m *Machine) crashRecordFor(fingerprint uint64) *crashRecord {
-	c := m.crashes[fingerprint]
-	if c == nil {
-		if len(m.crashes) >= maxCrashRecords {
-			m.evictCrashRecords()
-		}
-		c = &crashRecord{byPeer: map[core.HostID]int{}}
-		m.crashes[fingerprint] = c
+// applyPeerCrashes applies the crashes that another host has observed lately.
+func (m *Machine) applyPeerCrashes(from core.HostID, seen map[uint64]uint8) {
+	for fingerprint, n := range seen {
+		m.applyCrashCount(crashcount.Count{Fingerprint: fingerprint, Observer: from, Crashes: n})
 	}
-	return c
 }
 
-// evictCrashRecords removes the expired records, and the oldest one if the limit is
-// still reached.
-func (m *Machine) evictCrashRecords() {
-	var oldest uint64
-	for f, c := range m.crashes {
-		if m.now.Sub(c.lastCrash) >= crashRetention {
-			delete(m.crashes, f)
-			continue
-		}
-		if o := m.crashes[oldest]; o == nil || c.lastCrash < o.lastCrash || c.lastCrash == o.lastCrash && f < oldest {
-			oldest = f
-		}
+// receiveCrashCounts applies what another host knows.
+func (m *Machine) receiveCrashCounts(counts []crashcount.Count) {
+	for _, k := range counts {
+		m.applyCrashCount(k)
 	}
-	if len(m.crashes) >= maxCrashRecords {
-		delete(m.crashes, oldest)
+}
+
+func (m *Machine) applyCrashCount(k crashcount.Count) {
+	known := m.isSuspect(k.Fingerprint)
+	if m.crashes.counts.Apply(m.now, k) && !known {
+		m.logSuspect(k.Fingerprint, learnedFromPeer)
 	}
 }
 
-// applyPeerCrashes applies the crash counts that another host reported.
-func (m *Machine) applyPeerCrashes(from core.HostID, seen map[uint64]uint8) {
-	for f, n := range seen {
-		c := m.crashRecordFor(f)
-		if c.byPeer[from] < int(n) {
-			c.byPeer[from] = int(n)
-			c.lastCrash = m.now
-		}
+// logSuspect logs that a request is not sent to replicas, if it is a suspect now.
+func (m *Machine) logSuspect(fingerprint uint64, source string) {
+	if m.isSuspect(fingerprint) {
+		m.emit(LogDecision{Name: "crashing_request", Reason: "suspect", Detail: fingerprintName(fingerprint) + ", " + source})
 	}
 }
 
-// ownCrashes returns the numbers of crashes that this host observed, by fingerprint,
-// for the other hosts. Fingerprints whose last crash is older than crashReportTTL are
-// left out.
-func (m *Machine) ownCrashes() map[uint64]uint8 {
-	var seen map[uint64]uint8
-	for f, c := range m.crashes {
-		if c.own == 0 || m.now.Sub(c.lastCrash) >= crashReportTTL {
-			continue
-		}
-		if seen == nil {
-			seen = map[uint64]uint8{}
-		}
-		seen[f] = uint8(min(c.own, math.MaxUint8))
+// compareCrashes sends all counts to a host whose heartbeat shows other suspects, and so may lack some.
+// Hosts that don't watch tell the watchers, and standby hosts their contacts, who tell the others.
+func (m *Machine) compareCrashes(from core.HostID, b *Heartbeat) {
+	own := m.crashes.counts.Digest(m.now)
+	if own == 0 || own == b.Suspects {
+		return
+	}
+	if m.isWatcher() || b.IsWatcher || !m.fleet.IsActive(from) || !m.fleet.Active() {
+		m.sendCrashCounts(from)
 	}
-	return seen
 }
 
-// crashReportTTL is how long after the last crash a count is sent to the other
-// hosts.
-const crashReportTTL = 2 * time.Second
+// sendCrashCounts sends all counts to a host, unless that was done within crashReportInterval.
+func (m *Machine) sendCrashCounts(to core.HostID) {
+	last, sent := m.crashes.toldAt[to]
+	if sent && m.now.Sub(last) < crashReportInterval {
+		return
+	}
+	counts := m.crashes.counts.Report(m.now)
+	if len(counts) == 0 {
+		return
+	}
+	if p, ok := m.fleet.ByHostID(to); ok {
+		m.crashes.toldAt[to] = m.now
+		m.send([]fleet.Registration{p}, Message{Crashes: counts})
+	}
+}
 
-// failureHalfLife is the half-life of a failure in a replica's failure score.
-const failureHalfLife = 3 * time.Second
+// expireCrashReports forgets to whom reports were sent that no longer matter.
+func (m *Machine) expireCrashReports() {
+	for h, at := range m.crashes.toldAt {
+		if m.now.Sub(at) >= crashReportInterval {
+			delete(m.crashes.toldAt, h)
+		}
+	}
+}
 
-// maxFailureScore bounds the sum of the failures of one replica.
-const maxFailureScore = 8
+// fingerprintBase is the base of a fingerprint's name in leases and logs.
+const fingerprintBase = 16
 
-// recordFailure adds a failure to a replica's failure score.
-func (m *Machine) recordFailure(id core.UpstreamID, weight float64) {
-	d := m.failures[id]
-	if d == nil {
-		d = &core.Decaying{}
-		m.failures[id] = d
-	}
-	d.Add(m.now, weight, failureHalfLife)
-	d.Value = min(d.Value, maxFailureScore)
+func fingerprintName(fingerprint uint64) string {
+	return strconv.FormatUint(fingerprint, fingerprintBase)
 }
 
-// recordSuccess halves a replica's failure score.
-func (m *Machine) recordSuccess(id core.UpstreamID) {
-	if d := m.failures[id]; d != nil {
-		d.Value = d.Now(m.now, failureHalfLife) / 2
-		d.At = m.now
+// suspectAges returns what is kept of suspects with each lease.
+func (m *Machine) suspectAges() shard.SuspectAges {
+	ages := shard.SuspectAges{}
+	for fingerprint, age := range m.crashes.counts.Suspects(m.now) {
+		ages[fingerprintName(fingerprint)] = age.Milliseconds()
 	}
+	return ages
 }
 
-func (m *Machine) failureScore(id core.UpstreamID) float64 {
-	if d := m.failures[id]; d != nil {
-		return d.Now(m.now, failureHalfLife)
+// inheritSuspects reads from the shards' leases which requests were suspects before this process started.
+func (m *Machine) inheritSuspects() {
+	for _, ages := range m.shards.SuspectAges() {
+		for name, age := range ages {
+			fingerprint, err := strconv.ParseUint(name, fingerprintBase, 64)
+			if err != nil {
+				m.emit(LogDecision{Name: "crashing_request", Reason: "malformed", Detail: name})
+				continue
+			}
+			m.crashes.counts.Inherit(m.now, fingerprint, milliseconds(age))
+		}
 	}
-	return 0
 }
--- a/internal/core/relaynode/evacuation_test.go
+++ b/internal/core/relaynode/evacuation_test.go
@@ -509,6 +509,7 @@
 		h.now = 100 * time.Millisecond
 		h.step(ConfigurationRead{Table: testTable()})
 		h.step(VersionsRead{})
+		h.step(LeasesListed{})
 		h.zoneReplicas()
 		return h
 	}
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -118,7 +118,8 @@
 		Loads:             load.requests,
 		Prompts:           load.prompts,
 		Promised:          load.promised,
-		Crashes:           m.ownCrashes(),
+		Crashes:           m.crashes.counts.Own(m.now, crashReportTTL),
+		Suspects:          m.crashes.counts.Digest(m.now),
 		ConfigVersion:     m.configVersion(),
 		VersionSum:        m.versionSum,
 		IsWatcher:         m.isWatcher() && m.storeAnswers(),
@@ -227,6 +228,7 @@
 	m.receiveEvacuations(b.Evacuations, b.IsWatcher)
 	if b.Host == from {
 		m.compareVerdicts(from, b.BlockedParts)
+		m.compareCrashes(from, b)
 	}
 }
 
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -38,7 +38,7 @@
 	versions        map[core.AdapterID]versionHistory
 	origins         origins
 	retries         map[table.ServiceID]*retry.Budget
-	crashes         map[uint64]*crashRecord
+	crashes         crashes
 	parts           promptParts
 	limits          limits
 	cold            coldState
@@ -101,7 +101,7 @@
 		evacuations:     newEvacuations(),
 		versions:        map[core.AdapterID]versionHistory{},
 		retries:         map[table.ServiceID]*retry.Budget{},
-		crashes:         map[uint64]*crashRecord{},
+		crashes:         newCrashes(s.Self.Host),
 		parts:           newPromptParts(),
 		limits:          newLimits(),
 		cold:            newColdState(),
@@ -132,6 +132,7 @@
 	m.shards.SetLevels(func() map[core.WorkspaceID]float64 { return m.quota.Levels(m.now) })
 	m.shards.SetSoftware(m.software)
 	m.shards.SetPartStates(m.partStates)
+	m.shards.SetSuspects(m.suspectAges)
 	return m
 }
 
@@ -179,6 +180,7 @@
 			m.origins.resendOwn = true
 			if m.isWatcher() {
 				m.sendVerdicts(e.Host.Host)
+				m.sendCrashCounts(e.Host.Host)
 			}
 		}
 	case HostUnlisted:
@@ -187,7 +189,7 @@
 		if m.shards.ApplyList(m.now, e.Era, e.Objects) {
 			m.restoreQuota()
 			m.inheritSoftware()
-			m.inheritParts()
+			m.inheritStates()
 		}
 	case StoreCallFailed:
 		m.handleStoreLost(e)
@@ -290,11 +292,16 @@
 // Table returns the configuration in force, nil before the first. It doesn't change.
 func (m *Machine) Table() *table.Table { return m.table }
 
-// initialized reports whether the configuration, the replicas, the adapters' versions and
-// the evacuations have been read. Invariant: a host that has just started runs nothing on a
-// version that was replaced before.
+// inheritTimeout is how long after its start a host waits for the leases, which tell what crashes
+// replicas: where the store can't be read, other hosts tell it.
+const inheritTimeout = 2 * time.Second
+
+// initialized reports whether the configuration, the replicas, the adapters' versions, the
+// evacuations and what is kept with the leases have been read. Invariant: a host that has just
+// started runs nothing on a version that was replaced before.
 func (m *Machine) initialized() bool {
-	return m.table != nil && m.replicasRead && m.versionsRead && m.evacuationsInitialized()
+	inherited := m.parts.inherited || m.now >= core.Instant(inheritTimeout)
+	return m.table != nil && m.replicasRead && m.versionsRead && m.evacuationsInitialized() && inherited
 }
 
 // Addresses returns the addresses that are advertised to callers.
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiancroft/internal/core"
+	"gentiancroft/internal/core/crashcount"
 	"gentiancroft/internal/core/evacuation"
 	"gentiancroft/internal/core/fleet"
 	"gentiancroft/internal/core/intake"
@@ -40,6 +41,8 @@
 
 	Cold []intake.Cold `cbor:"21,keyasint,omitempty"` // replicas that one host has seen turn cold
 
+	Crashes []crashcount.Count `cbor:"22,keyasint,omitempty"` // what the sender knows of requests that crash replicas
+
 	Pauses []Pause `cbor:"19,keyasint,omitempty"` // that replicas have asked of the receiver, in answers to requests that it carried
 
 	Evacuations *evacuation.State `cbor:"20,keyasint,omitempty"` // evacuated domains, where they have changed
@@ -78,6 +81,8 @@
 	Promised          []Load           `cbor:"24,keyasint,omitempty"` // memory that its requests will hold at replicas, in tokens; none: the previous build
 	ConfigRestored    uint64           `cbor:"15,keyasint,omitempty"` // era of the store in which its configuration replaced one that was not older; 0: none
 
+	Suspects uint64 `cbor:"25,keyasint,omitempty"` // digest of the requests that are kept from replicas, as they crash them; 0: a former build, or none
+
 	Evacuations *evacuation.State `cbor:"21,keyasint,omitempty"` // evacuated domains; nil: the host doesn't watch them
 }
 
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -141,6 +141,7 @@
 	for _, p := range m.parts.tracker.Expire(m.now) {
 		m.emit(LogDecision{Name: "prompt_part", Reason: "forgotten", Detail: p.String()})
 	}
+	m.expireCrashReports()
 	for h, at := range m.parts.toldAt {
 		if m.now.Sub(at) >= verdictInterval {
 			delete(m.parts.toldAt, h)
--- a/internal/core/relaynode/partstates.go
+++ b/internal/core/relaynode/partstates.go
@@ -27,13 +27,14 @@
 	return states
 }
 
-// inheritParts reads from the shards' leases, once, what was known of parts before this process
-// started.
-func (m *Machine) inheritParts() {
+// inheritStates reads from the shards' leases, once, what was known of parts and of requests that crash
+// replicas before this process started.
+func (m *Machine) inheritStates() {
 	if m.parts.inherited {
 		return
 	}
 	m.parts.inherited = true
+	m.inheritSuspects()
 	for _, states := range m.shards.PartStates() {
 		for _, name := range slices.Sorted(maps.Keys(states)) {
 			m.inheritPart(name, states[name])
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -130,6 +130,7 @@
 	}
 	m.receiveRecords(e.From, e.Message.Origins)
 	m.receivePartReport(e.From, e.Message.Parts)
+	m.receiveCrashCounts(e.Message.Crashes)
 	m.receiveLimits(e.From, e.Message.Limits)
 	m.receiveCold(e.From, e.Message.Cold)
 	m.answerAsks(e.From, e.Message.PermitAsks)
--- a/internal/core/relaynode/restore_test.go
+++ b/internal/core/relaynode/restore_test.go
@@ -276,6 +276,7 @@
 	h.now = 200 * time.Millisecond
 	h.step(ConfigurationRead{Table: testTable()})
 	h.step(VersionsRead{})
+	h.step(LeasesListed{})
 	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s1", services), replica("s2", services)}})
 	for i := range 9 {
 		name := "b" + strconv.Itoa(i)
--- a/internal/core/shard/record.go
+++ b/internal/core/shard/record.go
@@ -28,6 +28,22 @@
 	// Parts are the prompt parts under which replicas had ended at the renewal, for hosts that
 	// start.
 	Parts PartStates `json:"parts,omitempty"`
+
+	// Suspects are the requests that were kept from replicas at the renewal, as they crash them, for hosts
+	// that start.
+	Suspects SuspectAges `json:"suspects,omitempty"`
+}
+
+// SuspectAges is how long ago, in ms, a request last crashed a replica, by its fingerprint in hexadecimal.
+type SuspectAges = map[string]int64
+
+// SuspectAges returns the suspects stored with the known leases, one element a lease.
+func (m *Machine) SuspectAges() []SuspectAges {
+	var all []SuspectAges
+	for i := range m.leases {
+		all = append(all, m.leases[i].record.Suspects)
+	}
+	return all
 }
 
 // PartStates is what is known of prompt parts under which replicas ended, by their identifiers.
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -89,6 +89,7 @@
 	levels   func() map[core.WorkspaceID]float64 // nil: leases are written without levels
 	software func() Software                     // nil: leases are written without it
 	parts    func() PartStates                   // nil: leases are written without it
+	suspects func() SuspectAges                  // nil: leases are written without it
 }
 
 // New returns a machine that owns no shard.
@@ -172,6 +173,9 @@
 // SetPartStates sets the function that returns the states of prompt parts stored with each lease.
 func (m *Machine) SetPartStates(parts func() PartStates) { m.parts = parts }
 
+// SetSuspects sets the function that returns the suspects stored with each lease.
+func (m *Machine) SetSuspects(suspects func() SuspectAges) { m.suspects = suspects }
+
 // Levels returns the bucket levels of the lease with the latest known revision, nil if
 // no lease has any. Levels of an earlier era don't count: the store may have lost later
 // ones.
@@ -294,6 +298,9 @@
 	if m.parts != nil {
 		r.Parts = m.parts()
 	}
+	if m.suspects != nil {
+		r.Suspects = m.suspects()
+	}
 	r.Era = m.era
 	value, err := json.Marshal(r)
 	if err != nil {
