A stream that broke off inside an event goes on only with that event

Callers: a stream broke off inside an event, the next replica's whole answer had no event (length 0, last chunk, a comment alone), and the stream ended as complete though the event that had begun never came. A 204 typed as events ended it too (reports of other operators).

Cause: a continuation was judged by type and status alone, any block of lines counted as an event, and nobody remembered that an event had begun.

Change: one place (checkEnd) decides: an owed event must come, over all attempts of a request and where the caller takes the stream up, at this host or another one, which is told. 204 and 205 are no streams.

--- a/internal/core/relaynode/admit.go
+++ b/internal/core/relaynode/admit.go
@@ -46,7 +46,7 @@
 	if route == nil {
 		return nil, refuseRoute()
 	}
-	r := &request{arrival: e, route: route, arrivedAt: m.now, lastEvent: e.LastEvent}
+	r := &request{arrival: e, route: route, arrivedAt: m.now, lastEvent: e.LastEvent, owesEvent: m.owesEvent(&e)}
 	if m.mayOutlastHost(r) {
 		return nil, core.Refuse(core.CodeHostLeaving, retryAfterLeaving, "this host is leaving; ask for addresses again")
 	}
--- a/internal/core/relaynode/effects.go
+++ b/internal/core/relaynode/effects.go
@@ -23,6 +23,7 @@
 	TimeLeft        time.Duration // until the request's deadline
 	ExpectedVersion int           // adapter version that the replica must confirm; 0: any
 	LastEvent       string        // the stream resumes after it
+	OwesEvent       bool          // the next event of the stream has begun before: an answer without one isn't whole
 	NonRepeatable   bool          // the request must not run twice
 	Confirmable     bool          // the replica answers a confirmation without running anything
 	Incarnation     int64         // start of the incarnation that alone may run it, which is to be confirmed; 0: any
--- a/internal/core/relaynode/events.go
+++ b/internal/core/relaynode/events.go
@@ -83,6 +83,7 @@
 	RetryAfter       time.Duration // as given by the replica; 0: none
 	Answer           AnswerEvidence
 	Stream           replicamodel.Stream // the events of a stream
+	OwesEvent        bool                // of the request's stream an event has begun that was never complete
 }
 
 // AnswerEvidence describes the answer that ended an attempt, for the log.
--- a/internal/core/relaynode/finish.go
+++ b/internal/core/relaynode/finish.go
@@ -145,6 +145,7 @@
 // refunded.
 func (m *Machine) finish(r *request) {
 	m.requests.remove(r)
+	m.rememberOwed(r)
 	first := r.answerStartedAt
 	if first == 0 {
 		first = m.now
@@ -168,6 +169,7 @@
 	if e.LastEvent != "" {
 		r.lastEvent = e.LastEvent
 	}
+	r.owesEvent = e.OwesEvent
 	if e.Kind != EndNotReached && e.Kind != EndNotRun && e.Kind != EndAdapterMissing {
 		r.possibleRuns++
 	}
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -37,6 +37,7 @@
 	evacuations     evacuations
 	versions        map[core.AdapterID]versionHistory
 	origins         origins
+	owed            owedEvents
 	retries         map[table.ServiceID]*retry.Budget
 	crashes         crashes
 	parts           promptParts
@@ -108,6 +109,7 @@
 		paths:           newPathState(core.NewRand(s.Seed)),
 		windows:         window.New(core.NewRand(s.Seed)),
 		origins:         newOrigins(s.FirstStart),
+		owed:            newOwedEvents(),
 		failures:        map[core.UpstreamID]*core.Decaying{},
 		errors:          errorshare.New(),
 		avoided:         map[core.UpstreamID]bool{},
--- a/internal/core/relaynode/messages.go
+++ b/internal/core/relaynode/messages.go
@@ -43,6 +43,8 @@
 
 	Crashes []crashcount.Count `cbor:"22,keyasint,omitempty"` // what the sender knows of requests that crash replicas
 
+	OwedEvents []uint64 `cbor:"23,keyasint,omitempty"` // streams that were broken off inside an event
+
 	Pauses []Pause `cbor:"19,keyasint,omitempty"` // that replicas have asked of the receiver, in answers to requests that it carried
 
 	Evacuations *evacuation.State `cbor:"20,keyasint,omitempty"` // evacuated domains, where they have changed
--- a/internal/core/relaynode/peers.go
+++ b/internal/core/relaynode/peers.go
@@ -129,6 +129,7 @@
 		m.receiveHeartbeat(e.From, &e.Message.Heartbeats[i])
 	}
 	m.receiveRecords(e.From, e.Message.Origins)
+	m.receiveOwed(e.From, e.Message.OwedEvents)
 	m.receivePartReport(e.From, e.Message.Parts)
 	m.receiveCrashCounts(e.Message.Crashes)
 	m.receiveLimits(e.From, e.Message.Limits)
--- a/internal/core/relaynode/place.go
+++ b/internal/core/relaynode/place.go
@@ -255,6 +255,7 @@
 		TimeLeft:        r.deadline.Sub(m.now),
 		ExpectedVersion: m.expectedVersion(r, x),
 		LastEvent:       r.lastEvent,
+		OwesEvent:       r.owesEvent,
 		NonRepeatable:   !r.route.Repeatable(),
 		Confirmable:     r.service.Engine != nil,
 		Incarnation:     m.requiredIncarnation(r, x),
--- a/internal/core/relaynode/requests.go
+++ b/internal/core/relaynode/requests.go
@@ -66,6 +66,7 @@
 	outcome          string
 	answerStartedAt  core.Instant // 0: no answer yet
 	lastEvent        string
+	owesEvent        bool         // the event after it has begun, and has not been complete
 	roomAwaitedSince core.Instant // when it first waited for room at a brittle replica; 0: it hasn't
 	copyAwaitedSince core.Instant // when it first waited for another copy of its adapter; 0: it hasn't
 	lastDemand       core.Instant // when its adapter was last demanded
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"time"
 
 	"gentiancroft/internal/core/replicamodel"
@@ -65,5 +66,21 @@
 	return 1
 }
 
+// commentStart begins a line that is a comment.
+const commentStart = ':'
+
+// hasField reports whether there is a line in b, perhaps an incomplete one, that isn't a comment: without
+// one it is no event, but keeps the connection alive.
+func hasField(b []byte) bool {
+	for line := range bytes.FieldsFuncSeq(b, isLineEnd) {
+		if line[0] != commentStart {
+			return true
+		}
+	}
+	return false
+}
+
+func isLineEnd(r rune) bool { return strings.ContainsRune(lineEnds, r) }
+
 // isInsideEvent reports whether the bytes after the last complete event begin another one.
 func isInsideEvent(b []byte) bool { return len(bytes.Trim(b, lineEnds)) > 0 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,11 +27,12 @@
 	freeBufferBytes = 16 << 10
 )
 
-// isEventStream reports whether an answer is a successful stream of server-sent
-// events.
-func isEventStream(a *upstream.Answer, answered AnswerFields) bool {
+// mayStream reports whether an answer is a successful stream of server-sent events, or goes on with
+// one. A status that has no body is never.
+func mayStream(a *upstream.Answer, answered AnswerFields) bool {
 	ok := answered.Status >= 200 && answered.Status < 300 && answered.Produced
-	return ok && strings.HasPrefix(a.ContentType, "text/event-stream")
+	hasBody := answered.Status != fasthttp.StatusNoContent && answered.Status != fasthttp.StatusResetContent
+	return ok && hasBody && strings.HasPrefix(a.ContentType, "text/event-stream")
 }
 
 // stream is the body of a streamed answer. It forwards events as they arrive, but only
@@ -49,7 +50,7 @@
 	lastEvent   string // id of the last complete event
 	complete    bool   // the replica has ended the answer regularly
 	broken      error  // the answer has ended otherwise, perhaps after complete events; nil: it has not
-	hasEvent    bool   // the answer has had a complete event
+	hasEvent    bool   // the answer has had a complete event, not only comments
 	insideEvent bool   // the answer has ended inside an event
 	endMarked   bool   // the caller's answer marks its end, by its last chunk
 	events      eventTimes
@@ -60,10 +61,10 @@
 // returns false where the attempt failed or was cancelled before.
 func (t *task) beginStream(ctx *fasthttp.RequestCtx, d relaynode.Dispatch, attempt context.Context, cancel context.CancelFunc, answer *upstream.Answer) bool {
 	s := &stream{task: t, dispatch: d, attempt: attempt, cancel: cancel, answer: answer, lastEvent: d.LastEvent}
-	for s.readyBytes == 0 && !s.complete && s.broken == nil {
+	for !s.mayBegin() && !s.complete && s.broken == nil {
 		s.fill()
 	}
-	if s.readyBytes == 0 && s.broken != nil {
+	if !s.mayBegin() && s.broken != nil {
 		s.release(endOfError(attempt, s.broken))
 		return false
 	}
@@ -84,6 +85,10 @@
 	return true
 }
 
+// mayBegin reports whether a part of the answer can be delivered: a complete event, or a comment where no
+// event is owed, without which the answer may turn out not to be whole.
+func (s *stream) mayBegin() bool { return s.readyBytes > 0 && (s.hasEvent || !s.task.owesEvent) }
+
 // release ends the current attempt, if it has not ended yet, and reports e.
 func (s *stream) release(e relaynode.AttemptEnded) {
 	if s.released {
@@ -119,7 +124,7 @@
 	if err == nil {
 		return
 	}
-	s.insideEvent = isInsideEvent(s.buffer[s.readyBytes:])
+	s.endPartialEvent()
 	if err != io.EOF { // which is never wrapped where the framing marks the end
 		s.broken = upstream.Broken.Wrap(err)
 		return
@@ -130,6 +135,15 @@
 	}
 }
 
+// endPartialEvent notes whether the answer has ended inside an event.
+func (s *stream) endPartialEvent() {
+	partial := s.buffer[s.readyBytes:]
+	s.insideEvent = isInsideEvent(partial)
+	if hasField(partial) {
+		s.task.owesEvent = true
+	}
+}
+
 // holdBuffer takes from the callers' budget what the buffer needs for another read.
 func (s *stream) holdBuffer() error {
 	for len(s.buffer)+readSize > freeBufferBytes+s.heldBytes {
@@ -149,16 +163,19 @@
 		if length == 0 {
 			return found
 		}
+		if hasField(s.buffer[s.readyBytes : s.readyBytes+length]) {
+			s.hasEvent, s.task.owesEvent = true, false
+		}
 		if id != nil {
 			s.lastEvent = string(id)
 		}
 		s.readyBytes += length
-		s.hasEvent = true
 	}
 }
 
 // checkEnd returns the error of an answer that has ended regularly by its framing and is
-// broken off all the same, nil where it is not. Where only the end of the connection marks the
+// broken off all the same, nil where it is not. An answer without any event is whole where the stream had
+// ended before and only its end was lost, not where an event had begun. Where only the end of the connection marks the
 // end, an answer without any event is broken off too, and so is one that would have to mark the
 // end of the caller's answer.
 func (s *stream) checkEnd() error {
@@ -168,6 +185,8 @@
 		return upstream.Broken.Wrap(io.ErrUnexpectedEOF)
 	case s.insideEvent:
 		return upstream.Broken.New("the answer ended inside an event")
+	case s.task.owesEvent:
+		return upstream.Broken.New("the answer lacks the event that had begun before")
 	case unmarked && s.endMarked:
 		return upstream.Broken.New("the answer that goes on with a stream marks no end")
 	}
@@ -215,7 +234,7 @@
 		}
 		answered := s.task.server.dialect.ParseAnswer(answer.Header())
 		s.task.reportNotice(d, answered.Notice, false)
-		if !isEventStream(answer, answered) || !s.task.exchange.StartAnswer(d.Attempt) {
+		if !mayStream(answer, answered) || !s.task.exchange.StartAnswer(d.Attempt) {
 			end := endOfAnswer(answered)
 			end.Answer = evidence(answer)
 			if end.Kind == relaynode.EndOK {
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -41,6 +41,8 @@
 	// repeated answer to one would be taken for the next one's on the same connection.
 	sentTo []string
 
+	owesEvent bool // an event of the stream has begun that has not been complete
+
 	failure *failure // the last error answer of a replica, which the node may have delivered
 }
 
@@ -109,6 +111,7 @@
 
 // send sends the request of an attempt and waits for the header of its answer.
 func (t *task) send(ctx context.Context, d relaynode.Dispatch) (*upstream.Answer, error) {
+	t.owesEvent = t.owesEvent || d.OwesEvent
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	t.server.dialect.BuildRequest(request, t.request, AttemptFields{
@@ -181,7 +184,7 @@
 	}
 	answered := t.server.dialect.ParseAnswer(answer.Header())
 	t.reportNotice(d, answered.Notice, false)
-	if isEventStream(answer, answered) {
+	if mayStream(answer, answered) {
 		return t.beginStream(ctx, d, attempt, cancel, answer)
 	}
 	defer cancel()
@@ -267,7 +270,7 @@
 
 // attemptEnded reports the end of an attempt to the node.
 func (t *task) attemptEnded(d relaynode.Dispatch, e relaynode.AttemptEnded) {
-	e.ID, e.Attempt = d.ID, d.Attempt
+	e.ID, e.Attempt, e.OwesEvent = d.ID, d.Attempt, t.owesEvent && e.Kind != relaynode.EndOK
 	t.server.node.Notify(e)
 }
 
