A host that starts is told the limits of replicas

It sent replicas that name a limit, or are cold, requests without permits until the first answer.

Cause: as with crash counts, limits were told as they changed, to the hosts that ran then.

Change: the watchers tell a host that registers all limits and cold replicas, beside the verdicts on prompt parts and the crash counts.

--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -10,7 +10,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"gentiancroft/internal/core"
@@ -133,6 +135,21 @@
 	return Evidence{Key: k, Named: true, PerSecond: x.perSecond, Age: now.Sub(x.receivedAt)}, true
 }
 
+// All returns what is known of all limited and cold incarnations, for a host that knows nothing.
+func (l *Limits) All(now core.Instant) (named []Evidence, cold []Cold) {
+	for _, k := range slices.SortedFunc(maps.Keys(l.byKey), Key.Compare) {
+		if e, ok := l.Evidence(now, k); ok {
+			named = append(named, e)
+		}
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(l.cold), Key.Compare) {
+		if c, ok := l.ColdReport(now, k); ok {
+			cold = append(cold, c)
+		}
+	}
+	return named, cold
+}
+
 // Keep forgets the incarnations for which keep returns false.
 func (l *Limits) Keep(keep func(Key) bool) {
 	for k := range l.byKey {
--- a/internal/core/relaynode/limits.go
+++ b/internal/core/relaynode/limits.go
@@ -266,6 +266,14 @@
 	m.tellAll(Message{Limits: reports})
 }
 
+// sendAllLimits sends what is known of all limited and cold replicas to a host.
+func (m *Machine) sendAllLimits(to fleet.Registration) {
+	named, cold := m.limits.known.All(m.now)
+	if len(named)+len(cold) > 0 {
+		m.send([]fleet.Registration{to}, Message{Limits: named, Cold: cold})
+	}
+}
+
 // receiveLimits applies another host's evidence, and passes on what was unknown.
 func (m *Machine) receiveLimits(from core.HostID, reports []intake.Evidence) {
 	var unknown []intake.Evidence
@@ -286,7 +294,7 @@
 		return x != nil && x.Started == k.Started
 	}
 	m.windows.Keep(listed)
-	if !m.limits.known.Any() {
+	if !m.limits.known.Any() || !m.replicasRead {
 		return
 	}
 	m.limits.known.Keep(listed)
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -180,10 +180,7 @@
 		if m.fleet.UpdateRegistration(m.now, e.Host, m.watch.era) {
 			m.changes.hosts = append(m.changes.hosts, e.Host)
 			m.origins.resendOwn = true
-			if m.isWatcher() {
-				m.sendVerdicts(e.Host.Host)
-				m.sendCrashCounts(e.Host.Host)
-			}
+			m.welcome(e.Host)
 		}
 	case HostUnlisted:
 		m.fleet.RemoveRegistration(e.Name)
