An order's head has a write deadline of its own

Found in reading: a kept connection had the deadline of its last write, which may be long over, so that an order on it would fail and be sent again. The deadline is set for both ways of writing a request. TestInvitedBodyHasItsOwnWriteDeadline guards it.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -173,11 +173,11 @@
 	}
 }
 
-// checkEnd returns the error of an answer that has ended regularly by its framing and is
-// broken off all the same, nil where it is not. An answer without any event is whole where the stream had
-// ended before and only its end was lost, not where an event had begun. Where only the end of the connection marks the
-// end, an answer without any event is broken off too, and so is one that would have to mark the
-// end of the caller's answer.
+// checkEnd returns the error of an answer that has ended regularly by its framing and is broken off all the
+// same, nil where it is not. An answer without any event is whole where the stream had ended before and only
+// its end was lost, not where an event had begun. Where only the end of the connection marks the end, an
+// answer without any event is broken off too, and so is one that would have to mark the end of the caller's
+// answer.
 func (s *stream) checkEnd() error {
 	unmarked := s.answer.Framing == upstream.FramedByClose
 	switch {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -77,6 +77,7 @@
 
 // startRequest writes a request, or only its head where the upstream is to ask for the body.
 func startRequest(conn *conn, request *fasthttp.Request, call Call) (*requestWrite, error) {
+	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if call.Invited {
 		return sendHead(conn, request)
 	}
@@ -85,7 +86,6 @@
 
 // send writes a request. stableBody is as in Call.
 func send(conn *conn, request *fasthttp.Request, stableBody bool) (*requestWrite, error) {
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := &requestWrite{end: make(chan struct{})}
 	if len(request.Body()) <= maxInlineBodyBytes {
 		close(w.end)
@@ -119,10 +119,9 @@
 // maxStrayAnswers is how many answers to earlier calls are discarded before a call fails.
 const maxStrayAnswers = 2
 
-// receive reads the header of the answer that belongs to a call, and writes a body that the upstream asks
-// for before. Invariant: on a kept
-// connection, which may still carry an answer to an earlier call, only an answer that names
-// the call is taken for its answer. isHead is set for a HEAD
+// receive reads the header of the answer that belongs to a call, and writes a withheld body where the
+// upstream asks for it before. Invariant: on a kept connection, which may still carry an answer to an
+// earlier call, only an answer that names the call is taken for its answer. isHead is set for a HEAD
 // request, whose answer has no body.
 func receive(conn *conn, call Call, written *requestWrite, isHead bool) (*fasthttp.Response, error) {
 	for range maxStrayAnswers + 1 {
--- a/internal/upstream/given_up_test.go
+++ b/internal/upstream/given_up_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -126,6 +127,23 @@
 	is.Equal(len(remotes), 1)
 }
 
+// Guards against an order that fails on a kept connection whose last write had its deadline long ago.
+func TestInvitedBodyHasItsOwnWriteDeadline(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) { _, _ = io.Copy(io.Discard, q.Body) }))
+	defer s.Close()
+	client := NewClient(nil, nil)
+	defer client.Close()
+	for range 2 {
+		status, err := invited(client, address(s), false)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		kept := client.pool.idle[address(s)]
+		is.Equal(len(kept), 1)
+		is.NoErr(kept[0].SetWriteDeadline(time.Unix(1, 0)))
+	}
+}
+
 // An upstream may answer by the head alone, as with an error. It is not sent the body then.
 func TestAnswerWithoutInvitation(t *testing.T) {
 	is := is.New(t)
