--- a/internal/core/relaynode/crashes.go
+++ b/internal/core/relaynode/crashes.go
@@ -25,11 +25,11 @@
 // crashes is what a host knows of requests that crash replicas.
 type crashes struct {
 	counts *crashcount.Counts
-	toldAt map[core.HostID]core.Instant // when all counts were last sent to a host
+	toldAt toldHosts // all counts
 }
 
 func newCrashes(self core.HostID) crashes {
-	return crashes{counts: crashcount.New(self), toldAt: map[core.HostID]core.Instant{}}
+	return crashes{counts: crashcount.New(self), toldAt: toldHosts{}}
 }
 
 // isSuspect reports whether a request has crashed so many replicas that it is not
@@ -87,8 +87,7 @@
 
 // sendCrashCounts sends all counts to a host, unless that was done within crashReportInterval.
 func (m *Machine) sendCrashCounts(to core.HostID) {
-	last, sent := m.crashes.toldAt[to]
-	if sent && m.now.Sub(last) < crashReportInterval {
+	if !m.crashes.toldAt.mayTell(m.now, to, crashReportInterval) {
 		return
 	}
 	counts := m.crashes.counts.Report(m.now)
@@ -101,15 +100,6 @@
 	}
 }
 
-// expireCrashReports forgets to whom reports were sent that no longer matter.
-func (m *Machine) expireCrashReports() {
-	for h, at := range m.crashes.toldAt {
-		if m.now.Sub(at) >= crashReportInterval {
-			delete(m.crashes.toldAt, h)
-		}
-	}
-}
-
 // fingerprintBase is the base of a fingerprint's name in leases and logs.
 const fingerprintBase = 16
 
--- a/internal/core/relaynode/partreports.go
+++ b/internal/core/relaynode/partreports.go
@@ -150,8 +150,7 @@
 // sendVerdicts sends all verdicts to a host, unless that was done within verdictInterval.
 func (m *Machine) sendVerdicts(to core.HostID) {
 	verdicts := m.parts.tracker.Verdicts(m.now)
-	last, sent := m.parts.toldAt[to]
-	if len(verdicts) == 0 || sent && m.now.Sub(last) < verdictInterval {
+	if len(verdicts) == 0 || !m.parts.toldAt.mayTell(m.now, to, verdictInterval) {
 		return
 	}
 	if p, ok := m.fleet.ByHostID(to); ok {
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -39,15 +39,15 @@
 	relayed   promptpart.Report // of other hosts, for the standby hosts that report to this host
 	reportDue core.Instant
 	expiryDue core.Instant
-	toldAt    map[core.HostID]core.Instant // when the verdicts were last sent to a host
-	inherited bool                         // what earlier processes have blocked has been read
-	enforce   bool                         // a part was blocked since the open requests were last checked
+	toldAt    toldHosts // the verdicts
+	inherited bool      // what earlier processes have blocked has been read
+	enforce   bool      // a part was blocked since the open requests were last checked
 
 	reportVerdicts bool // this host has blocked a part by its own count: it is to be sent to the others
 }
 
 func newPromptParts() promptParts {
-	return promptParts{tracker: promptpart.NewTracker(), ends: map[incarnation]*replicaEnd{}, toldAt: map[core.HostID]core.Instant{}}
+	return promptParts{tracker: promptpart.NewTracker(), ends: map[incarnation]*replicaEnd{}, toldAt: toldHosts{}}
 }
 
 // blockedPart returns a blocked part of a request's prompt if the request may not be tried by
@@ -141,10 +141,6 @@
 	for _, p := range m.parts.tracker.Expire(m.now) {
 		m.emit(LogDecision{Name: "prompt_part", Reason: "forgotten", Detail: p.String()})
 	}
-	m.expireCrashReports()
-	for h, at := range m.parts.toldAt {
-		if m.now.Sub(at) >= verdictInterval {
-			delete(m.parts.toldAt, h)
-		}
-	}
+	m.crashes.toldAt.expire(m.now, crashReportInterval)
+	m.parts.toldAt.expire(m.now, verdictInterval)
 }
--- a/internal/upstream/partial_head_test.go
+++ b/internal/upstream/partial_head_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"gentiancroft/internal/core"
 )
 
 // heads are heads of answers in all framings.
@@ -50,11 +52,11 @@
 	for headName, head := range heads {
 		for beforeName, earlier := range before {
 			for endName, end := range ends {
-				for _, kept := range []bool{false, true} {
+				for _, way := range ways {
 					for cut := range len(head) {
-						answer, err := afterCut(t, l, kept, earlier+head[:cut], end)
+						answer, err := afterCut(t, l, way, earlier+head[:cut], end)
 						if err == nil || !Broken.Has(err) {
-							t.Errorf("%s after %s, cut at %d by %s, kept %v: answer %+v, %v", headName, beforeName, cut, endName, kept, answer, err)
+							t.Errorf("%s after %s, cut at %d by %s, %s: answer %+v, %v", headName, beforeName, cut, endName, way, answer, err)
 						}
 					}
 				}
@@ -63,10 +65,19 @@
 	}
 }
 
-// afterCut sends a call to a server that answers with some bytes and ends the connection. With kept, the
-// connection has carried another call before.
-func afterCut(t *testing.T, l net.Listener, kept bool, bytes string, end func(*net.TCPConn)) (*Answer, error) {
+// Ways of calls: over a new connection, over one that has carried another call, and over another host.
+const (
+	newWay     = "new"
+	keptWay    = "kept"
+	carriedWay = "carried"
+)
+
+var ways = []string{newWay, keptWay, carriedWay}
+
+// afterCut sends a call to a server that answers with some bytes and ends the connection.
+func afterCut(t *testing.T, l net.Listener, way, bytes string, end func(*net.TCPConn)) (*Answer, error) {
 	t.Helper()
+	kept := way == keptWay
 	ours, theirs := tcpPair(t, l)
 	done := make(chan struct{})
 	go func() {
@@ -80,6 +91,7 @@
 	}()
 	client := NewClient(nil, nil)
 	client.Dial = func(context.Context, string, string) (net.Conn, error) { return ours, nil }
+	client.DialCarrier = func(context.Context, Call) (net.Conn, error) { return ours, nil }
 	defer func() {
 		client.Close()
 		_ = ours.Close()
@@ -92,7 +104,11 @@
 		is.New(t).NoErr(err)
 		first.Close()
 	}
-	answer, err := client.Do(context.Background(), Call{Address: "a:1", Method: "GET", Path: "/", Request: "2"})
+	call := Call{Address: "a:1", Method: "GET", Path: "/", Request: "2"}
+	if way == carriedWay {
+		call.Carrier = core.Carrier{Host: "b"}
+	}
+	answer, err := client.Do(context.Background(), call)
 	if answer != nil {
 		defer answer.Close()
 	}
