Crash counts cost little where many replicas end

Cause: with 512 records, each further request on a crashed replica had all of them sorted, at every host; and each heartbeat that came had the digest computed anew. Records make room a quarter at a time, totals are kept, and the digest is that of the host's latest heartbeat.

--- a/internal/core/crashcount/crashcount.go
+++ b/internal/core/crashcount/crashcount.go
@@ -27,6 +27,7 @@
 	maxDelay = 10 * time.Second
 
 	maxRecords  = 512 // requests with a record
+	evicted     = 128 // records that make room together, as they have to be sorted
 	maxReported = 256 // counts in one report
 	maxStored   = 64  // suspects that are stored
 )
@@ -46,20 +47,19 @@
 // record is what is known of one request.
 type record struct {
 	byObserver map[core.HostID]uint8
+	total      int // of byObserver
 	lastCrash  core.Instant
 }
 
-func (r *record) total() int {
-	n := 0
-	for _, k := range r.byObserver {
-		n += int(k)
-	}
-	return n
+// set replaces an observer's count.
+func (r *record) set(observer core.HostID, crashes uint8) {
+	r.total += int(crashes) - int(r.byObserver[observer])
+	r.byObserver[observer] = crashes
 }
 
 func (r *record) expired(now core.Instant) bool { return now.Sub(r.lastCrash) >= Retention }
 
-func (r *record) suspect(now core.Instant) bool { return !r.expired(now) && r.total() >= MaxCrashes }
+func (r *record) suspect(now core.Instant) bool { return !r.expired(now) && r.total >= MaxCrashes }
 
 // Counts are the crashes that one host knows of, by the request's fingerprint.
 type Counts struct {
@@ -75,7 +75,7 @@
 // Observe counts a crash that this host observed.
 func (c *Counts) Observe(now core.Instant, fingerprint uint64) {
 	r := c.recordFor(now, fingerprint)
-	r.byObserver[c.self] = increment(r.byObserver[c.self])
+	r.set(c.self, increment(r.byObserver[c.self]))
 	r.lastCrash = now
 }
 
@@ -92,7 +92,7 @@
 		return false
 	}
 	r := c.recordFor(now, k.Fingerprint)
-	r.byObserver[k.Observer] = k.Crashes
+	r.set(k.Observer, k.Crashes)
 	r.lastCrash = max(r.lastCrash, now.Add(-k.Age))
 	return true
 }
@@ -123,11 +123,13 @@
 	return r
 }
 
-// evict removes an expired record or, if there is none, the one of the fewest crashes, of those the oldest:
-// many replicas that end under sound requests displace no suspect.
+// evict removes the last evicted records by weight, so that many replicas that end under sound requests
+// displace no suspect.
 func (c *Counts) evict(now core.Instant) {
 	order := c.byWeight(now)
-	delete(c.records, order[len(order)-1])
+	for _, fingerprint := range order[len(order)-evicted:] {
+		delete(c.records, fingerprint)
+	}
 }
 
 // byWeight returns the fingerprints, those of the most crashes that count first, of those the newest.
@@ -143,7 +145,7 @@
 	if r.expired(now) {
 		return 0
 	}
-	return r.total()
+	return r.total
 }
 
 // IsSuspect reports whether a request has crashed so many replicas that it is not sent to another one.
--- a/internal/core/relaynode/crashes.go
+++ b/internal/core/relaynode/crashes.go
@@ -26,6 +26,7 @@
 type crashes struct {
 	counts *crashcount.Counts
 	toldAt toldHosts // all counts
+	digest uint64    // of the suspects, as in this host's latest heartbeat
 }
 
 func newCrashes(self core.HostID) crashes {
@@ -73,11 +74,16 @@
 	}
 }
 
+// suspectDigest returns the digest for a heartbeat, and keeps it to compare those of others with.
+func (m *Machine) suspectDigest() uint64 {
+	m.crashes.digest = m.crashes.counts.Digest(m.now)
+	return m.crashes.digest
+}
+
 // compareCrashes sends all counts to a host whose heartbeat shows other suspects, and so may lack some.
 // Hosts that don't watch tell the watchers, and standby hosts their contacts, who tell the others.
 func (m *Machine) compareCrashes(from core.HostID, b *Heartbeat) {
-	own := m.crashes.counts.Digest(m.now)
-	if own == 0 || own == b.Suspects {
+	if m.crashes.digest == 0 || m.crashes.digest == b.Suspects {
 		return
 	}
 	if m.isWatcher() || b.IsWatcher || !m.fleet.IsActive(from) || !m.fleet.Active() {
--- a/internal/core/relaynode/heartbeats.go
+++ b/internal/core/relaynode/heartbeats.go
@@ -119,7 +119,7 @@
 		Prompts:           load.prompts,
 		Promised:          load.promised,
 		Crashes:           m.crashes.counts.Own(m.now, crashReportTTL),
-		Suspects:          m.crashes.counts.Digest(m.now),
+		Suspects:          m.suspectDigest(),
 		ConfigVersion:     m.configVersion(),
 		VersionSum:        m.versionSum,
 		IsWatcher:         m.isWatcher() && m.storeAnswers(),
