Crash records are sorted only where they are wanted; one way to a socket's options

Change: byWeight sorts only the records that its caller keeps; socket.control is the one way; the flag is the machine's; newStartingHost. No behaviour, bound or assertion changes.

--- a/internal/core/crashcount/crashcount.go
+++ b/internal/core/crashcount/crashcount.go
@@ -126,18 +126,26 @@
 // evict removes the last evicted records by weight, so that many replicas that end under sound requests
 // displace no suspect.
 func (c *Counts) evict(now core.Instant) {
-	order := c.byWeight(now)
+	order := c.byWeight(now, func(*record) bool { return true })
 	for _, fingerprint := range order[len(order)-evicted:] {
 		delete(c.records, fingerprint)
 	}
 }
 
-// byWeight returns the fingerprints, those of the most crashes that count first, of those the newest.
-func (c *Counts) byWeight(now core.Instant) []uint64 {
-	return slices.SortedFunc(maps.Keys(c.records), func(a, b uint64) int {
+// byWeight returns the fingerprints of the records for which keep returns true, those of the most crashes
+// that count first, of those the newest.
+func (c *Counts) byWeight(now core.Instant, keep func(*record) bool) []uint64 {
+	var kept []uint64
+	for fingerprint, r := range c.records {
+		if keep(r) {
+			kept = append(kept, fingerprint)
+		}
+	}
+	slices.SortFunc(kept, func(a, b uint64) int {
 		x, y := c.records[a], c.records[b]
 		return cmp.Or(cmp.Compare(y.weight(now), x.weight(now)), cmp.Compare(y.lastCrash, x.lastCrash), cmp.Compare(a, b))
 	})
+	return kept
 }
 
 // weight is how many crashes of a request count.
@@ -173,11 +181,8 @@
 // Report returns what this host knows, for one that may not: the requests with the most crashes first.
 func (c *Counts) Report(now core.Instant) []Count {
 	var report []Count
-	for _, fingerprint := range c.byWeight(now) {
+	for _, fingerprint := range c.byWeight(now, func(r *record) bool { return !r.expired(now) }) {
 		r := c.records[fingerprint]
-		if r.expired(now) {
-			continue
-		}
 		for _, observer := range slices.Sorted(maps.Keys(r.byObserver)) {
 			report = append(report, Count{Fingerprint: fingerprint, Observer: observer, Crashes: r.byObserver[observer], Age: now.Sub(r.lastCrash)})
 		}
@@ -202,16 +207,10 @@
 
 // Suspects returns the times since the last crash of the suspects, by fingerprint, to be stored.
 func (c *Counts) Suspects(now core.Instant) map[uint64]time.Duration {
+	order := c.byWeight(now, func(r *record) bool { return r.suspect(now) })
 	suspects := map[uint64]time.Duration{}
-	for _, fingerprint := range c.byWeight(now) {
-		r := c.records[fingerprint]
-		if !r.suspect(now) {
-			continue
-		}
-		suspects[fingerprint] = now.Sub(r.lastCrash)
-		if len(suspects) >= maxStored {
-			break
-		}
+	for _, fingerprint := range order[:min(len(order), maxStored)] {
+		suspects[fingerprint] = now.Sub(c.records[fingerprint].lastCrash)
 	}
 	return suspects
 }
--- a/internal/core/relaynode/crashes_test.go
+++ b/internal/core/relaynode/crashes_test.go
@@ -162,6 +162,17 @@
 	}
 }
 
+// newStartingHost returns a host that has read all but the leases.
+func newStartingHost(t *testing.T) *host {
+	h := newHost(t)
+	h.m = New(Settings{Self: fleet.Registration{Name: "a", Host: "a/2", Domain: "a"}})
+	h.now = 100 * time.Millisecond
+	h.step(ConfigurationRead{Table: testTable()})
+	h.step(VersionsRead{})
+	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s1", services)}})
+	return h
+}
+
 // No host is left that could tell: the leases do, and until they have been read no request is served.
 func TestStartingHostReadsSuspectsFromTheLeases(t *testing.T) {
 	f := newRollingFleet(t, 2)
@@ -174,12 +185,7 @@
 	value, err := json.Marshal(record)
 	f.hosts[0].is.NoErr(err)
 
-	h := newHost(t)
-	h.m = New(Settings{Self: fleet.Registration{Name: "a", Host: "a/2", Domain: "a"}})
-	h.now = 100 * time.Millisecond
-	h.step(ConfigurationRead{Table: testTable()})
-	h.step(VersionsRead{})
-	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s1", services)}})
+	h := newStartingHost(t)
 	h.is.True(!h.m.Ready())
 	h.step(LeasesListed{Objects: []core.Object{{Key: shard.Prefix + "0", Value: value, Version: 1}}})
 	h.is.True(h.m.Ready())
@@ -189,12 +195,7 @@
 
 // A host that can't read the leases serves sound requests soon.
 func TestHostWithoutLeasesIsReadySoon(t *testing.T) {
-	h := newHost(t)
-	h.m = New(Settings{Self: fleet.Registration{Name: "a", Host: "a/2", Domain: "a"}})
-	h.now = 100 * time.Millisecond
-	h.step(ConfigurationRead{Table: testTable()})
-	h.step(VersionsRead{})
-	h.step(ReplicasListed{Entries: []replicas.Entry{replica("s1", services)}})
+	h := newStartingHost(t)
 	h.advance(inheritTimeout)
 	h.is.True(h.m.Ready())
 }
--- a/internal/core/relaynode/machine.go
+++ b/internal/core/relaynode/machine.go
@@ -30,6 +30,7 @@
 	replicas        *replicas.Set
 	replicasRead    bool // the list of replicas has been read
 	versionsRead    bool // the adapters' newest versions have been read
+	inherited       bool // what earlier processes have learned has been read from the leases
 	fleet           *fleet.Fleet
 	quota           *quota.Machine
 	shards          *shard.Machine
@@ -299,7 +300,7 @@
 // evacuations and what is kept with the leases have been read. Invariant: a host that has just
 // started runs nothing on a version that was replaced before.
 func (m *Machine) initialized() bool {
-	inherited := m.parts.inherited || m.now >= core.Instant(inheritTimeout)
+	inherited := m.inherited || m.now >= core.Instant(inheritTimeout)
 	return m.table != nil && m.replicasRead && m.versionsRead && m.evacuationsInitialized() && inherited
 }
 
--- a/internal/core/relaynode/parts.go
+++ b/internal/core/relaynode/parts.go
@@ -40,7 +40,6 @@
 	reportDue core.Instant
 	expiryDue core.Instant
 	toldAt    toldHosts // the verdicts
-	inherited bool      // what earlier processes have blocked has been read
 	enforce   bool      // a part was blocked since the open requests were last checked
 
 	reportVerdicts bool // this host has blocked a part by its own count: it is to be sent to the others
--- a/internal/core/relaynode/partstates.go
+++ b/internal/core/relaynode/partstates.go
@@ -30,10 +30,10 @@
 // inheritStates reads from the shards' leases, once, what was known of parts and of requests that crash
 // replicas before this process started.
 func (m *Machine) inheritStates() {
-	if m.parts.inherited {
+	if m.inherited {
 		return
 	}
-	m.parts.inherited = true
+	m.inherited = true
 	m.inheritSuspects()
 	for _, states := range m.shards.PartStates() {
 		for _, name := range slices.Sorted(maps.Keys(states)) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -21,15 +21,25 @@
 // was under way, it gets the error of the reset, and the reader the same end as of a connection that the
 // peer has closed in order. known is false where the connection shows no socket.
 func WasReset(c net.Conn) (reset, known bool) {
-	raw, err := Raw(c)
-	if err != nil {
-		return false, false
-	}
-	var pollErr error
-	err = raw.Control(func(fd uintptr) {
+	err := control(c, func(fd int) error {
 		state := []unix.PollFd{{Fd: int32(fd)}} // no events: a reset is always reported
 		n, err := unix.Poll(state, 0)
-		reset, pollErr = n > 0, err
+		reset = n > 0
+		return err
 	})
-	return reset, err == nil && pollErr == nil
+	return reset, err == nil
+}
+
+// control calls f with the descriptor of a connection's socket. The error is f's, or of a connection without
+// an open socket.
+func control(c net.Conn, f func(fd int) error) error {
+	raw, err := Raw(c)
+	if err != nil {
+		return err
+	}
+	var ofSocket error
+	if err := raw.Control(func(fd uintptr) { ofSocket = f(int(fd)) }); err != nil {
+		return err
+	}
+	return ofSocket
 }
